--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3.11
+BIN := .venv/bin
+
+.PHONY: environment test demo bench capacity generate
+
+environment: .venv/installed
+
+.venv/installed: pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+test: environment
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/python -m tools.docs --check
+	$(BIN)/python -m pytest
+
+demo: environment
+	$(BIN)/python -m tools.demo
+
+bench: environment
+	$(BIN)/python -m tools.bench
+
+generate: environment
+	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --pyi_out=. --grpc_python_out=. pimentolink/link.proto
--- /dev/null
+++ b/pimentolink/callers.py
@@ -0,0 +1,438 @@
+"""The HTTP interface towards callers."""
+
+from __future__ import annotations
+
+import hmac
+import math
+from collections.abc import Callable
+from typing import Any, Protocol
+from uuid import uuid4
+
+import msgspec
+from result import Err
+from twisted.internet.interfaces import IPushProducer
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+from twisted.web.server import Request as WebRequest
+from zope.interface import implementer
+
+from pimentolink import completions, errors, link_pb2
+from pimentolink.configuration import Adoption, Configuration
+from pimentolink.dispatcher import Dispatcher
+from pimentolink.metrics import Metrics
+from pimentolink.request import Progress, Request
+from pimentolink.settings import CallerLimits
+from pimentolink.timers import Timer, Timers
+
+SERVICES_PREFIX = "/services/"
+STATUS_PATH = "/pimentolink/status"
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+PASSED_HEADERS = frozenset({"content-type", "accept"})
+JSON = b"application/json"
+
+
+class EntryFacts(Protocol):
+    """What the interface tells of its entry."""
+
+    is_stopping: bool
+
+    def status(self) -> dict[str, Any]:
+        """Describe the entry for operators."""
+
+
+class BoundedRequest(WebRequest):
+    """A request that is refused once it is too large or takes too long to come."""
+
+    limits: CallerLimits
+    timers: Timers
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        """Start the time that a caller may take to send the request."""
+        super().__init__(*args, **kwargs)
+        self._received = 0
+        self._is_refused = False
+        self._deadline: Timer = self.timers.call_later(
+            self.limits.request_head, self._too_slow
+        )
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse a body that says it is too large before it is read."""
+        super().gotLength(length)
+        if length is not None and length > self.limits.body_bytes:
+            self._refuse(b"413 Content Too Large", errors.BodyTooLarge())
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Refuse a body that grows too large."""
+        self._received += len(data)
+        if self._received > self.limits.body_bytes and not self._is_refused:
+            self._refuse(b"413 Content Too Large", errors.BodyTooLarge())
+        if not self._is_refused:
+            super().handleContentChunk(data)
+
+    def process(self) -> None:
+        """Answer the request, which has come whole."""
+        self._deadline.cancel()
+        if self._is_refused:
+            self._transport().loseConnection()
+            return
+        super().process()
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Take note that the caller is gone."""
+        self._deadline.cancel()
+        super().connectionLost(reason)
+
+    def _too_slow(self) -> None:
+        if self._is_refused:
+            self._transport().abortConnection()
+            return
+        failure = errors.CallerTooSlow("the request did not come whole in time")
+        self._refuse(b"408 Request Timeout", failure)
+        self._transport().loseConnection()
+
+    def _refuse(self, status: bytes, failure: errors.Failure) -> None:
+        # The rest of the body is read and dropped until the deadline: a close with
+        # unread data would reset the connection before the caller has the answer.
+        self._is_refused = True
+        body = completions.error_body(failure)
+        head = b"HTTP/1.1 %s\r\ncontent-type: %s\r\ncontent-length: %d\r\n"
+        head += b"connection: close\r\n\r\n"
+        self._transport().write(head % (status, JSON, len(body)) + body)
+
+    def _transport(self) -> Any:
+        return self.channel.transport
+
+
+class CallerInterface(Resource):
+    """Answers every path that callers and operators may ask for."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        adoption: Adoption,
+        limits: CallerLimits,
+        metrics: Metrics,
+        timers: Timers,
+        facts: EntryFacts,
+        shared_key: str,
+    ) -> None:
+        """
+        Prepare.
+
+        :param dispatcher: brings requests to their answers.
+        :param adoption: the configuration in force.
+        :param limits: bounds on what callers may ask.
+        :param metrics: where figures go.
+        :param timers: the timer service.
+        :param facts: of the entry.
+        :param shared_key: what operators' programs prove themselves with.
+        """
+        super().__init__()
+        self._dispatcher = dispatcher
+        self._adoption = adoption
+        self._limits = limits
+        self._metrics = metrics
+        self._timers = timers
+        self._facts = facts
+        self._shared_key = shared_key.encode()
+        self._page_by_path: dict[str, Callable[[WebRequest], object]] = {
+            "/healthz": lambda web: _answer(web, 200, b"{}"),
+            "/readyz": self._ready,
+            "/metrics": lambda web: _answer(
+                web, 200, self._metrics.text(), b"text/plain; version=0.0.4"
+            ),
+            "/v1/models": self._models,
+            STATUS_PATH: self._status,
+        }
+
+    def render(self, request: WebRequest) -> int:
+        """Answer a request, now or later."""
+        path = request.path.decode("latin-1")
+        method = request.method.decode("latin-1")
+        page = self._page_by_path.get(path)
+        if page is not None and method in ("GET", "HEAD"):
+            page(request)
+        elif path in (completions.CHAT_PATH, completions.TEXT_PATH):
+            self._complete(request, path, method)
+        elif path.startswith(SERVICES_PREFIX):
+            self._call_service(request, path, method)
+        else:
+            _refuse(request, errors.ServiceUnknown(f"nothing at {path}"))
+        return NOT_DONE_YET
+
+    def _ready(self, web: WebRequest) -> None:
+        is_ready = self._adoption.accepted is not None and not self._facts.is_stopping
+        _answer(web, 200 if is_ready else 503, b"{}")
+
+    def _models(self, web: WebRequest) -> None:
+        accepted = self._adoption.accepted
+        names = accepted.configuration.models if accepted else {}
+        data = [{"id": name, "object": "model"} for name in names]
+        _answer(web, 200, msgspec.json.encode({"object": "list", "data": data}))
+
+    def _status(self, web: WebRequest) -> None:
+        if not self._is_operator(web):
+            _refuse(web, errors.Unauthenticated("the shared key is needed"))
+            return
+        _answer(web, 200, msgspec.json.encode(self._facts.status()))
+
+    def _is_operator(self, web: WebRequest) -> bool:
+        given = web.getHeader("authorization") or ""
+        return hmac.compare_digest(given.encode(), b"Bearer " + self._shared_key)
+
+    def _complete(self, web: WebRequest, path: str, method: str) -> None:
+        if method != "POST":
+            _refuse(web, errors.InvalidRequest("POST is the only method here"))
+            return
+        configuration = self._admit(web)
+        if configuration is None:
+            return
+        request_id = uuid4().hex
+        body = _body_of(web)
+        parsed = completions.parse(
+            configuration, path, _headers_of(web), body, request_id
+        )
+        if isinstance(parsed, Err):
+            self._metrics.count("refused", parsed.err_value.code)
+            _refuse(web, parsed.err_value)
+            return
+        asked = parsed.ok_value
+        created = int(self._timers.wall_time())
+        reply = _CompletionReply(self, web, asked, created)
+        self._start(web, asked.request, reply)
+
+    def _call_service(self, web: WebRequest, path: str, method: str) -> None:
+        configuration = self._admit(web)
+        if configuration is None:
+            return
+        name, _, rest = path[len(SERVICES_PREFIX) :].partition("/")
+        service = configuration.services.get(name)
+        if service is None or service.kind != "plain":
+            _refuse(web, errors.ServiceUnknown(f"no plain service {name!r}"))
+            return
+        headers = _headers_of(web)
+        key = headers.get("idempotency-key", "")
+        may_repeat = service.repeatable or method in SAFE_METHODS
+        if not may_repeat and not key:
+            detail = f"{name} calls need an Idempotency-Key"
+            _refuse(web, errors.IdempotencyKeyMissing(detail))
+            return
+        work = headers.get(completions.WORK_HEADER, service.work)
+        if work not in configuration.work:
+            _refuse(web, errors.WorkUnknown(f"no kind of work {work!r}"))
+            return
+        query = web.uri.partition(b"?")[2].decode("latin-1")
+        request = Request(
+            request_id=uuid4().hex,
+            service=name,
+            work=work,
+            priority=configuration.work[work].priority,
+            patience=configuration.work[work].patience,
+            caller=headers.get("pimentolink-caller", ""),
+            method=method,
+            path=f"/{rest}?{query}" if query else f"/{rest}",
+            headers={
+                name: value for name, value in headers.items() if name in PASSED_HEADERS
+            },
+            body=_body_of(web),
+            idempotency_key="" if may_repeat else key,
+            is_model=False,
+            prefill_tokens=0,
+            decode_tokens=0,
+            prefix=0,
+            traceparent=headers.get("traceparent", ""),
+        )
+        self._start(web, request, _ServiceReply(self, web, request))
+
+    def _admit(self, web: WebRequest) -> Configuration | None:
+        accepted = self._adoption.accepted
+        failure: errors.Failure | None = None
+        if accepted is None:
+            failure = errors.NoConfiguration("none has arrived yet", 1.0)
+        elif self._dispatcher.in_flight >= self._limits.in_flight:
+            failure = errors.Overloaded("too many requests in work", 1.0)
+        if failure is not None:
+            self._metrics.count("refused", failure.code)
+            _refuse(web, failure)
+            return None
+        assert accepted is not None
+        return accepted.configuration
+
+    def _start(self, web: WebRequest, request: Request, reply: _Reply) -> None:
+        self._metrics.count("requests", request.work)
+        finished = web.notifyFinish()
+        finished.addErrback(lambda _: self._caller_left(request))
+        self._dispatcher.submit(request, reply)
+
+    def _caller_left(self, request: Request) -> None:
+        self._metrics.count("callers_left", request.work)
+        self._dispatcher.cancel(request.request_id)
+
+    def closing(self) -> bool:
+        """Tell whether connections are closed after their answer."""
+        return self._facts.is_stopping
+
+    def answered(self, progress: Progress) -> None:
+        """Record a whole answer."""
+        work = progress.request.work
+        self._metrics.count("answered", work)
+        self._metrics.record("answer", self._timers.now() - progress.started_at)
+        if progress.first_token_at is not None:
+            first = progress.first_token_at - progress.started_at
+            self._metrics.record("first_token", first)
+
+    def failed(self, failure: errors.Failure) -> None:
+        """Record a final answer that is a failure."""
+        self._metrics.count("failed", failure.code)
+
+    def pause(self, request: Request, paused: bool) -> None:
+        """Hold a target back, or let it go on."""
+        self._dispatcher.pause(request.request_id, paused)
+
+
+class _Reply:
+    """What replies share: the caller's connection and the entry's figures."""
+
+    def __init__(
+        self, interface: CallerInterface, web: WebRequest, request: Request
+    ) -> None:
+        self.interface = interface
+        self.web = web
+        self.request = request
+
+    def tokens(self, tokens: list[str]) -> None:
+        """Take the next tokens."""
+
+    def complete(self, finish: link_pb2.Finish, progress: Progress) -> None:
+        """Take the end of a whole answer."""
+
+    def fail(self, failure: errors.Failure, progress: Progress) -> None:
+        """Answer with a failure."""
+        self.interface.failed(failure)
+        if not self.web._disconnected:
+            _refuse(self.web, failure, self.interface.closing())
+
+
+class _ServiceReply(_Reply):
+    """The answer of a plain service."""
+
+    def complete(self, finish: link_pb2.Finish, progress: Progress) -> None:
+        """Pass the service's answer on."""
+        self.interface.answered(progress)
+        for header in finish.headers:
+            self.web.setHeader(header.name, header.value)
+        self.web.setResponseCode(finish.status)
+        self.web.write(finish.body)
+        self.web.finish()
+
+
+@implementer(IPushProducer)
+class _CompletionReply(_Reply):
+    """The answer of a model; as the connection's producer it learns of slow callers."""
+
+    def __init__(
+        self,
+        interface: CallerInterface,
+        web: WebRequest,
+        asked: completions.Asked,
+        created: int,
+    ) -> None:
+        super().__init__(interface, web, asked.request)
+        self._asked = asked
+        self._created = created
+        self._encoder = completions.ChunkEncoder(asked, created)
+        self._has_begun = False
+
+    def tokens(self, tokens: list[str]) -> None:
+        if not self._asked.is_streamed:
+            return
+        if not self._has_begun:
+            self._begin()
+        self.web.write(self._encoder.tokens(tokens))
+
+    def complete(self, finish: link_pb2.Finish, progress: Progress) -> None:
+        self.interface.answered(progress)
+        if self._asked.is_streamed:
+            if not self._has_begun:
+                self._begin()
+            self.web.write(self._encoder.end(finish.finish_reason))
+            self._end()
+            return
+        body = completions.whole_answer(
+            self._asked, self._created, progress.tokens, finish.finish_reason
+        )
+        _answer(self.web, 200, body)
+
+    def fail(self, failure: errors.Failure, progress: Progress) -> None:
+        if not self._has_begun:
+            super().fail(failure, progress)
+            return
+        self.interface.failed(failure)
+        self.web.write(self._encoder.failure(failure))
+        self._end()
+
+    def _begin(self) -> None:
+        self._has_begun = True
+        self.web.setHeader("content-type", "text/event-stream")
+        self.web.setHeader("cache-control", "no-store")
+        self.web.registerProducer(self, True)
+
+    def _end(self) -> None:
+        self.web.unregisterProducer()
+        self.web.finish()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Hold the target back: the caller does not read."""
+        self.interface.pause(self.request, True)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Let the target go on: the caller reads again."""
+        self.interface.pause(self.request, False)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the caller's leaving is told by the connection."""
+
+
+def _headers_of(web: WebRequest) -> dict[str, str]:
+    return {
+        name.decode("latin-1").lower(): values[-1].decode("latin-1")
+        for name, values in web.requestHeaders.getAllRawHeaders()
+    }
+
+
+def _body_of(web: WebRequest) -> bytes:
+    content: Any = web.content
+    return bytes(content.read())
+
+
+def _answer(web: WebRequest, status: int, body: bytes, kind: bytes = JSON) -> None:
+    web.setResponseCode(status)
+    web.setHeader(b"content-type", kind)
+    web.setHeader(b"content-length", str(len(body)).encode())
+    web.write(body)
+    web.finish()
+
+
+def _refuse(web: WebRequest, failure: errors.Failure, is_closing: bool = False) -> None:
+    if failure.retry_after is not None:
+        web.setHeader("retry-after", str(math.ceil(failure.retry_after)))
+    if is_closing:
+        web.setHeader("connection", "close")
+    _answer(web, failure.status, completions.error_body(failure))
+
+
+def make_site(interface: CallerInterface, limits: CallerLimits, timers: Timers) -> Site:
+    """
+    Make the factory of callers' connections.
+
+    :param interface: answers requests.
+    :param limits: bounds on requests.
+    :param timers: the timer service.
+    """
+    bounds = {"limits": limits, "timers": timers}
+    request_type = type("CallerRequest", (BoundedRequest,), bounds)
+    site = Site(interface, requestFactory=request_type, timeout=limits.request_head)
+    site.displayTracebacks = False
+    return site
--- /dev/null
+++ b/pimentolink/cli.py
@@ -0,0 +1,269 @@
+"""The command line: parses, calls porcelain, prints."""
+
+from __future__ import annotations
+
+import getpass
+import json
+import sys
+from collections.abc import Coroutine
+from typing import Any, NoReturn
+
+import fire
+import msgspec
+from result import Err, Result
+
+from pimentolink import porcelain
+from pimentolink.configuration import Configuration
+from pimentolink.errors import ConfigurationInvalid, Failure
+from pimentolink.settings import (
+    EntrySettings,
+    PlatformSettings,
+    SidecarSettings,
+    read_settings,
+)
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 4
+
+
+class ConfigCommands:
+    """Check, compare and apply configurations."""
+
+    def check(self, base: str, *overlays: str) -> None:
+        """Check a base file with its overlays; exit code 2 if it has faults."""
+        _checked(base, overlays)
+        print("ok")
+
+    def diff(self, base: str, *overlays: str, platform: str) -> None:
+        """Compare a configuration with the accepted one."""
+        configuration = _checked(base, overlays)
+        store = _Platform(platform)
+        found = store.run(porcelain.diff_configuration(store.store, configuration))
+        for item in found:
+            print(f"{item.path}: {_short(item.before)} -> {_short(item.after)}")
+
+    def apply(
+        self, base: str, *overlays: str, platform: str, against: int | None = None
+    ) -> None:
+        """Put a configuration into force; exit code 4 if another came first."""
+        configuration = _checked(base, overlays)
+        store = _Platform(platform)
+        outcome = store.run(
+            porcelain.apply_configuration(
+                store.store, configuration, getpass.getuser(), against
+            )
+        )
+        accepted = _accepted(outcome)
+        print(f"version {accepted.version} accepted ({accepted.change_id})")
+
+    def show(self, platform: str) -> None:
+        """Print the accepted configuration as JSON."""
+        store = _Platform(platform)
+        accepted = store.run(porcelain.show_configuration(store.store))
+        if accepted is None:
+            _end(EXIT_FAILED, "no configuration is accepted yet")
+        _print_json(msgspec.to_builtins(accepted))
+
+    def history(self, platform: str, most: int = 20, json: bool = False) -> None:
+        """List accepted configurations, the newest first."""
+        store = _Platform(platform)
+        versions = store.run(porcelain.configuration_history(store.store, most))
+        rows = [
+            {
+                "version": item.version,
+                "applied_at": item.applied_at,
+                "author": item.author,
+                "change_id": item.change_id,
+            }
+            for item in versions
+        ]
+        _print_rows(rows, json)
+
+
+class TargetCommands:
+    """Keep targets from new work, or let them have some again."""
+
+    def drain(self, target: str, platform: str) -> None:
+        """Keep a target from new work; what it has, it finishes."""
+        self._set(target, True, platform)
+
+    def restore(self, target: str, platform: str) -> None:
+        """Let a target have new work again; ``return`` on the command line."""
+        self._set(target, False, platform)
+
+    def _set(self, target: str, is_drained: bool, platform: str) -> None:
+        store = _Platform(platform)
+        outcome = store.run(
+            porcelain.set_target_drained(
+                store.store, target, is_drained, getpass.getuser()
+            )
+        )
+        accepted = _accepted(outcome)
+        state = "drained" if is_drained else "in service"
+        print(f"{target} {state} as of version {accepted.version}")
+
+
+class Commands:
+    """Serving system for a fixed fleet whose prompt-to-output mix shifts."""
+
+    def __init__(self) -> None:
+        """Group the commands."""
+        self.config = ConfigCommands()
+        self.target = TargetCommands()
+
+    def entry(self, settings: str, *overlays: str) -> None:
+        """Run an entry until SIGTERM."""
+        from pimentolink.daemon import run
+
+        read = _read(EntrySettings, [settings, *overlays])
+
+        def make(reactor: Any) -> Any:
+            from pimentolink.entry import Entry
+
+            return Entry(reactor, read)
+
+        sys.exit(run(make))
+
+    def sidecar(self, settings: str, *overlays: str) -> None:
+        """Run a sidecar until SIGTERM."""
+        from pimentolink.daemon import run
+
+        read = _read(SidecarSettings, [settings, *overlays])
+
+        def make(reactor: Any) -> Any:
+            from pimentolink.sidecar import Sidecar
+
+            return Sidecar(reactor, read)
+
+        sys.exit(run(make))
+
+    def status(self, platform: str, key: str, json: bool = False) -> None:
+        """Ask every listed entry how it is; ``key`` is the shared key's file."""
+        from pathlib import Path
+
+        store = _Platform(platform)
+        shared_key = Path(key).read_text().strip()
+        found = store.run(porcelain.status(store.client, store.instances, shared_key))
+        told = [item.ok_value for item in found if not isinstance(item, Err)]
+        silent = [str(item.err_value) for item in found if isinstance(item, Err)]
+        if json:
+            _print_json({"entries": told, "silent": silent})
+            return
+        _print_rows(
+            [{k: v for k, v in item.items() if k != "targets"} for item in told], False
+        )
+        for item in told:
+            print(f"\ntargets as {item['instance']} knows them")
+            _print_rows(item["targets"], False)
+        for line in silent:
+            print(line)
+
+
+class _Platform:
+    """The platform's services, used for one command on a loop of its own."""
+
+    def __init__(self, path: str) -> None:
+        from twisted.internet import reactor as default_reactor
+
+        from pimentolink.instances import HttpInstanceList
+        from pimentolink.kvstore import HttpStore
+
+        settings = _read(PlatformSettings, [path])
+        reactor: Any = default_reactor
+        self._reactor = reactor
+        self.store = HttpStore(reactor, settings)
+        self.instances = HttpInstanceList(reactor, settings)
+        self.client = porcelain.HttpClient(reactor, settings.timeout)
+
+    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        """Run to the end; a failure ends the process with its text."""
+        from twisted.internet.defer import Deferred
+
+        outcome: list[Any] = []
+        failures: list[BaseException] = []
+
+        def begin() -> None:
+            pending: Any = Deferred.fromCoroutine(coroutine)
+            pending.addCallbacks(
+                outcome.append, lambda failure: failures.append(failure.value)
+            )
+            pending.addBoth(lambda _: self._reactor.stop())
+
+        self._reactor.callWhenRunning(begin)
+        self._reactor.run()
+        if failures and isinstance(failures[0], Failure):
+            _end(EXIT_FAILED, str(failures[0]))
+        if failures:
+            raise failures[0]
+        return outcome[0]
+
+
+def _checked(base: str, overlays: tuple[str, ...]) -> Configuration:
+    outcome = porcelain.check_configuration(base, list(overlays))
+    if isinstance(outcome, Err):
+        _end_invalid(outcome.err_value)
+    return outcome.ok_value
+
+
+def _accepted(outcome: Result[Any, Failure]) -> Any:
+    if isinstance(outcome, Err):
+        failure = outcome.err_value
+        code = EXIT_CONFLICT if failure.status == 409 else EXIT_FAILED
+        _end(code, str(failure))
+    return outcome.ok_value
+
+
+def _read(settings_type: Any, paths: list[str]) -> Any:
+    outcome = read_settings(settings_type, paths)
+    if isinstance(outcome, Err):
+        _end(EXIT_INVALID, str(outcome.err_value))
+    return outcome.ok_value
+
+
+def _end_invalid(invalid: ConfigurationInvalid) -> NoReturn:
+    lines = [str(problem) for problem in invalid.problems]
+    _end(EXIT_INVALID, "\n".join(lines))
+
+
+def _end(code: int, text: str) -> NoReturn:
+    print(text, file=sys.stderr)
+    sys.exit(code)
+
+
+def _print_json(value: Any) -> None:
+    print(json.dumps(value, indent=2))
+
+
+def _print_rows(rows: list[dict[str, Any]], is_json: bool) -> None:
+    if is_json:
+        _print_json(rows)
+        return
+    if not rows:
+        print("none")
+        return
+    names = list(rows[0])
+    widths = [max(len(name), *(len(str(row[name])) for row in rows)) for name in names]
+    for cells in [names, *([str(row[name]) for name in names] for row in rows)]:
+        print(
+            "  ".join(
+                cell.ljust(width) for cell, width in zip(cells, widths, strict=True)
+            )
+        )
+
+
+def _short(value: Any) -> str:
+    return "absent" if value is None else json.dumps(value)
+
+
+def main() -> None:
+    """Parse the command line and run one command."""
+    arguments = sys.argv[1:]
+    if arguments[:2] == ["target", "return"]:
+        # ``return`` is a keyword, so the method has another name.
+        arguments[1] = "restore"
+    fire.Fire(Commands, command=arguments, name="pimentolink")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pimentolink/configuration.py
@@ -0,0 +1,311 @@
+"""The operators' configuration: its types, its checks and its adoption."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct, field
+from result import Err, Ok, Result
+
+from pimentolink import errors
+from pimentolink.settings import Address, Count, Ratio, Seconds
+
+Priority = Annotated[int, Meta(ge=0, le=9, description="0 is the most urgent")]
+Role = Literal["mixed", "prefill", "decode"]
+
+
+class WorkConfiguration(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    A kind of work.
+
+    :ivar priority: 0 (most urgent) to 9.
+    :ivar patience: seconds after which its requests are given up.
+    """
+
+    priority: Priority
+    patience: Seconds = 60.0
+
+
+class ModelConfiguration(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    A model.
+
+    :ivar version: the version that engines run.
+    :ivar adapters: names of the adapters that engines load.
+    """
+
+    version: str
+    adapters: list[str] = field(default_factory=list)
+
+
+class ServiceConfiguration(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """
+    A service.
+
+    :ivar kind: ``model`` for engines, ``plain`` for other services.
+    :ivar targets: names of its targets.
+    :ivar models: names of the models that it runs.
+    :ivar work: kind of work of a request that names none.
+    :ivar repeatable: whether its calls may be repeated.
+    :ivar claim_partitions: parts that the claims of its calls are spread over.
+    :ivar older_share: share of its requests that the older system serves.
+    """
+
+    kind: Literal["model", "plain"]
+    targets: list[str]
+    work: str
+    models: list[str] = field(default_factory=list)
+    repeatable: bool = True
+    claim_partitions: Count = 8
+    older_share: Ratio = 0.0
+
+
+class TargetConfiguration(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """
+    A target.
+
+    :ivar data_centre: where it stands.
+    :ivar checks_fencing: whether it refuses an order with an old fencing number.
+    :ivar orders_from: who gives it orders: this system or the older one.
+    :ivar role: what an engine starts as.
+    :ivar drained: whether operators keep it from new work.
+    """
+
+    data_centre: str
+    checks_fencing: bool = False
+    orders_from: Literal["pimentolink", "older_system"] = "pimentolink"
+    role: Role = "mixed"
+    drained: bool = False
+
+
+class Configuration(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    What a site runs, as operators wrote it.
+
+    :ivar work: kinds of work by name.
+    :ivar models: models by name.
+    :ivar services: services by name.
+    :ivar targets: targets by name.
+    :ivar older_system: address of the older system, while it still runs.
+    """
+
+    site: str
+    work: dict[str, WorkConfiguration]
+    services: dict[str, ServiceConfiguration]
+    targets: dict[str, TargetConfiguration]
+    models: dict[str, ModelConfiguration] = field(default_factory=dict)
+    older_system: Address | None = None
+
+    def service_of_model(self, model: str) -> str | None:
+        """
+        Find the service that runs a model.
+
+        :param model: the model's name.
+        :returns: the service's name, or ``None``.
+        """
+        for name, service in self.services.items():
+            if model in service.models:
+                return name
+        return None
+
+
+class AcceptedConfiguration(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """
+    A configuration as it stands in the key-value service.
+
+    :ivar version: one more than the version it replaced.
+    :ivar change_id: identity of the change, by which its writer recognises it.
+    :ivar author: who applied it.
+    :ivar applied_at: when, as ISO 8601.
+    """
+
+    version: int
+    change_id: str
+    author: str
+    applied_at: str
+    configuration: Configuration
+
+
+class Adoption:
+    """
+    The configuration that a process acts on.
+
+    Guards the rule that an accepted configuration never reverts: only a higher
+    version replaces the one in force, whoever brings it.
+    """
+
+    def __init__(self) -> None:
+        """Start with none in force."""
+        self.accepted: AcceptedConfiguration | None = None
+        self.document = b""
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 for none."""
+        return self.accepted.version if self.accepted else 0
+
+    def offer(self, document: bytes) -> bool:
+        """
+        Take a document if it is newer.
+
+        :param document: an accepted configuration as JSON.
+        :returns: whether it is now in force.
+        :raises msgspec.DecodeError: if it is no accepted configuration.
+        """
+        accepted = msgspec.json.decode(document, type=AcceptedConfiguration)
+        if accepted.version <= self.version:
+            return False
+        self.accepted = accepted
+        self.document = document
+        return True
+
+
+def check(merged: dict[str, Any]) -> Result[Configuration, errors.ConfigurationInvalid]:
+    """
+    Check a merged configuration as a whole.
+
+    :param merged: base and overlay as one JSON object.
+    :returns: the configuration, or every fault in it.
+    """
+    problems = list(_problems_of_shape(merged))
+    if not problems:
+        problems = list(_problems_of_meaning(msgspec.convert(merged, Configuration)))
+    if problems:
+        return Err(errors.ConfigurationInvalid(problems))
+    return Ok(msgspec.convert(merged, Configuration))
+
+
+_PROBLEM_BY_KEYWORD: dict[str, type[errors.Problem]] = {
+    "additionalProperties": errors.KeyUnknown,
+    "required": errors.KeyMissing,
+    "type": errors.TypeWrong,
+    "anyOf": errors.TypeWrong,
+}
+
+
+def _problems_of_shape(merged: dict[str, Any]) -> Iterator[errors.Problem]:
+    # Imported here: only operators' commands need it, daemons save its memory.
+    from jsonschema import Draft202012Validator
+
+    schema = msgspec.json.schema(Configuration)
+    for fault in Draft202012Validator(schema).iter_errors(merged):
+        path = "".join(f"/{part}" for part in fault.absolute_path)
+        problem = _PROBLEM_BY_KEYWORD.get(str(fault.validator), errors.ValueOutOfRange)
+        yield problem(path, fault.message)
+
+
+def _problems_of_meaning(configuration: Configuration) -> Iterator[errors.Problem]:
+    yield from _problems_of_assignment(configuration)
+    yield from _problems_of_services(configuration)
+    older_targets = [
+        name
+        for name, target in configuration.targets.items()
+        if target.orders_from == "older_system"
+    ]
+    if older_targets and configuration.older_system is None:
+        yield errors.ReferenceUnknown(
+            "/older_system", f"needed while {', '.join(older_targets)} belong to it"
+        )
+
+
+def _problems_of_assignment(configuration: Configuration) -> Iterator[errors.Problem]:
+    service_by_target: dict[str, str] = {}
+    for name, service in configuration.services.items():
+        path = f"/services/{name}/targets"
+        if not service.targets:
+            yield errors.ServiceWithoutTarget(path, "a service needs a target")
+        for index, target in enumerate(service.targets):
+            if target not in configuration.targets:
+                yield errors.ReferenceUnknown(f"{path}/{index}", f"no target {target}")
+            elif target in service_by_target:
+                yield errors.TargetAssignedTwice(
+                    f"{path}/{index}",
+                    f"{target} stands in {service_by_target[target]} already",
+                )
+            service_by_target[target] = name
+    for target in configuration.targets:
+        if target not in service_by_target:
+            yield errors.TargetUnassigned(f"/targets/{target}", "in no service")
+
+
+def _problems_of_services(configuration: Configuration) -> Iterator[errors.Problem]:
+    service_by_model: dict[str, str] = {}
+    for name, service in configuration.services.items():
+        path = f"/services/{name}"
+        if service.work not in configuration.work:
+            yield errors.ReferenceUnknown(
+                f"{path}/work", f"no kind of work {service.work}"
+            )
+        if service.older_share > 0 and configuration.older_system is None:
+            yield errors.ReferenceUnknown(
+                f"{path}/older_share", "no older_system to take the share"
+            )
+        if service.kind == "model" and not service.models:
+            yield errors.KeyMissing(f"{path}/models", "a model service needs a model")
+        for index, model in enumerate(service.models):
+            if model not in configuration.models:
+                yield errors.ReferenceUnknown(
+                    f"{path}/models/{index}", f"no model {model}"
+                )
+            elif model in service_by_model:
+                yield errors.ModelServedTwice(
+                    f"{path}/models/{index}",
+                    f"{service_by_model[model]} runs {model} already",
+                )
+            service_by_model[model] = name
+
+
+def differences(
+    old: dict[str, Any], new: dict[str, Any], path: str = ""
+) -> Iterator[tuple[str, Any, Any]]:
+    """
+    Compare two configurations.
+
+    :param old: one JSON object.
+    :param new: the other.
+    :param path: JSON pointer of both.
+    :returns: path, old value and new value of each difference; ``None`` if absent.
+    """
+    for key in sorted(old.keys() | new.keys()):
+        before, after = old.get(key), new.get(key)
+        here = f"{path}/{key}"
+        if isinstance(before, dict) and isinstance(after, dict):
+            yield from differences(before, after, here)
+        elif before != after:
+            yield here, before, after
+
+
+def read_documents(
+    paths: list[str],
+) -> Result[list[dict[str, Any]], errors.ConfigurationInvalid]:
+    """
+    Read a base file and overlays.
+
+    :param paths: the base first.
+    :returns: the JSON objects, or every file that is none.
+    """
+    documents: list[dict[str, Any]] = []
+    problems: list[errors.Problem] = []
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8") as file:
+                document = json.load(file)
+        except (OSError, ValueError) as error:
+            problems.append(errors.NotJson(path, str(error)))
+            continue
+        if isinstance(document, dict):
+            documents.append(document)
+        else:
+            problems.append(errors.NotJson(path, "not a JSON object"))
+    if problems:
+        return Err(errors.ConfigurationInvalid(problems))
+    return Ok(documents)
--- /dev/null
+++ b/pimentolink/dispatcher.py
@@ -0,0 +1,473 @@
+"""Brings each request to its final answer, over as many attempts as it takes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from result import Err
+
+from pimentolink import link_pb2
+from pimentolink.configuration import Adoption
+from pimentolink.errors import (
+    AlreadyRun,
+    CallerTooSlow,
+    ClaimUnavailable,
+    CrossedAnswer,
+    Draining,
+    Failure,
+    IdempotencyKeyReused,
+    LateAnswer,
+    LinkLost,
+    NotRun,
+    OutcomeUnknown,
+    Overloaded,
+    StillRunning,
+    TargetFailed,
+    TargetRejected,
+)
+from pimentolink.executor import CALLER_HEADER
+from pimentolink.links import EntryLink
+from pimentolink.logs import Log, LogEvent
+from pimentolink.request import Progress, Request
+from pimentolink.retry import RetryBudget
+from pimentolink.router import Router, TargetPool, TargetState
+from pimentolink.settings import EntrySettings
+from pimentolink.timers import Timer, Timers
+
+RETRY_AFTER = 1.0
+
+_FAILURE_BY_CODE: dict[str, type[Failure]] = {
+    failure.code: failure
+    for failure in (
+        AlreadyRun,
+        ClaimUnavailable,
+        CrossedAnswer,
+        Draining,
+        IdempotencyKeyReused,
+        NotRun,
+        OutcomeUnknown,
+        Overloaded,
+        StillRunning,
+        TargetFailed,
+        TargetRejected,
+    )
+}
+
+
+class Reply(Protocol):
+    """Where a request's answer goes; exactly one of the last two is called, once."""
+
+    def tokens(self, tokens: list[str]) -> None:
+        """Take the next tokens of a model's answer."""
+
+    def complete(self, finish: link_pb2.Finish, progress: Progress) -> None:
+        """Take the end of a whole answer."""
+
+    def fail(self, failure: Failure, progress: Progress) -> None:
+        """Take the final answer of a request that is given up."""
+
+
+class _Work(NamedTuple):
+    """A request in work."""
+
+    progress: Progress
+    reply: Reply
+    timers: dict[str, Timer]
+
+
+class Dispatcher:
+    """
+    Requests in work at one entry.
+
+    Guards that each request gets one final answer, that an answer is matched to the
+    attempt that asked for it, and that a request is retried only where that is safe:
+    a call that may not be repeated carries its key to a sidecar that claims it.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        adoption: Adoption,
+        router: Router,
+        timers: Timers,
+        log: Log,
+    ) -> None:
+        """
+        Start without requests or targets.
+
+        :param settings: limits and retries.
+        :param adoption: the configuration in force.
+        :param router: chooses targets.
+        :param timers: the timer service.
+        :param log: where events go.
+        """
+        self._settings = settings
+        self._adoption = adoption
+        self._router = router
+        self._timers = timers
+        self._log = log
+        self._budget = RetryBudget(settings.retry)
+        self._last_attempt_id = 0
+        self._work_by_request_id: dict[str, _Work] = {}
+        self._request_id_by_attempt: dict[int, str] = {}
+        self._link_by_target: dict[str, EntryLink] = {}
+        self._target_by_link: dict[EntryLink, TargetState] = {}
+        self.late_events = 0
+        self.retries = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests in work."""
+        return len(self._work_by_request_id)
+
+    def submit(self, request: Request, reply: Reply) -> None:
+        """
+        Take a request.
+
+        :param request: what is asked.
+        :param reply: where its answer goes.
+        """
+        progress = Progress(request, self._timers.now())
+        work = _Work(progress, reply, {})
+        self._work_by_request_id[request.request_id] = work
+        self._budget.earn()
+        self._set_timer(work, "patience", request.patience, lambda: self._expire(work))
+        self._attempt(work)
+
+    def cancel(self, request_id: str) -> None:
+        """
+        Forget a request whose caller has gone; its target is told.
+
+        :param request_id: which.
+        """
+        work = self._work_by_request_id.get(request_id)
+        if work is not None:
+            self._withdraw_attempt(work)
+            self._close(work)
+
+    def pause(self, request_id: str, paused: bool) -> None:
+        """
+        Hold a request's target back while its caller reads slowly.
+
+        :param request_id: which.
+        :param paused: whether to hold it back.
+        """
+        work = self._work_by_request_id.get(request_id)
+        if work is None or work.progress.attempt_id is None:
+            return
+        link = self._link_by_target.get(work.progress.target_id)
+        if link is not None:
+            pause = link_pb2.Pause(attempt_id=work.progress.attempt_id, paused=paused)
+            link.send(link_pb2.EntryMessage(pause=pause))
+        if paused:
+            self._set_timer(
+                work,
+                "stall",
+                self._settings.limits.stall,
+                lambda: self._give_up(work, CallerTooSlow()),
+            )
+        else:
+            self._drop_timer(work, "stall")
+
+    def target_up(self, link: EntryLink, target_id: str, data_centre: str) -> None:
+        """
+        Take a target into routing.
+
+        :param link: how it is reached.
+        :param target_id: its name.
+        :param data_centre: where it stands.
+        """
+        target = TargetState(target_id, data_centre)
+        self._link_by_target[target_id] = link
+        self._target_by_link[link] = target
+        self.arrange_pools()
+
+    def target_down(self, link: EntryLink) -> None:
+        """
+        Take a target out of routing and move its requests elsewhere.
+
+        :param link: the link that ended.
+        """
+        target = self._target_by_link.pop(link, None)
+        if target is None or self._link_by_target.get(target.target_id) is not link:
+            return
+        del self._link_by_target[target.target_id]
+        self.arrange_pools()
+        affected = [
+            work
+            for work in self._work_by_request_id.values()
+            if work.progress.attempt_id is not None
+            and work.progress.target_id == target.target_id
+        ]
+        for work in affected:
+            self._attempt_failed(work, LinkLost(f"with {target.target_id}"))
+
+    def arrange_pools(self) -> None:
+        """Sort linked targets into services as the configuration says now."""
+        accepted = self._adoption.accepted
+        if accepted is None:
+            return
+        linked_by_id = {
+            target.target_id: target for target in self._target_by_link.values()
+        }
+        configuration = accepted.configuration
+        pools = self._router.pool_by_service
+        for name, service in configuration.services.items():
+            wanted = [
+                linked_by_id[target_id]
+                for target_id in service.targets
+                if target_id in linked_by_id
+                and not configuration.targets[target_id].drained
+            ]
+            pools.setdefault(name, TargetPool()).replace(wanted)
+        for name in pools.keys() - configuration.services:
+            del pools[name]
+
+    def describe_targets(self) -> list[dict[str, object]]:
+        """Tell operators what this entry knows of each linked target."""
+        now = self._timers.now()
+        return [
+            {
+                "target": target.target_id,
+                "data_centre": target.data_centre,
+                "available": target.is_available(now),
+                "running": target.load.running,
+                "waiting": target.load.waiting,
+                "in_flight_here": target.in_flight,
+                "role": target.load.role,
+            }
+            for target in self._target_by_link.values()
+        ]
+
+    def load_reported(self, link: EntryLink, load: link_pb2.Load) -> None:
+        """Take a target's load report."""
+        target = self._target_by_link.get(link)
+        if target is not None:
+            target.reported(load)
+
+    def step_received(self, link: EntryLink, step: link_pb2.Step) -> None:
+        """Take all that happened at one target since its last step."""
+        for event in step.events:
+            work = self._work_of(event.attempt_id)
+            if work is None:
+                self.late_events += 1
+                if event.HasField("finish"):
+                    self._log.write(LogEvent.LATE_EVENT, attempt=event.attempt_id)
+                continue
+            if event.tokens:
+                self._tokens_came(work, event)
+            if event.HasField("finish") and not work.progress.is_over:
+                self._finish_came(work, event.attempt_id, event.finish)
+
+    def _work_of(self, attempt_id: int) -> _Work | None:
+        request_id = self._request_id_by_attempt.get(attempt_id)
+        if request_id is None:
+            return None
+        work = self._work_by_request_id[request_id]
+        return work if work.progress.attempt_id == attempt_id else None
+
+    def _attempt(self, work: _Work) -> None:
+        progress = work.progress
+        request = progress.request
+        chosen = self._router.choose(
+            request,
+            self._partitions_of(request.service),
+            progress.tried_target_ids,
+            self._timers.now(),
+        )
+        if isinstance(chosen, Err):
+            progress.attempts += 1
+            self._retry_later(work, chosen.err_value)
+            return
+        target = chosen.ok_value
+        self._last_attempt_id += 1
+        progress.begin(self._last_attempt_id, target.target_id)
+        self._request_id_by_attempt[self._last_attempt_id] = request.request_id
+        prefill = request.prefill_tokens + len(progress.tokens)
+        target.sent(prefill, progress.decode_tokens_left if request.is_model else 0)
+        submit = self._submission(progress, self._last_attempt_id)
+        self._link_by_target[target.target_id].send(
+            link_pb2.EntryMessage(submit=submit)
+        )
+
+    def _partitions_of(self, service: str) -> int:
+        accepted = self._adoption.accepted
+        if accepted is None or service not in accepted.configuration.services:
+            return 1
+        return accepted.configuration.services[service].claim_partitions
+
+    def _submission(self, progress: Progress, attempt_id: int) -> link_pb2.Submit:
+        request = progress.request
+        headers = [
+            link_pb2.Header(name=name, value=value)
+            for name, value in request.headers.items()
+        ]
+        headers.append(link_pb2.Header(name=CALLER_HEADER, value=request.caller))
+        return link_pb2.Submit(
+            attempt_id=attempt_id,
+            request_id=request.request_id,
+            service=request.service,
+            priority=request.priority,
+            method=request.method,
+            path=request.path,
+            headers=headers,
+            body=request.body,
+            resume_tokens=progress.tokens,
+            idempotency_key=request.idempotency_key,
+            traceparent=request.traceparent,
+            prefill_tokens=request.prefill_tokens,
+            decode_tokens=progress.decode_tokens_left if request.is_model else 0,
+        )
+
+    def _tokens_came(self, work: _Work, event: link_pb2.Event) -> None:
+        accepted = work.progress.accept(event.offset, list(event.tokens))
+        if isinstance(accepted, Err):
+            self._withdraw_attempt(work)
+            self._attempt_failed(work, accepted.err_value)
+            return
+        if work.progress.first_token_at is None:
+            work.progress.first_token_at = self._timers.now()
+        work.reply.tokens(accepted.ok_value)
+
+    def _finish_came(
+        self, work: _Work, attempt_id: int, finish: link_pb2.Finish
+    ) -> None:
+        target = self._target_of(work)
+        if finish.outcome == link_pb2.COMPLETE:
+            if target is not None:
+                target.succeeded()
+            self._end_attempt(work)
+            self._close(work)
+            work.reply.complete(finish, work.progress)
+            return
+        failure_type = _FAILURE_BY_CODE.get(finish.error_code, TargetFailed)
+        failure = failure_type(
+            finish.body.decode(errors="replace"), finish.retry_after_ms / 1000 or None
+        )
+        self._attempt_failed(work, failure)
+
+    def _attempt_failed(self, work: _Work, failure: Failure) -> None:
+        progress = work.progress
+        self._log.write(
+            LogEvent.ATTEMPT_FAILED,
+            request=progress.request.request_id,
+            attempt=progress.attempt_id,
+            target=progress.target_id,
+            code=failure.code,
+            detail=failure.detail,
+        )
+        self._blame_target(work, failure)
+        progress.may_have_run |= failure.ran
+        self._end_attempt(work)
+        if isinstance(
+            failure, TargetRejected | IdempotencyKeyReused | AlreadyRun | OutcomeUnknown
+        ):
+            self._give_up(work, failure)
+        else:
+            self._retry_later(work, failure)
+
+    def _blame_target(self, work: _Work, failure: Failure) -> None:
+        target = self._target_of(work)
+        if target is None or not isinstance(failure, TargetFailed | CrossedAnswer):
+            return
+        if target.failed(self._timers.now(), self._settings.routing):
+            self._log.write(LogEvent.TARGET_EJECTED, target=target.target_id)
+
+    def _retry_later(self, work: _Work, failure: Failure) -> None:
+        progress = work.progress
+        retry = self._settings.retry
+        is_first_move = progress.attempts == 1 and failure.ran
+        if progress.attempts >= retry.attempts:
+            self._give_up(work, failure)
+            return
+        # The first move of a request whose target was lost is always granted: it at
+        # most doubles the load. The budget bounds all other retries.
+        if not is_first_move and not self._budget.spend():
+            self._give_up(work, failure)
+            return
+        self.retries += 1
+        pause = min(retry.backoff_most, retry.backoff_first * 2**progress.attempts)
+        if is_first_move:
+            pause = 0.0
+        self._set_timer(work, "retry", pause, lambda: self._attempt(work))
+
+    def _expire(self, work: _Work) -> None:
+        progress = work.progress
+        if progress.attempt_id is None and not progress.may_have_run:
+            self._give_up(work, NotRun("no target took it within its patience"))
+        else:
+            self._give_up(work, LateAnswer("no whole answer within its patience"))
+
+    def _give_up(self, work: _Work, failure: Failure) -> None:
+        if work.progress.attempt_id is not None:
+            work.progress.may_have_run = True
+        failure = _final(failure, work.progress)
+        self._withdraw_attempt(work)
+        self._close(work)
+        self._log.write(
+            LogEvent.REQUEST_FAILED,
+            request=work.progress.request.request_id,
+            code=failure.code,
+            attempts=work.progress.attempts,
+        )
+        work.reply.fail(failure, work.progress)
+
+    def _withdraw_attempt(self, work: _Work) -> None:
+        progress = work.progress
+        if progress.attempt_id is None:
+            return
+        link = self._link_by_target.get(progress.target_id)
+        if link is not None:
+            cancel = link_pb2.Cancel(attempt_id=progress.attempt_id)
+            link.send(link_pb2.EntryMessage(cancel=cancel))
+        self._end_attempt(work)
+
+    def _end_attempt(self, work: _Work) -> None:
+        attempt_id = work.progress.attempt_id
+        if attempt_id is None:
+            return
+        self._request_id_by_attempt.pop(attempt_id, None)
+        target = self._target_of(work)
+        if target is not None:
+            target.ended()
+        work.progress.end_attempt()
+
+    def _target_of(self, work: _Work) -> TargetState | None:
+        link = self._link_by_target.get(work.progress.target_id)
+        return self._target_by_link.get(link) if link is not None else None
+
+    def _close(self, work: _Work) -> None:
+        work.progress.is_over = True
+        self._work_by_request_id.pop(work.progress.request.request_id, None)
+        for timer in work.timers.values():
+            timer.cancel()
+        work.timers.clear()
+
+    def _set_timer(
+        self, work: _Work, name: str, delay: float, callback: Callable[[], object]
+    ) -> None:
+        self._drop_timer(work, name)
+        work.timers[name] = self._timers.call_later(delay, callback)
+
+    def _drop_timer(self, work: _Work, name: str) -> None:
+        timer = work.timers.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+
+
+def _final(failure: Failure, progress: Progress) -> Failure:
+    """
+    Turn the last failure into the request's final answer.
+
+    Only a request of which no attempt may have run is said not to have run.
+    """
+    if isinstance(failure, TargetRejected | IdempotencyKeyReused | AlreadyRun):
+        return failure
+    if progress.may_have_run and progress.request.idempotency_key:
+        return OutcomeUnknown(str(failure))
+    if progress.may_have_run and not failure.ran:
+        return TargetFailed(str(failure), retry_after=RETRY_AFTER)
+    if failure.retry_after is None:
+        failure.retry_after = RETRY_AFTER
+    return failure
--- /dev/null
+++ b/pimentolink/executor.py
@@ -0,0 +1,479 @@
+"""Carries out what entries submit to one target."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from result import Err, Result
+
+from pimentolink import link_pb2
+from pimentolink.claims import ClaimPartition, ClaimState, call_digest, partition_of
+from pimentolink.errors import (
+    AlreadyRun,
+    Draining,
+    Failure,
+    IdempotencyKeyReused,
+    NotRun,
+    OutcomeUnknown,
+    Overloaded,
+    TargetFailed,
+    TargetRejected,
+)
+from pimentolink.httpclient import Answer
+from pimentolink.links import SidecarLink
+from pimentolink.settings import QueueSettings
+from pimentolink.targetqueue import LOWEST_PRIORITY, TargetQueue, Waiting
+from pimentolink.targets import RunningCall, Target, TargetCall
+from pimentolink.timers import Timers
+
+CALLER_HEADER = "pimentolink-caller"
+KEPT_HEADERS = frozenset({"content-type", "location", "retry-after"})
+
+
+class AttemptKey(NamedTuple):
+    """Names an attempt among those of all links."""
+
+    link: int
+    attempt_id: int
+
+
+class _Attempt:
+    """One attempt between submission and its end."""
+
+    def __init__(
+        self, key: AttemptKey, link: SidecarLink, submit: link_pb2.Submit
+    ) -> None:
+        self.key = key
+        self.link = link
+        self.submit = submit
+        self.offset = len(submit.resume_tokens)
+        self.running: RunningCall | None = None
+
+
+class _ClaimedCall:
+    """A call under a claim; every attempt that asks for it gets its answer."""
+
+    def __init__(self, key: str, fingerprint: str, partition: ClaimPartition) -> None:
+        self.key = key
+        self.fingerprint = fingerprint
+        self.partition = partition
+        self.attempts: list[_Attempt] = []
+        self.is_made = False
+
+
+class ClaimSource:
+    """Finds the partition that commits a claim."""
+
+    def __init__(
+        self,
+        open_partition: Callable[[str, int], ClaimPartition],
+        partitions_of: Callable[[str], int],
+    ) -> None:
+        """
+        Prepare.
+
+        :param open_partition: makes the partition of a service with a number.
+        :param partitions_of: tells how many partitions a service has.
+        """
+        self._open = open_partition
+        self._partitions_of = partitions_of
+        self._partition_by_place: dict[tuple[str, int], ClaimPartition] = {}
+
+    def find(self, service: str, key: str) -> ClaimPartition:
+        """
+        Find a claim's partition.
+
+        :param service: the service's name.
+        :param key: digest of the call's key.
+        """
+        place = (service, partition_of(key, self._partitions_of(service)))
+        if place not in self._partition_by_place:
+            self._partition_by_place[place] = self._open(*place)
+        return self._partition_by_place[place]
+
+
+class Executor:
+    """
+    Queues, starts and ends attempts at one target.
+
+    Each attempt that was submitted gets exactly one finish, unless its link is lost
+    or the entry cancels it. A call under a claim is made at most once, and goes on
+    to its end though nobody waits for it any more.
+    """
+
+    def __init__(
+        self,
+        settings: QueueSettings,
+        target: Target,
+        claims: ClaimSource,
+        timers: Timers,
+        answers_kept: int,
+    ) -> None:
+        """
+        Start empty.
+
+        :param settings: bounds of the queue.
+        :param target: the target beside this sidecar.
+        :param claims: commits claims of calls that may not be repeated.
+        :param timers: the timer service.
+        :param answers_kept: answers kept for callers that ask again.
+        """
+        self._target = target
+        self._claims = claims
+        self._timers = timers
+        self._answers_kept = answers_kept
+        self._slots = settings.slots
+        self._queue: TargetQueue[AttemptKey] = TargetQueue(settings)
+        self._attempts_by_key: dict[AttemptKey, _Attempt] = {}
+        self._claimed_by_key: dict[str, _ClaimedCall] = {}
+        self._answers_by_key: OrderedDict[str, tuple[str, Answer]] = OrderedDict()
+        self._when_idle: Callable[[], None] | None = None
+        self.is_draining = False
+        self.is_held = False
+        self.target_is_lost = False
+        self.role = ""
+
+    @property
+    def is_accepting(self) -> bool:
+        """Whether new work is taken."""
+        return not (self.is_draining or self.is_held or self.target_is_lost)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is queued, running or under a claim."""
+        return not self._attempts_by_key and not self._claimed_by_key
+
+    def load(self) -> link_pb2.Load:
+        """Report the load as of now."""
+        return link_pb2.Load(
+            running=self._queue.running,
+            waiting=self._queue.waiting,
+            prefill_tokens=self._queue.prefill_tokens,
+            decode_tokens=self._queue.decode_tokens,
+            accepting=self.is_accepting,
+            slots=self._slots,
+            role=self.role,
+        )
+
+    def submit(self, link: SidecarLink, submit: link_pb2.Submit) -> None:
+        """
+        Take an attempt.
+
+        :param link: whose it is.
+        :param submit: what to do.
+        """
+        attempt = _Attempt(AttemptKey(id(link), submit.attempt_id), link, submit)
+        if not self.is_accepting:
+            self._refuse(attempt, Draining("the target takes no new work"))
+            return
+        if submit.idempotency_key and self._join(attempt):
+            return
+        waiting = Waiting(
+            attempt.key,
+            min(submit.priority, LOWEST_PRIORITY),
+            self._timers.now(),
+            submit.prefill_tokens,
+            submit.decode_tokens,
+        )
+        self._attempts_by_key[attempt.key] = attempt
+        self._shed(self._queue.offer(waiting), attempt)
+        self._start_next()
+
+    def cancel(self, link: SidecarLink, attempt_id: int) -> None:
+        """
+        Give an attempt up; a call under a claim goes on.
+
+        :param link: whose it is.
+        :param attempt_id: which.
+        """
+        attempt = self._attempts_by_key.get(AttemptKey(id(link), attempt_id))
+        if attempt is not None:
+            self._abandon(attempt)
+
+    def pause(self, link: SidecarLink, attempt_id: int, paused: bool) -> None:
+        """
+        Stop or restart reading the answer of an attempt.
+
+        :param link: whose it is.
+        :param attempt_id: which.
+        :param paused: whether to stop.
+        """
+        attempt = self._attempts_by_key.get(AttemptKey(id(link), attempt_id))
+        if attempt is not None and attempt.running is not None:
+            attempt.running.pause(paused)
+
+    def link_down(self, link: SidecarLink) -> None:
+        """
+        Give up every attempt of a link.
+
+        :param link: the link that is gone.
+        """
+        lost = [
+            attempt
+            for attempt in self._attempts_by_key.values()
+            if attempt.link is link
+        ]
+        for attempt in lost:
+            self._abandon(attempt)
+
+    def lose_target(self) -> None:
+        """Fail all that runs: the target no longer answers."""
+        self.target_is_lost = True
+        for attempt in list(self._attempts_by_key.values()):
+            if attempt.running is not None and not attempt.submit.idempotency_key:
+                attempt.running.cancel()
+                self.fail(attempt, TargetFailed("the target does not answer"))
+            elif attempt.running is None and not self._is_claimed(attempt):
+                self.fail(attempt, NotRun("the target does not answer"))
+
+    def call_when_idle(self, callback: Callable[[], None]) -> None:
+        """
+        Wait for the end of all work.
+
+        :param callback: called once, at once if there is none.
+        """
+        self._when_idle = callback
+        self._tell_if_idle()
+
+    def tokens(self, attempt: _Attempt, tokens: list[str]) -> None:
+        """Pass tokens of an answer on."""
+        attempt.link.send_event(
+            link_pb2.Event(
+                attempt_id=attempt.key.attempt_id, offset=attempt.offset, tokens=tokens
+            )
+        )
+        attempt.offset += len(tokens)
+
+    def finish(self, attempt: _Attempt, finish: link_pb2.Finish) -> None:
+        """End an attempt."""
+        self._forget(attempt)
+        attempt.link.send_event(
+            link_pb2.Event(
+                attempt_id=attempt.key.attempt_id, offset=attempt.offset, finish=finish
+            )
+        )
+        self._start_next()
+
+    def fail(self, attempt: _Attempt, failure: Failure) -> None:
+        """End an attempt with a failure."""
+        self.finish(attempt, _finish_of(failure))
+
+    def _shed(
+        self, offered: Result[AttemptKey | None, Overloaded], attempt: _Attempt
+    ) -> None:
+        if isinstance(offered, Err):
+            self.fail(attempt, offered.err_value)
+        elif offered.ok_value is not None:
+            shed = self._attempts_by_key[offered.ok_value]
+            self.fail(shed, Overloaded("more urgent work came"))
+
+    def _refuse(self, attempt: _Attempt, failure: Failure) -> None:
+        attempt.link.send_event(
+            link_pb2.Event(
+                attempt_id=attempt.key.attempt_id,
+                offset=attempt.offset,
+                finish=_finish_of(failure),
+            )
+        )
+
+    def _start_next(self) -> None:
+        while not self.target_is_lost:
+            item = self._queue.take(self._timers.now())
+            if item is None:
+                return
+            self._start(self._attempts_by_key[item.key])
+
+    def _start(self, attempt: _Attempt) -> None:
+        submit = attempt.submit
+        if submit.idempotency_key:
+            self._start_claimed(attempt)
+        elif submit.prefill_tokens or submit.decode_tokens:
+            listener = _AttemptListener(self, attempt)
+            attempt.running = self._target.start_stream(_call_of(submit), listener)
+        else:
+            listener = _AttemptListener(self, attempt)
+            attempt.running = self._target.start_plain(_call_of(submit), listener)
+
+    def _join(self, attempt: _Attempt) -> bool:
+        """Attach an attempt to a call under the same key, if there is one."""
+        key, fingerprint = _digests_of(attempt.submit)
+        call = self._claimed_by_key.get(key)
+        if call is not None:
+            if call.fingerprint != fingerprint:
+                self._refuse(attempt, IdempotencyKeyReused("another call is running"))
+                return True
+            self._attempts_by_key[attempt.key] = attempt
+            call.attempts.append(attempt)
+            return True
+        if key in self._answers_by_key:
+            self._answer_again(attempt, key, fingerprint)
+            return True
+        return False
+
+    def _answer_again(self, attempt: _Attempt, key: str, fingerprint: str) -> None:
+        known_fingerprint, answer = self._answers_by_key[key]
+        if known_fingerprint != fingerprint:
+            self._refuse(attempt, IdempotencyKeyReused("the key stands for another"))
+        else:
+            self.finish(attempt, _finish_of_answer(answer))
+
+    def _start_claimed(self, attempt: _Attempt) -> None:
+        if self._join(attempt):
+            # Its slot is only held while its own call runs.
+            self._queue.remove(attempt.key)
+            return
+        key, fingerprint = _digests_of(attempt.submit)
+        partition = self._claims.find(attempt.submit.service, key)
+        call = _ClaimedCall(key, fingerprint, partition)
+        call.attempts.append(attempt)
+        self._claimed_by_key[key] = call
+        granted = partition.claim(key, fingerprint)
+        granted.addCallback(lambda outcome: self._claim_decided(call, outcome))
+
+    def _claim_decided(
+        self, call: _ClaimedCall, outcome: Result[None, Failure]
+    ) -> None:
+        if isinstance(outcome, Err):
+            self._end_claimed(call, _finish_of(outcome.err_value))
+            return
+        if not call.attempts or self.target_is_lost:
+            self._give_back(call, NotRun("nobody waits for the call any more"))
+            return
+        call.is_made = True
+        submit = call.attempts[0].submit
+        self._target.start_plain(_call_of(submit), _ClaimedListener(self, call))
+
+    def _give_back(self, call: _ClaimedCall, failure: Failure) -> None:
+        stored = call.partition.release(call.key)
+        finish = _finish_of(failure)
+        stored.addCallback(lambda _: self._end_claimed(call, finish))
+
+    def claimed_finished(self, call: _ClaimedCall, answer: Answer) -> None:
+        """Record a whole answer to a call under a claim and pass it on."""
+        call.partition.settle(call.key, ClaimState.DONE)
+        self._answers_by_key[call.key] = (call.fingerprint, answer)
+        if len(self._answers_by_key) > self._answers_kept:
+            self._answers_by_key.popitem(last=False)
+        self._end_claimed(call, _finish_of_answer(answer))
+
+    def claimed_failed(self, call: _ClaimedCall, failure: Failure) -> None:
+        """Record the failure of a call under a claim and pass it on."""
+        if not failure.ran:
+            self._give_back(call, failure)
+            return
+        call.partition.settle(call.key, ClaimState.UNKNOWN)
+        unknown = OutcomeUnknown(str(failure))
+        self._end_claimed(call, _finish_of(unknown))
+
+    def _end_claimed(self, call: _ClaimedCall, finish: link_pb2.Finish) -> None:
+        del self._claimed_by_key[call.key]
+        for attempt in call.attempts:
+            self.finish(attempt, finish)
+        self._tell_if_idle()
+
+    def _is_claimed(self, attempt: _Attempt) -> bool:
+        calls = self._claimed_by_key.values()
+        return any(attempt in call.attempts for call in calls)
+
+    def _abandon(self, attempt: _Attempt) -> None:
+        if attempt.running is not None:
+            attempt.running.cancel()
+        for call in self._claimed_by_key.values():
+            if attempt in call.attempts:
+                call.attempts.remove(attempt)
+        self._forget(attempt)
+        self._start_next()
+
+    def _forget(self, attempt: _Attempt) -> None:
+        self._attempts_by_key.pop(attempt.key, None)
+        self._queue.remove(attempt.key)
+        self._tell_if_idle()
+
+    def _tell_if_idle(self) -> None:
+        if self._when_idle is not None and self.is_idle:
+            callback, self._when_idle = self._when_idle, None
+            callback()
+
+
+class _AttemptListener:
+    """Ties a call that may be repeated to its attempt."""
+
+    def __init__(self, executor: Executor, attempt: _Attempt) -> None:
+        self._executor = executor
+        self._attempt = attempt
+
+    def tokens(self, tokens: list[str]) -> None:
+        self._executor.tokens(self._attempt, tokens)
+
+    def finished(self, answer: Answer, finish_reason: str) -> None:
+        finish = _finish_of_answer(answer)
+        finish.finish_reason = finish_reason
+        self._executor.finish(self._attempt, finish)
+
+    def failed(self, failure: Failure) -> None:
+        self._executor.fail(self._attempt, failure)
+
+
+class _ClaimedListener:
+    """Ties a call under a claim to all attempts that wait for it."""
+
+    def __init__(self, executor: Executor, call: _ClaimedCall) -> None:
+        self._executor = executor
+        self._call = call
+
+    def tokens(self, tokens: list[str]) -> None:
+        """Take nothing: plain services send no tokens."""
+
+    def finished(self, answer: Answer, finish_reason: str) -> None:
+        self._executor.claimed_finished(self._call, answer)
+
+    def failed(self, failure: Failure) -> None:
+        self._executor.claimed_failed(self._call, failure)
+
+
+def _digests_of(submit: link_pb2.Submit) -> tuple[str, str]:
+    caller = next((h.value for h in submit.headers if h.name == CALLER_HEADER), "")
+    key = call_digest(caller, submit.service, submit.idempotency_key)
+    return key, call_digest(submit.method, submit.path, submit.body)
+
+
+def _call_of(submit: link_pb2.Submit) -> TargetCall:
+    return TargetCall(
+        attempt=f"{submit.request_id}.{submit.attempt_id}",
+        method=submit.method,
+        path=submit.path,
+        headers={header.name: header.value for header in submit.headers},
+        body=submit.body,
+        priority=submit.priority,
+        resume_tokens=list(submit.resume_tokens),
+    )
+
+
+def _finish_of_answer(answer: Answer) -> link_pb2.Finish:
+    return link_pb2.Finish(
+        outcome=link_pb2.COMPLETE,
+        status=answer.status,
+        headers=[
+            link_pb2.Header(name=name, value=value)
+            for name, value in answer.headers.items()
+            if name in KEPT_HEADERS
+        ],
+        body=answer.body,
+    )
+
+
+def _finish_of(failure: Failure) -> link_pb2.Finish:
+    if isinstance(failure, TargetRejected | IdempotencyKeyReused | AlreadyRun):
+        outcome = link_pb2.REJECTED
+    elif failure.ran:
+        outcome = link_pb2.UNKNOWN
+    else:
+        outcome = link_pb2.NOT_RUN
+    return link_pb2.Finish(
+        outcome=outcome,
+        error_code=failure.code,
+        retry_after_ms=int((failure.retry_after or 0) * 1000),
+        body=failure.detail.encode(),
+    )
--- /dev/null
+++ b/pimentolink/kvstore.py
@@ -0,0 +1,226 @@
+"""The platform's key-value service, as the system uses it."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any, NamedTuple, Protocol
+from urllib.parse import quote
+
+import msgspec
+from twisted.internet.defer import Deferred, succeed
+
+from pimentolink.errors import KeyValueUnavailable
+from pimentolink.httpclient import Answer, HttpClient
+from pimentolink.settings import PlatformSettings
+
+
+class Value(NamedTuple):
+    """
+    A value as read.
+
+    :ivar data: the bytes; ``None`` if the key is absent.
+    :ivar revision: compare-and-swap counter of the key; 0 if absent.
+    :ivar service_index: counter of the service that a watch waits beyond.
+    """
+
+    data: bytes | None
+    revision: int
+    service_index: int
+
+
+class KeyValueStore(Protocol):
+    """What the system needs of the service; every call counts for its limits."""
+
+    def get(self, key: str) -> Deferred[Value]:
+        """
+        Read a key.
+
+        :raises KeyValueUnavailable: without an answer.
+        """
+
+    def watch(self, key: str, index: int, wait: float) -> Deferred[Value]:
+        """
+        Read a key once it has changed.
+
+        :param index: as of the last reading.
+        :param wait: seconds after which it answers unchanged.
+        :raises KeyValueUnavailable: without an answer.
+        """
+
+    def compare_and_swap(
+        self, key: str, data: bytes, revision: int
+    ) -> Deferred[int | None]:
+        """
+        Write a key if it still has a revision.
+
+        :param revision: as last read; 0 demands that the key is absent.
+        :returns: the new revision, or ``None`` if another write came first.
+        :raises KeyValueUnavailable: without an answer; the write may have been made.
+        """
+
+
+class MemoryStore:
+    """The service's twin in memory, with its faults, for tests and embedding."""
+
+    def __init__(self) -> None:
+        """Start empty, answering."""
+        self.calls = 0
+        self.is_down = False
+        self.answers_to_lose = 0
+        self._index = 0
+        self._value_by_key: dict[str, Value] = {}
+        self._watchers: list[tuple[str, int, Deferred[Value]]] = []
+
+    def get(self, key: str) -> Deferred[Value]:
+        """Read a key."""
+        self.calls += 1
+        if self.is_down:
+            return _failed()
+        return succeed(self._read(key))
+
+    def watch(self, key: str, index: int, wait: float) -> Deferred[Value]:
+        """Read a key once it has changed; ``wait`` is not kept here."""
+        self.calls += 1
+        if self.is_down:
+            return _failed()
+        value = self._read(key)
+        if value.service_index > index:
+            return succeed(value)
+        pending: Deferred[Value] = Deferred()
+        self._watchers.append((key, index, pending))
+        return pending
+
+    def compare_and_swap(
+        self, key: str, data: bytes, revision: int
+    ) -> Deferred[int | None]:
+        """Write a key if it still has ``revision``."""
+        self.calls += 1
+        if self.is_down:
+            return _failed()
+        swapped = self._read(key).revision == revision
+        if swapped:
+            self._index += 1
+            self._value_by_key[key] = Value(data, self._index, self._index)
+            self._wake(key)
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
+            return _failed()
+        return succeed(self._index if swapped else None)
+
+    def _read(self, key: str) -> Value:
+        return self._value_by_key.get(key, Value(None, 0, 0))
+
+    def _wake(self, key: str) -> None:
+        woken = [watcher for watcher in self._watchers if watcher[0] == key]
+        self._watchers = [watcher for watcher in self._watchers if watcher[0] != key]
+        for _, _, pending in woken:
+            pending.callback(self._read(key))
+
+
+def _failed() -> Deferred[Any]:
+    pending: Deferred[Any] = Deferred()
+    pending.errback(KeyValueUnavailable("down"))
+    return pending
+
+
+class _ConsulValue(msgspec.Struct, rename="pascal"):
+    """One element of the service's answer to a read."""
+
+    value: str | None
+    modify_index: int
+
+
+class _ConsulWritten(msgspec.Struct, rename="pascal"):
+    """What the service tells of a key that it wrote."""
+
+    modify_index: int
+
+
+class _ConsulResult(msgspec.Struct, rename={"kv": "KV"}):
+    """One result of a transaction."""
+
+    kv: _ConsulWritten
+
+
+class _ConsulTransaction(msgspec.Struct, rename="pascal"):
+    """The service's answer to a transaction that was made."""
+
+    results: list[_ConsulResult]
+
+
+class HttpStore:
+    """
+    The service over its HTTP interface.
+
+    :source: Consul KV HTTP API: ``/v1/kv`` with blocking queries by ``index``,
+        ``/v1/txn`` with ``cas``.
+    """
+
+    def __init__(self, reactor: Any, settings: PlatformSettings) -> None:
+        """
+        Prepare calls; none is made yet.
+
+        :param reactor: the loop.
+        :param settings: address and patience.
+        """
+        self._settings = settings
+        self._client = HttpClient(reactor, settings.timeout)
+
+    def get(self, key: str) -> Deferred[Value]:
+        """Read a key."""
+        return Deferred.fromCoroutine(self._read(key, "", self._settings.timeout))
+
+    def watch(self, key: str, index: int, wait: float) -> Deferred[Value]:
+        """Read a key once it has changed."""
+        query = f"?index={index}&wait={wait:g}s"
+        patience = wait + self._settings.timeout
+        return Deferred.fromCoroutine(self._read(key, query, patience))
+
+    def compare_and_swap(
+        self, key: str, data: bytes, revision: int
+    ) -> Deferred[int | None]:
+        """Write a key if it still has ``revision``."""
+        return Deferred.fromCoroutine(self._swap(key, data, revision))
+
+    def close(self) -> Deferred[None]:
+        """Close idle connections."""
+        return self._client.close()
+
+    async def _read(self, key: str, query: str, patience: float) -> Value:
+        answer = await self._call("GET", f"{_path(key)}{query}", b"", patience)
+        index = int(answer.headers.get("x-consul-index", "0"))
+        if answer.status == 404:
+            return Value(None, 0, index)
+        found = msgspec.json.decode(answer.body, type=list[_ConsulValue])[0]
+        data = base64.b64decode(found.value or "")
+        return Value(data, found.modify_index, index)
+
+    async def _swap(self, key: str, data: bytes, revision: int) -> int | None:
+        operation = {
+            "Verb": "cas",
+            "Key": key,
+            "Value": base64.b64encode(data).decode(),
+            "Index": revision,
+        }
+        body = msgspec.json.encode([{"KV": operation}])
+        answer = await self._call("PUT", "/v1/txn", body, self._settings.timeout)
+        if answer.status == 409:
+            return None
+        written = msgspec.json.decode(answer.body, type=_ConsulTransaction)
+        return written.results[0].kv.modify_index
+
+    async def _call(
+        self, method: str, path: str, body: bytes, patience: float
+    ) -> Answer:
+        url = f"http://{self._settings.key_value}{path}"
+        try:
+            answer = await self._client.request(method, url, body, patience=patience)
+        except Exception as error:
+            raise KeyValueUnavailable(f"{type(error).__name__}: {error}") from error
+        if answer.status not in (200, 404, 409):
+            raise KeyValueUnavailable(f"status {answer.status}")
+        return answer
+
+
+def _path(key: str) -> str:
+    return f"/v1/kv/{quote(key)}"
--- /dev/null
+++ b/pimentolink/porcelain.py
@@ -0,0 +1,169 @@
+"""What operators can do, one plain function for each command."""
+
+from __future__ import annotations
+
+import json
+from datetime import UTC, datetime
+from typing import Any, NamedTuple
+from uuid import uuid4
+
+import msgspec
+from result import Err, Ok, Result
+
+from pimentolink.callers import STATUS_PATH
+from pimentolink.configstore import ConfigurationStore
+from pimentolink.configuration import (
+    AcceptedConfiguration,
+    Configuration,
+    check,
+    differences,
+    read_documents,
+)
+from pimentolink.errors import (
+    ConfigurationConflict,
+    ConfigurationInvalid,
+    Failure,
+    ReferenceUnknown,
+)
+from pimentolink.httpclient import HttpClient
+from pimentolink.instances import ENTRY, InstanceList
+from pimentolink.kvstore import KeyValueStore
+from pimentolink.settings import merge_documents
+
+CHANGE_TRIES = 5
+
+
+class Difference(NamedTuple):
+    """One difference between two configurations; ``None`` stands for absent."""
+
+    path: str
+    before: Any
+    after: Any
+
+
+def check_configuration(
+    base: str, overlays: list[str]
+) -> Result[Configuration, ConfigurationInvalid]:
+    """
+    Check a base file with its overlays.
+
+    :param base: path of the base file.
+    :param overlays: paths of the overlays.
+    :returns: the configuration, or every fault in it.
+    """
+    documents = read_documents([base, *overlays])
+    if isinstance(documents, Err):
+        return documents
+    return check(merge_documents(documents.ok_value))
+
+
+async def diff_configuration(
+    store: KeyValueStore, configuration: Configuration
+) -> list[Difference]:
+    """
+    Compare a configuration with the accepted one.
+
+    :param store: the key-value service.
+    :param configuration: checked.
+    :raises KeyValueUnavailable: without an answer.
+    """
+    accepted = await ConfigurationStore(store).read()
+    before = msgspec.to_builtins(accepted.configuration) if accepted else {}
+    after = msgspec.to_builtins(configuration)
+    return [Difference(*found) for found in differences(before, after)]
+
+
+async def apply_configuration(
+    store: KeyValueStore,
+    configuration: Configuration,
+    author: str,
+    against: int | None = None,
+) -> Result[AcceptedConfiguration, Failure]:
+    """
+    Put a configuration into force.
+
+    :param store: the key-value service.
+    :param configuration: checked.
+    :param author: who applies it.
+    :param against: version it was made against; the one read now if ``None``.
+    :returns: what was accepted, or who came first.
+    :raises KeyValueUnavailable: without an answer before the write.
+    """
+    repository = ConfigurationStore(store)
+    if against is None:
+        accepted = await repository.read()
+        against = accepted.version if accepted else 0
+    now = datetime.now(UTC).isoformat(timespec="seconds")
+    return await repository.replace(configuration, against, uuid4().hex, author, now)
+
+
+async def show_configuration(store: KeyValueStore) -> AcceptedConfiguration | None:
+    """Read the accepted configuration."""
+    return await ConfigurationStore(store).read()
+
+
+async def configuration_history(
+    store: KeyValueStore, most: int = 20
+) -> list[AcceptedConfiguration]:
+    """Read accepted configurations, the newest first."""
+    return await ConfigurationStore(store).history(most)
+
+
+async def set_target_drained(
+    store: KeyValueStore, target: str, is_drained: bool, author: str
+) -> Result[AcceptedConfiguration, Failure]:
+    """
+    Keep a target from new work, or let it have some again.
+
+    Tries again when another operator's change comes between.
+
+    :param store: the key-value service.
+    :param target: its name.
+    :param is_drained: whether to keep it from new work.
+    :param author: who asks.
+    """
+    outcome: Result[AcceptedConfiguration, Failure] = Err(
+        ReferenceUnknown(f"/targets/{target}", "no configuration is accepted yet")
+    )
+    for _ in range(CHANGE_TRIES):
+        accepted = await ConfigurationStore(store).read()
+        if accepted is None:
+            return outcome
+        document = msgspec.to_builtins(accepted.configuration)
+        if target not in document["targets"]:
+            return Err(ReferenceUnknown(f"/targets/{target}", f"no target {target}"))
+        document["targets"][target]["drained"] = is_drained
+        changed = msgspec.convert(document, Configuration)
+        outcome = await apply_configuration(store, changed, author, accepted.version)
+        if not isinstance(outcome, Err) or not isinstance(
+            outcome.err_value, ConfigurationConflict
+        ):
+            return outcome
+    return outcome
+
+
+async def status(
+    client: HttpClient, instances: InstanceList, shared_key: str
+) -> list[Result[dict[str, Any], Failure]]:
+    """
+    Ask every listed entry how it is.
+
+    :param client: makes the calls.
+    :param instances: the platform's list.
+    :param shared_key: proof that the asker belongs to the system.
+    :returns: what each tells, or why it does not answer.
+    """
+    headers = {"authorization": f"Bearer {shared_key}"}
+    found: list[Result[dict[str, Any], Failure]] = []
+    for instance in await instances.read(ENTRY):
+        url = f"http://{instance.address}{STATUS_PATH}"
+        try:
+            answer = await client.request("GET", url, headers=headers, patience=2.0)
+        except Exception as error:
+            found.append(Err(Failure(f"{instance.name}: {type(error).__name__}")))
+            continue
+        if answer.status == 200:
+            found.append(Ok(json.loads(answer.body)))
+        else:
+            found.append(Err(Failure(f"{instance.name}: status {answer.status}")))
+    return found
--- /dev/null
+++ b/pimentolink/sidecar.py
@@ -0,0 +1,222 @@
+"""The sidecar: the only way in to the target beside it."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+from uuid import uuid4
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from pimentolink import link_pb2
+from pimentolink.claims import ClaimPartition
+from pimentolink.configuration import Adoption
+from pimentolink.executor import ClaimSource, Executor
+from pimentolink.httpclient import Answer
+from pimentolink.instances import SIDECAR, HttpInstanceList, Instance
+from pimentolink.kvstore import HttpStore
+from pimentolink.links import LinkServer, SidecarLink
+from pimentolink.logs import Log, LogEvent
+from pimentolink.settings import SidecarSettings
+from pimentolink.targets import HttpTarget
+from pimentolink.timers import ReactorTimers, Repeater
+
+PROBE_PATH = "/health"
+
+
+class Sidecar:
+    """One sidecar: wires the parts and answers its links."""
+
+    def __init__(self, reactor: Any, settings: SidecarSettings) -> None:
+        """
+        Wire the parts; :meth:`start` begins.
+
+        :param reactor: the loop.
+        :param settings: of this sidecar.
+        """
+        self._settings = settings
+        self._incarnation = uuid4().hex
+        self._random = Random(self._incarnation)
+        self._log = Log(
+            instance=settings.instance, role="sidecar", target=settings.target
+        )
+        self._timers = ReactorTimers(reactor)
+        self._adoption = Adoption()
+        self._store = HttpStore(reactor, settings.platform)
+        self._list = HttpInstanceList(reactor, settings.platform)
+        self._target = HttpTarget(
+            reactor, settings.target_address, settings.target_timeout
+        )
+        self._executor = Executor(
+            settings.queue,
+            self._target,
+            ClaimSource(self._open_partition, self._partitions_of),
+            self._timers,
+            settings.claims.answers,
+        )
+        self._server = LinkServer(settings.shared_key, settings.links, self, self._log)
+        self._links: set[SidecarLink] = set()
+        self._last_load = link_pb2.Load()
+        self._load_sent_at = 0.0
+        self._probes_missed = 0
+        self._repeaters: list[Repeater] = []
+
+    async def start(self) -> bool:
+        """
+        Take the target's slot and serve it.
+
+        :returns: whether the slot was free.
+        """
+        loop_future = self._server.start(self._settings.listen)
+        if not await _of_asyncio(loop_future):
+            self._log.write(LogEvent.SLOT_TAKEN, address=self._settings.listen)
+            return False
+        self._repeaters = [
+            Repeater(
+                self._timers, self._settings.links.load_interval, self._report_load
+            ),
+            Repeater(self._timers, self._settings.probe_interval, self._probe),
+        ]
+        self._register(is_leaving=False)
+        self._log.write(LogEvent.STARTED, address=self._settings.listen)
+        return True
+
+    async def stop(self) -> None:
+        """Take no new work, say so, finish what is in work, leave the list, end."""
+        self._executor.is_draining = True
+        self._report_load()
+        self._register(is_leaving=True)
+        self._log.write(LogEvent.STOPPING)
+        is_idle: Deferred[None] = Deferred()
+        self._executor.call_when_idle(lambda: is_idle.callback(None))
+        limit = self._timers.call_later(self._settings.stop_within, is_idle.cancel)
+        try:
+            await is_idle
+        except Exception:
+            self._log.write(LogEvent.STOP_TIMEOUT)
+        limit.cancel()
+        for repeater in self._repeaters:
+            repeater.cancel()
+        await self._list.deregister(self._settings.instance).addErrback(lambda _: None)
+        await _of_asyncio(self._server.stop(self._settings.stop_grace))
+        self._log.write(LogEvent.STOPPED)
+
+    def greeting(self) -> link_pb2.SidecarHello:
+        """Make the first message of a link."""
+        return link_pb2.SidecarHello(
+            target_id=self._settings.target,
+            incarnation=self._incarnation,
+            data_centre=self._settings.data_centre,
+            configuration_version=self._adoption.version,
+        )
+
+    def link_up(self, link: SidecarLink, hello: link_pb2.EntryHello) -> None:
+        """Serve an entry; bring it up to date if it knows less."""
+        self._links.add(link)
+        self._log.write(LogEvent.LINK_UP, entry=hello.instance_id)
+        link.send(link_pb2.SidecarMessage(load=self._executor.load()))
+        if hello.configuration_version < self._adoption.version:
+            document = link_pb2.Document(
+                version=self._adoption.version, json=self._adoption.document
+            )
+            link.send(link_pb2.SidecarMessage(document=document))
+
+    def link_message(self, link: SidecarLink, message: link_pb2.EntryMessage) -> None:
+        """Handle a message of an entry."""
+        kind = message.WhichOneof("body")
+        if kind == "submit":
+            self._executor.submit(link, message.submit)
+        elif kind == "cancel":
+            self._executor.cancel(link, message.cancel.attempt_id)
+        elif kind == "pause":
+            pause = message.pause
+            self._executor.pause(link, pause.attempt_id, pause.paused)
+        elif kind == "document":
+            self._adopt(message.document.json)
+
+    def link_down(self, link: SidecarLink) -> None:
+        """Give up what a lost entry asked for."""
+        self._links.discard(link)
+        self._executor.link_down(link)
+
+    def _adopt(self, document: bytes) -> None:
+        try:
+            is_newer = self._adoption.offer(document)
+        except msgspec.DecodeError as error:
+            self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=str(error))
+            return
+        if is_newer:
+            version = self._adoption.version
+            self._log.write(LogEvent.CONFIGURATION_ADOPTED, version=version)
+
+    def _open_partition(self, service: str, number: int) -> ClaimPartition:
+        self._log.write(LogEvent.CLAIMS_TAKEN_OVER, service=service, partition=number)
+        return ClaimPartition(
+            f"pimentolink/claims/{service}/{number}",
+            self._incarnation,
+            self._store,
+            self._timers,
+            self._settings.claims,
+        )
+
+    def _partitions_of(self, service: str) -> int:
+        accepted = self._adoption.accepted
+        if accepted is None or service not in accepted.configuration.services:
+            return 1
+        return accepted.configuration.services[service].claim_partitions
+
+    def _report_load(self) -> None:
+        load = self._executor.load()
+        now = self._timers.now()
+        is_due = now - self._load_sent_at >= self._settings.links.heartbeat
+        if load == self._last_load and not is_due:
+            return
+        self._last_load = load
+        self._load_sent_at = now
+        for link in self._links:
+            link.send(link_pb2.SidecarMessage(load=load))
+
+    def _probe(self) -> None:
+        pending = self._target.ask(
+            "GET", PROBE_PATH, patience=self._settings.probe_interval
+        )
+        pending.addCallbacks(self._probe_answered, self._probe_missed)
+
+    def _probe_answered(self, answer: Answer) -> None:
+        self._probes_missed = 0
+        if self._executor.target_is_lost:
+            self._executor.target_is_lost = False
+            self._report_load()
+
+    def _probe_missed(self, failure: object) -> None:
+        self._probes_missed += 1
+        is_lost = self._probes_missed >= self._settings.probes_missed
+        if is_lost and not self._executor.target_is_lost:
+            self._executor.lose_target()
+            self._report_load()
+
+    def _register(self, is_leaving: bool) -> None:
+        instance = Instance(
+            name=self._settings.instance,
+            role=SIDECAR,
+            address=self._settings.listen,
+            data_centre=self._settings.data_centre,
+            target=self._settings.target,
+            is_leaving=is_leaving,
+        )
+        pending = self._list.register(instance)
+        if not is_leaving:
+            pending.addErrback(self._register_again)
+        else:
+            pending.addErrback(lambda _: None)
+
+    def _register_again(self, failure: object) -> None:
+        pause = self._random.uniform(0.5, 1.0) * self._settings.platform.backoff_most
+        self._timers.call_later(pause, lambda: self._register(is_leaving=False))
+
+
+def _of_asyncio(coroutine: Any) -> Deferred[Any]:
+    import asyncio
+
+    return Deferred.fromFuture(asyncio.ensure_future(coroutine))
--- /dev/null
+++ b/pimentolink/timers.py
@@ -0,0 +1,152 @@
+"""The timer service: the one source of time that every part subscribes to."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+
+class Timer(Protocol):
+    """A pending call."""
+
+    def cancel(self) -> None:
+        """Drop the call; does nothing once it has been made."""
+
+
+class Timers(Protocol):
+    """What decisions may know of time."""
+
+    def now(self) -> float:
+        """
+        Read the monotonic clock.
+
+        :returns: seconds since an arbitrary start.
+        """
+
+    def wall_time(self) -> float:
+        """
+        Read the calendar clock, which differs between instances.
+
+        :returns: seconds since 1970.
+        """
+
+    def call_later(self, delay: float, callback: Callable[[], object]) -> Timer:
+        """
+        Subscribe to one moment.
+
+        :param delay: seconds from now, not negative.
+        :param callback: called once on the loop.
+        """
+
+
+class Repeater:
+    """Calls back at a fixed interval until cancelled."""
+
+    def __init__(
+        self, timers: Timers, interval: float, callback: Callable[[], object]
+    ) -> None:
+        """
+        Start repeating.
+
+        :param timers: the timer service.
+        :param interval: seconds between calls.
+        :param callback: called on each turn, first after one interval.
+        """
+        self._timers = timers
+        self._interval = interval
+        self._callback = callback
+        self._timer: Timer = timers.call_later(interval, self._turn)
+
+    def _turn(self) -> None:
+        self._timer = self._timers.call_later(self._interval, self._turn)
+        self._callback()
+
+    def cancel(self) -> None:
+        """Stop repeating."""
+        self._timer.cancel()
+
+
+class _ReactorTimer:
+    """A delayed call of the reactor, safe to cancel at any time."""
+
+    def __init__(self, delayed_call: Any) -> None:
+        self._delayed_call = delayed_call
+
+    def cancel(self) -> None:
+        if self._delayed_call.active():
+            self._delayed_call.cancel()
+
+
+class ReactorTimers:
+    """Timers on a Twisted reactor."""
+
+    def __init__(self, reactor: Any) -> None:
+        """
+        Bind to the loop.
+
+        :param reactor: provides ``callLater``.
+        """
+        self._reactor = reactor
+
+    def now(self) -> float:
+        """Read the monotonic clock, in seconds."""
+        return time.monotonic()
+
+    def wall_time(self) -> float:
+        """Read the calendar clock, in seconds since 1970."""
+        return time.time()
+
+    def call_later(self, delay: float, callback: Callable[[], object]) -> Timer:
+        """Subscribe to one moment ``delay`` seconds away."""
+        return _ReactorTimer(self._reactor.callLater(delay, callback))
+
+
+class _ManualTimer:
+    """A pending call in virtual time."""
+
+    def __init__(self, callback: Callable[[], object]) -> None:
+        self.callback: Callable[[], object] | None = callback
+
+    def cancel(self) -> None:
+        self.callback = None
+
+
+class ManualTimers:
+    """Timers in virtual time, moved by hand; the twin for tests."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self._now = 0.0
+        self._order = itertools.count()
+        self._heap: list[tuple[float, int, _ManualTimer]] = []
+
+    def now(self) -> float:
+        """Read the virtual clock, in seconds."""
+        return self._now
+
+    def wall_time(self) -> float:
+        """Read the virtual calendar, which starts in 2027."""
+        return 1_800_000_000.0 + self._now
+
+    def call_later(self, delay: float, callback: Callable[[], object]) -> Timer:
+        """Subscribe to one virtual moment ``delay`` seconds away."""
+        timer = _ManualTimer(callback)
+        heapq.heappush(self._heap, (self._now + delay, next(self._order), timer))
+        return timer
+
+    def advance(self, seconds: float) -> None:
+        """
+        Move time forward and make every call that falls due, in order.
+
+        :param seconds: how far.
+        """
+        end = self._now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            moment, _, timer = heapq.heappop(self._heap)
+            self._now = moment
+            if timer.callback is not None:
+                timer.callback()
+        self._now = end
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: tools for tests, never the product."""
--- /dev/null
+++ b/standins/key_value.py
@@ -0,0 +1,120 @@
+"""Stand-in for the platform's key-value service, with faults on demand."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+from twisted.web.server import Request
+
+from standins.web import Routes, answer, argument, body_of, reactor, serve
+
+LARGEST_VALUE = 1_000_000
+
+
+class KeyValueStandIn:
+    """Keys with revisions; blocking reads; compare-and-swap transactions."""
+
+    def __init__(self) -> None:
+        """Start empty and without faults."""
+        self._index = 1
+        self._data_by_key: dict[str, tuple[str, int]] = {}
+        self._watching: list[tuple[str, int, Request]] = []
+        self.faults: dict[str, Any] = {"down": False, "delay": 0.0, "lose_answers": 0}
+        self.calls = {"reads": 0, "writes": 0, "watches": 0, "refused": 0}
+        self.routes = Routes()
+        self.routes.add("GET", "/v1/kv/", self.read)
+        self.routes.add("PUT", "/v1/txn", self.write)
+        self.routes.add("PUT", "/faults", self.set_faults)
+        self.routes.add("GET", "/calls", lambda request: answer(request, self.calls))
+
+    def set_faults(self, request: Request) -> None:
+        """Switch faults on or off."""
+        self.faults.update(body_of(request))
+        answer(request, self.faults)
+
+    def read(self, request: Request) -> None:
+        """Answer a read, or keep a watch waiting."""
+        if self._fails(request):
+            return
+        key = request.path.decode().removeprefix("/v1/kv/")
+        index = int(argument(request, "index", "0"))
+        self.calls["watches" if index else "reads"] += 1
+        _, modified = self._data_by_key.get(key, ("", 0))
+        if index and modified <= index:
+            self._wait(request, key, index)
+        else:
+            self._later(lambda: self._answer_read(request, key))
+
+    def write(self, request: Request) -> None:
+        """Make a compare-and-swap, and lose the answer if so ordered."""
+        if self._fails(request):
+            return
+        self.calls["writes"] += 1
+        operation = body_of(request)[0]["KV"]
+        self._later(lambda: self._swap(request, operation))
+
+    def _swap(self, request: Request, operation: dict[str, Any]) -> None:
+        key, value = operation["Key"], operation["Value"]
+        _, modified = self._data_by_key.get(key, ("", 0))
+        if len(base64.b64decode(value)) > LARGEST_VALUE:
+            answer(request, {"Errors": [{"What": "value too large"}]}, 413)
+            return
+        swapped = modified == operation["Index"]
+        if swapped:
+            self._index += 1
+            self._data_by_key[key] = (value, self._index)
+            self._wake(key)
+        if self.faults["lose_answers"] > 0:
+            self.faults["lose_answers"] -= 1
+            request.transport.abortConnection()  # type: ignore[union-attr]
+        elif swapped:
+            result = {"KV": {"Key": key, "ModifyIndex": self._index}}
+            answer(request, {"Results": [result], "Errors": None})
+        else:
+            answer(request, {"Results": None, "Errors": [{"What": "index"}]}, 409)
+
+    def _wait(self, request: Request, key: str, index: int) -> None:
+        waiting = (key, index, request)
+        self._watching.append(waiting)
+        request.notifyFinish().addErrback(lambda _: self._drop(waiting))
+        seconds = float(argument(request, "wait", "60s").removesuffix("s"))
+        reactor.callLater(seconds, self._time_out, waiting)
+
+    def _drop(self, waiting: tuple[str, int, Request]) -> None:
+        if waiting in self._watching:
+            self._watching.remove(waiting)
+
+    def _time_out(self, waiting: tuple[str, int, Request]) -> None:
+        if waiting in self._watching:
+            self._watching.remove(waiting)
+            self._answer_read(waiting[2], waiting[0])
+
+    def _wake(self, key: str) -> None:
+        woken = [waiting for waiting in self._watching if waiting[0] == key]
+        for waiting in woken:
+            self._watching.remove(waiting)
+            self._answer_read(waiting[2], key)
+
+    def _answer_read(self, request: Request, key: str) -> None:
+        headers = {"x-consul-index": str(self._index)}
+        if key not in self._data_by_key:
+            answer(request, [], 404, headers)
+            return
+        value, modified = self._data_by_key[key]
+        found = {"Key": key, "Value": value, "ModifyIndex": modified}
+        answer(request, [found], 200, headers)
+
+    def _later(self, call: Any) -> None:
+        reactor.callLater(self.faults["delay"], call)
+
+    def _fails(self, request: Request) -> bool:
+        if not self.faults["down"]:
+            return False
+        self.calls["refused"] += 1
+        request.transport.abortConnection()  # type: ignore[union-attr]
+        return True
+
+
+if __name__ == "__main__":
+    serve(KeyValueStandIn().routes, __doc__)
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,39 @@
+"""Compact builders of test data."""
+
+import copy
+from typing import Any
+
+SMALL: dict[str, Any] = {
+    "site": "small",
+    "work": {
+        "triage": {"priority": 0, "patience": 20},
+        "contract_check": {"priority": 6, "patience": 60},
+        "dispatch": {"priority": 0, "patience": 10},
+    },
+    "models": {"claims": {"version": "1"}},
+    "services": {
+        "claims": {
+            "kind": "model",
+            "targets": ["engine-1", "engine-2"],
+            "work": "triage",
+            "models": ["claims"],
+        },
+        "dispatch": {
+            "kind": "plain",
+            "targets": ["dispatch-1", "dispatch-2"],
+            "work": "dispatch",
+            "repeatable": False,
+        },
+    },
+    "targets": {
+        "engine-1": {"data_centre": "north"},
+        "engine-2": {"data_centre": "south"},
+        "dispatch-1": {"data_centre": "north"},
+        "dispatch-2": {"data_centre": "south"},
+    },
+}
+TARGETS = list(SMALL["targets"])
+
+
+def configuration(**changes: Any) -> dict[str, Any]:
+    return {**copy.deepcopy(SMALL), **changes}
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,9 @@
+import pytest
+
+from tools.fleet import Fleet
+
+
+@pytest.fixture
+def fleet():
+    with Fleet() as running:
+        yield running
--- /dev/null
+++ b/tests/test_end_to_end.py
@@ -0,0 +1,124 @@
+"""The whole path over real processes: caller, entry, sidecar, target."""
+
+import json
+
+import pytest
+
+from standins.engine import whole_answer
+from tests.builders import TARGETS, configuration
+from tools.fleet import Fleet, call
+
+
+@pytest.fixture(scope="module")
+def small_fleet():
+    with Fleet() as fleet:
+        fleet.start_platform()
+        for target, data_centre in (("engine-1", "north"), ("engine-2", "south")):
+            fleet.start(target, "standins.engine")
+            fleet.start_sidecar(target, data_centre)
+        for target, data_centre in (("dispatch-1", "north"), ("dispatch-2", "south")):
+            fleet.start(target, "standins.plain_service")
+            fleet.start_sidecar(target, data_centre)
+        fleet.start_entry("entry", "north")
+        fleet.apply(configuration())
+        fleet.wait_ready("entry", TARGETS)
+        yield fleet
+
+
+def complete(fleet, **body):
+    url = fleet.url("entry", "/v1/completions")
+    return call(url, "POST", {"model": "claims", "prompt": "hello", **body})
+
+
+class TestCompletions:
+    def test_whole_answer_is_the_engines(self, small_fleet):
+        reply = complete(small_fleet, max_tokens=12)
+        assert reply.status == 200
+        assert reply.json["choices"][0]["text"] == whole_answer("hello", 12)
+
+    def test_streamed_answer_has_every_token_and_its_end(self, small_fleet):
+        reply = complete(small_fleet, max_tokens=7, stream=True)
+        events = reply.body.decode().strip().split("\n\n")
+        assert events[-1] == "data: [DONE]"
+        chunks = [json.loads(event.removeprefix("data: ")) for event in events[:-1]]
+        text = "".join(chunk["choices"][0]["text"] for chunk in chunks)
+        assert text == whole_answer("hello", 7)
+        assert chunks[-1]["choices"][0]["finish_reason"] == "length"
+
+    def test_chat_answer_comes_as_a_message(self, small_fleet):
+        messages = [{"role": "user", "content": "where"}]
+        body = {"model": "claims", "messages": messages, "max_tokens": 3}
+        url = small_fleet.url("entry", "/v1/chat/completions")
+        reply = call(url, "POST", body)
+        message = reply.json["choices"][0]["message"]
+        assert message == {"role": "assistant", "content": whole_answer("where", 3)}
+
+    def test_models_are_listed(self, small_fleet):
+        listed = call(small_fleet.url("entry", "/v1/models")).json["data"]
+        assert [model["id"] for model in listed] == ["claims"]
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("body", "status", "code"),
+        [
+            (b"{", 400, "invalid_request"),
+            (b'{"model":"claims"}', 400, "invalid_request"),
+            (b'{"model":"claims","prompt":3}', 400, "invalid_request"),
+            (b'{"model":"claims","prompt":"a","max_tokens":0}', 400, "invalid_request"),
+            (b'{"model":"other","prompt":"a"}', 404, "model_unknown"),
+        ],
+    )
+    def test_body_is_refused_with_its_code(self, small_fleet, body, status, code):
+        reply = call(small_fleet.url("entry", "/v1/completions"), "POST", body)
+        assert (reply.status, reply.json["error"]["code"]) == (status, code)
+        assert reply.json["error"]["ran"] is False
+
+    def test_unknown_kind_of_work_is_refused(self, small_fleet):
+        url = small_fleet.url("entry", "/v1/completions")
+        body = {"model": "claims", "prompt": "a"}
+        reply = call(url, "POST", body, {"pimentolink-work": "gossip"})
+        assert (reply.status, reply.json["error"]["code"]) == (400, "work_unknown")
+
+    def test_huge_body_is_refused(self, small_fleet):
+        url = small_fleet.url("entry", "/v1/completions")
+        reply = call(url, "POST", b"x" * 4_000_001)
+        assert (reply.status, reply.json["error"]["code"]) == (413, "body_too_large")
+
+
+class TestPlainService:
+    def test_call_passes_to_the_service_and_back(self, small_fleet):
+        url = small_fleet.url("entry", "/services/dispatch/send?to=north")
+        reply = call(url, "POST", {"who": "a"}, {"idempotency-key": "a"})
+        assert reply.status == 200
+        assert reply.json["path"] == "/send?to=north"
+
+    def test_call_without_its_key_is_refused(self, small_fleet):
+        url = small_fleet.url("entry", "/services/dispatch/send")
+        reply = call(url, "POST", {"who": "b"})
+        assert reply.status == 400
+        assert reply.json["error"]["code"] == "idempotency_key_missing"
+
+    def test_same_key_runs_once_and_answers_alike(self, small_fleet):
+        url = small_fleet.url("entry", "/services/dispatch/send")
+        replies = [
+            call(url, "POST", {"who": "c"}, {"idempotency-key": "c"}) for _ in range(3)
+        ]
+        assert {reply.status for reply in replies} == {200}
+        assert runs_of(small_fleet, '{"who": "c"}') == 1
+
+    def test_same_key_for_another_call_is_refused(self, small_fleet):
+        url = small_fleet.url("entry", "/services/dispatch/send")
+        call(url, "POST", {"who": "d"}, {"idempotency-key": "d"})
+        reply = call(url, "POST", {"who": "e"}, {"idempotency-key": "d"})
+        assert (reply.status, reply.json["error"]["code"]) == (
+            422,
+            "idempotency_key_reused",
+        )
+        assert runs_of(small_fleet, '{"who": "e"}') == 0
+
+
+def runs_of(fleet, call_body):
+    services = ("dispatch-1", "dispatch-2")
+    counts = [call(fleet.url(name, "/runs")).json for name in services]
+    return sum(count.get(call_body, 0) for count in counts)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools around the product: demo, bench, experiments, generated docs."""
--- /dev/null
+++ b/tools/docs.py
@@ -0,0 +1,154 @@
+"""Makes the pages that are generated from code, or checks that they are up to date."""
+
+from __future__ import annotations
+
+import inspect
+import re
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pimentolink import configuration, settings
+from pimentolink.logs import LogEvent
+
+DOCS = Path("docs")
+PAGES_NEEDED = ("index", "GLOSSARY", "OPERATIONS", "PROOFS", "CAPACITY")
+CONFIGURATION_TYPES: tuple[type[msgspec.Struct], ...] = (
+    configuration.Configuration,
+    configuration.WorkConfiguration,
+    configuration.ModelConfiguration,
+    configuration.ServiceConfiguration,
+    configuration.TargetConfiguration,
+)
+SETTINGS_TYPES: tuple[type[msgspec.Struct], ...] = (
+    settings.EntrySettings,
+    settings.SidecarSettings,
+    settings.PlatformSettings,
+    settings.LinkSettings,
+    settings.CallerLimits,
+    settings.RetrySettings,
+    settings.RoutingSettings,
+    settings.QueueSettings,
+    settings.ClaimSettings,
+    settings.OrderSettings,
+)
+
+
+def events_page() -> str:
+    """Write the catalogue of log events."""
+    lines = [
+        "# Log events",
+        "",
+        "Made by `python -m tools.docs` from `pimentolink/logs.py`.",
+        "",
+        "| number | event | level | meaning |",
+        "|---|---|---|---|",
+    ]
+    levels = {20: "info", 30: "warning", 40: "error"}
+    for event in LogEvent:
+        name = event.name.lower()
+        level = levels[event.level]
+        lines.append(f"| {event.number} | `{name}` | {level} | {event.meaning} |")
+    return "\n".join(lines) + "\n"
+
+
+def configuration_page() -> str:
+    """Write the formats of configuration and settings."""
+    lines = [
+        "# Configuration and settings",
+        "",
+        "Made by `python -m tools.docs` from the types in",
+        "`pimentolink/configuration.py` and `pimentolink/settings.py`. Both are JSON:",
+        "one base file and an overlay for each site, merged as RFC 7396 says. A field",
+        "with a default may be left out.",
+        "",
+        "## Configuration",
+        "",
+    ]
+    for kind in CONFIGURATION_TYPES:
+        lines += _section(kind)
+    lines += ["## Settings of the processes", ""]
+    for kind in SETTINGS_TYPES:
+        lines += _section(kind)
+    return "\n".join(lines)
+
+
+def _section(kind: type[msgspec.Struct]) -> list[str]:
+    text = inspect.getdoc(kind) or ""
+    meanings = {
+        name: " ".join(meaning.split())
+        for name, meaning in re.findall(
+            r":ivar (\w+): (.*?)(?=\n:ivar|\Z)", text, flags=re.DOTALL
+        )
+    }
+    summary = text.split("\n\n")[0].split("\n:ivar")[0]
+    lines = [
+        f"### {kind.__name__}",
+        "",
+        summary,
+        "",
+        "| field | type | default | meaning |",
+        "|---|---|---|---|",
+    ]
+    for field in msgspec.structs.fields(kind):
+        name = field.name
+        meaning = meanings.get(name, "")
+        lines.append(
+            f"| `{name}` | {_type_name(field.type)} | {_default(field)} | {meaning} |"
+        )
+    return [*lines, ""]
+
+
+def _type_name(kind: Any) -> str:
+    schema = msgspec.json.schema(kind)
+    if "$ref" in schema:
+        return f"`{schema['$ref'].rpartition('/')[2]}`"
+    schema.pop("$defs", None)
+    if "enum" in schema:
+        return " or ".join(f"`{value}`" for value in schema["enum"])
+    name = str(schema.get("type", "text or null"))
+    bounds = [
+        f"{sign} {schema[key]}"
+        for key, sign in (
+            ("minimum", "≥"),
+            ("exclusiveMinimum", ">"),
+            ("maximum", "≤"),
+        )
+        if key in schema
+    ]
+    return " ".join([name, *bounds])
+
+
+def _default(field: msgspec.structs.FieldInfo) -> str:
+    if field.default is not msgspec.NODEFAULT:
+        return f"`{field.default}`"
+    if field.default_factory is not msgspec.NODEFAULT:
+        return "its defaults"
+    return "needed"
+
+
+def main() -> None:
+    """Write the pages, or with ``--check`` compare them."""
+    pages = {"EVENTS": events_page(), "CONFIGURATION": configuration_page()}
+    if "--check" not in sys.argv:
+        for name, text in pages.items():
+            (DOCS / f"{name}.md").write_text(text)
+        return
+    stale = [
+        name
+        for name, text in pages.items()
+        if not (DOCS / f"{name}.md").exists()
+        or (DOCS / f"{name}.md").read_text() != text
+    ]
+    missing = [name for name in PAGES_NEEDED if not (DOCS / f"{name}.md").exists()]
+    for name in stale:
+        print(f"docs/{name}.md is not what the code says: run python -m tools.docs")
+    for name in missing:
+        print(f"docs/{name}.md is missing")
+    sys.exit(1 if stale or missing else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,270 @@
+"""Starts a small fleet of real processes on loopback and ends it again."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Any, NamedTuple
+
+SHARED_KEY = "a shared key for loopback only"
+START_WITHIN = 20.0
+POLL = 0.02
+
+
+class Reply(NamedTuple):
+    """An HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def json(self) -> Any:
+        """Decode the body."""
+        return json.loads(self.body)
+
+
+def free_port() -> int:
+    """Pick a port that nothing uses."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def call(
+    url: str,
+    method: str = "GET",
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 30.0,
+) -> Reply:
+    """Make one HTTP request; statuses of 400 and over are answers too."""
+    data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+    request = urllib.request.Request(
+        url, data=data, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as response:
+            return Reply(response.status, dict(response.headers), response.read())
+    except urllib.error.HTTPError as error:
+        with error:
+            return Reply(error.code, dict(error.headers), error.read())
+
+
+def wait_until(condition: Any, within: float = START_WITHIN, what: str = "") -> Any:
+    """Poll a condition until it is true; exceptions of sockets count as false."""
+    end = time.monotonic() + within
+    while True:
+        try:
+            value = condition()
+            if value:
+                return value
+        except OSError:
+            pass
+        if time.monotonic() > end:
+            raise TimeoutError(f"waited {within} s for {what or condition}")
+        time.sleep(POLL)
+
+
+class Process:
+    """One process of the fleet."""
+
+    def __init__(
+        self, name: str, arguments: list[str], address: str, folder: Path
+    ) -> None:
+        """Start it; its output goes to a file."""
+        self.name = name
+        self.arguments = arguments
+        self.address = address
+        self.log_path = folder / f"{name}.log"
+        with self.log_path.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments], stdout=log, stderr=log
+            )
+
+    def send(self, number: int) -> None:
+        """Send a signal."""
+        os.kill(self.popen.pid, number)
+
+    def kill(self) -> None:
+        """End it without warning."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        """Freeze it."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on."""
+        self.send(signal.SIGCONT)
+
+    def stop(self, within: float = 30.0) -> int:
+        """End it gracefully; return its exit code."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        return self.popen.wait(within)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it has not ended."""
+        return self.popen.poll() is None
+
+
+class Fleet:
+    """Processes by name, with the settings files that they read."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._folder = tempfile.TemporaryDirectory(prefix="pimentolink-")
+        self.folder = Path(self._folder.name)
+        self.processes_by_name: dict[str, Process] = {}
+        self.overrides: dict[str, Any] = {}
+
+    def __enter__(self) -> Fleet:
+        """Use as a context: every process is ended with it."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """End every process."""
+        self.close()
+
+    def close(self) -> None:
+        """End every process that is left, and wait for it."""
+        for process in self.processes_by_name.values():
+            if process.is_running:
+                process.send(signal.SIGCONT)
+                process.popen.kill()
+                process.popen.wait()
+        self._folder.cleanup()
+
+    def start(
+        self, name: str, module: str, *options: str, address: str | None = None
+    ) -> Process:
+        """Start a stand-in; wait until it listens."""
+        address = address or f"127.0.0.1:{free_port()}"
+        arguments = [module, "--listen", address, *options]
+        return self._launch(name, arguments, address)
+
+    def start_platform(self, lag: float = 0.2) -> None:
+        """Start the key-value service and the list of instances."""
+        self.start("key_value", "standins.key_value")
+        self.start("instance_list", "standins.instance_list", "--lag", str(lag))
+        self.write("platform", self.platform_settings())
+
+    def platform_settings(self) -> dict[str, Any]:
+        """Tell where the platform's services are."""
+        return {
+            "key_value": self.address("key_value"),
+            "instance_list": self.address("instance_list"),
+            "list_interval": 0.2,
+            "watch_wait": 5.0,
+            "timeout": 1.0,
+            "backoff_most": 0.5,
+        }
+
+    def start_sidecar(
+        self, target: str, data_centre: str, address: str | None = None, **extra: Any
+    ) -> Process:
+        """Start the sidecar of a target that runs already."""
+        name = f"sidecar-{target}"
+        address = address or f"127.0.0.1:{free_port()}"
+        settings = {
+            "instance": name,
+            "data_centre": data_centre,
+            "listen": address,
+            "target": target,
+            "target_address": self.address(target),
+            "shared_key": SHARED_KEY,
+            "platform": self.platform_settings(),
+            "links": {"reconnect": 0.1},
+            **extra,
+        }
+        path = self.write(name, settings)
+        return self._launch(name, ["pimentolink.cli", "sidecar", str(path)], address)
+
+    def start_entry(
+        self, name: str, data_centre: str, address: str | None = None, **extra: Any
+    ) -> Process:
+        """Start an entry."""
+        address = address or f"127.0.0.1:{free_port()}"
+        settings = {
+            "instance": name,
+            "data_centre": data_centre,
+            "listen": address,
+            "shared_key": SHARED_KEY,
+            "platform": self.platform_settings(),
+            "links": {"reconnect": 0.1},
+            "leave_delay": 0.2,
+            **extra,
+        }
+        path = self.write(name, settings)
+        return self._launch(name, ["pimentolink.cli", "entry", str(path)], address)
+
+    def _launch(self, name: str, arguments: list[str], address: str) -> Process:
+        process = Process(name, arguments, address, self.folder)
+        self.processes_by_name[name] = process
+        host, _, port = address.rpartition(":")
+
+        def listens() -> bool:
+            if not process.is_running:
+                raise RuntimeError(f"{name} ended: {process.log_path.read_text()}")
+            with socket.create_connection((host, int(port)), timeout=1.0):
+                return True
+
+        wait_until(listens, what=f"{name} to listen")
+        return process
+
+    def write(self, name: str, value: Any) -> Path:
+        """Write a JSON file; return its path."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(value))
+        return path
+
+    def address(self, name: str) -> str:
+        """Tell where a process listens."""
+        return self.processes_by_name[name].address
+
+    def url(self, name: str, path: str) -> str:
+        """Make a URL of a process."""
+        return f"http://{self.address(name)}{path}"
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the command line to its end."""
+        return subprocess.run(
+            [sys.executable, "-m", "pimentolink.cli", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+
+    def apply(self, configuration: dict[str, Any]) -> None:
+        """Apply a configuration with the command line."""
+        path = self.write("configuration", configuration)
+        platform = str(self.folder / "platform.json")
+        done = self.command("config", "apply", str(path), "--platform", platform)
+        if done.returncode:
+            raise RuntimeError(done.stderr)
+
+    def wait_ready(self, entry: str, targets: list[str]) -> None:
+        """Wait until an entry can reach all of these targets."""
+
+        def is_ready() -> bool:
+            headers = {"authorization": f"Bearer {SHARED_KEY}"}
+            told = call(self.url(entry, "/pimentolink/status"), headers=headers).json
+            available = {
+                target["target"] for target in told["targets"] if target["available"]
+            }
+            return bool(told["configuration_version"]) and available >= set(targets)
+
+        wait_until(is_ready, what=f"{entry} to reach {targets}")
