--- a/pimentolink/callers.py
+++ b/pimentolink/callers.py
@@ -17,14 +17,17 @@
 from zope.interface import implementer
 
 from pimentolink import completions, errors, link_pb2
-from pimentolink.configuration import Adoption, Configuration
+from pimentolink.adoption import Adoption
+from pimentolink.configuration import Configuration
 from pimentolink.dispatcher import Dispatcher
 from pimentolink.metrics import Metrics
 from pimentolink.request import Progress, Request
 from pimentolink.settings import CallerLimits
 from pimentolink.timers import Timer, Timers
+from pimentolink.tracing import Tracing
 
 SERVICES_PREFIX = "/services/"
+TRACE_PREFIX = "/pimentolink/trace/"
 STATUS_PATH = "/pimentolink/status"
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 PASSED_HEADERS = frozenset({"content-type", "accept"})
@@ -115,6 +118,7 @@
         limits: CallerLimits,
         metrics: Metrics,
         timers: Timers,
+        tracing: Tracing,
         facts: EntryFacts,
         shared_key: str,
     ) -> None:
@@ -126,6 +130,7 @@
         :param limits: bounds on what callers may ask.
         :param metrics: where figures go.
         :param timers: the timer service.
+        :param tracing: makes spans.
         :param facts: of the entry.
         :param shared_key: what operators' programs prove themselves with.
         """
@@ -135,6 +140,7 @@
         self._limits = limits
         self._metrics = metrics
         self._timers = timers
+        self._tracing = tracing
         self._facts = facts
         self._shared_key = shared_key.encode()
         self._page_by_path: dict[str, Callable[[WebRequest], object]] = {
@@ -154,6 +160,8 @@
         page = self._page_by_path.get(path)
         if page is not None and method in ("GET", "HEAD"):
             page(request)
+        elif path.startswith(TRACE_PREFIX):
+            self._trace(request)
         elif path in (completions.CHAT_PATH, completions.TEXT_PATH):
             self._complete(request, path, method)
         elif path.startswith(SERVICES_PREFIX):
@@ -178,6 +186,13 @@
             return
         _answer(web, 200, msgspec.json.encode(self._facts.status()))
 
+    def _trace(self, web: WebRequest) -> None:
+        if not self._is_operator(web):
+            _refuse(web, errors.Unauthenticated("the shared key is needed"))
+            return
+        spans = self._tracing.spans(web.path.decode("latin-1").rpartition("/")[2])
+        _answer(web, 200, msgspec.json.encode([span._asdict() for span in spans]))
+
     def _is_operator(self, web: WebRequest) -> bool:
         given = web.getHeader("authorization") or ""
         return hmac.compare_digest(given.encode(), b"Bearer " + self._shared_key)
@@ -262,8 +277,14 @@
 
     def _start(self, web: WebRequest, request: Request, reply: _Reply) -> None:
         self._metrics.count("requests", request.work)
+        span = self._tracing.start("entry", request.request_id, request.traceparent)
+        span.set_attribute("work", request.work)
+        traceparent = self._tracing.traceparent(span) or request.traceparent
+        request = request._replace(traceparent=traceparent)
+        web.setHeader("pimentolink-request", request.request_id)
         finished = web.notifyFinish()
         finished.addErrback(lambda _: self._caller_left(request))
+        finished.addBoth(lambda _: span.end())
         self._dispatcher.submit(request, reply)
 
     def _caller_left(self, request: Request) -> None:
--- a/pimentolink/claims.py
+++ b/pimentolink/claims.py
@@ -22,7 +22,7 @@
 )
 from pimentolink.kvstore import KeyValueStore
 from pimentolink.settings import ClaimSettings
-from pimentolink.timers import Timers
+from pimentolink.timers import Timers, pause
 
 TAKE_OVER_TRIES = 3
 READ_BACK_PAUSE = 0.2
@@ -274,7 +274,7 @@
 
     async def _store_release(self) -> Result[None, Failure]:
         while self._is_busy:
-            await _pause(self._timers, self._settings.commit_interval)
+            await pause(self._timers, self._settings.commit_interval)
         if not self.is_owned:
             return Err(ClaimUnavailable("the partition was taken over"))
         self._is_busy = True
@@ -301,7 +301,7 @@
         try:
             while self._waiting or (self._is_dirty and self.is_owned):
                 await self._turn()
-                await _pause(self._timers, self._settings.commit_interval)
+                await pause(self._timers, self._settings.commit_interval)
         finally:
             self._is_busy = False
 
@@ -391,7 +391,7 @@
         return True
 
     async def _find_own_write(self) -> int | None:
-        await _pause(self._timers, READ_BACK_PAUSE)
+        await pause(self._timers, READ_BACK_PAUSE)
         stored = await self._store.get(self._path)
         if stored.data is None:
             return None
@@ -402,9 +402,3 @@
 
 def _decode(data: bytes) -> ClaimDocument:
     return msgspec.json.decode(data, type=ClaimDocument)
-
-
-def _pause(timers: Timers, seconds: float) -> Deferred[None]:
-    pending: Deferred[None] = Deferred()
-    timers.call_later(seconds, lambda: pending.callback(None))
-    return pending
--- a/pimentolink/cli.py
+++ b/pimentolink/cli.py
@@ -6,6 +6,7 @@
 import json
 import sys
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any, NoReturn
 
 import fire
@@ -104,6 +105,44 @@
         print(f"{target} {state} as of version {accepted.version}")
 
 
+class PlanCommands:
+    """Look at what engines should be."""
+
+    def show(self, platform: str, json: bool = False) -> None:
+        """List what the plans want of each engine."""
+        store = _Platform(platform)
+        planned = store.run(porcelain.show_plans(store.store))
+        _print_rows([target._asdict() for target in planned], json)
+
+
+class RequestCommands:
+    """Look at single requests."""
+
+    def trace(self, request: str, platform: str, key: str, json: bool = False) -> None:
+        """List the hops of a traced request; ``key`` is the shared key's file."""
+        store = _Platform(platform)
+        spans = store.run(
+            porcelain.trace_request(
+                store.client, store.instances, _read_key(key), request
+            )
+        )
+        if json:
+            _print_json(spans)
+            return
+        first = min((span["start"] for span in spans), default=0)
+        rows = [
+            {
+                "span": span["name"],
+                "process": span["process"],
+                "at_ms": round((span["start"] - first) / 1e6, 2),
+                "took_ms": round((span["end"] - span["start"]) / 1e6, 2),
+                "details": span["attributes"],
+            }
+            for span in spans
+        ]
+        _print_rows(rows, False)
+
+
 class Commands:
     """Serving system for a fixed fleet whose prompt-to-output mix shifts."""
 
@@ -111,6 +150,8 @@
         """Group the commands."""
         self.config = ConfigCommands()
         self.target = TargetCommands()
+        self.plan = PlanCommands()
+        self.request = RequestCommands()
 
     def entry(self, settings: str, *overlays: str) -> None:
         """Run an entry until SIGTERM."""
@@ -140,11 +181,10 @@
 
     def status(self, platform: str, key: str, json: bool = False) -> None:
         """Ask every listed entry how it is; ``key`` is the shared key's file."""
-        from pathlib import Path
-
         store = _Platform(platform)
-        shared_key = Path(key).read_text().strip()
-        found = store.run(porcelain.status(store.client, store.instances, shared_key))
+        found = store.run(
+            porcelain.status(store.client, store.instances, _read_key(key))
+        )
         told = [item.ok_value for item in found if not isinstance(item, Err)]
         silent = [str(item.err_value) for item in found if isinstance(item, Err)]
         if json:
@@ -221,6 +261,13 @@
     return outcome.ok_value
 
 
+def _read_key(path: str) -> str:
+    try:
+        return Path(path).read_text().strip()
+    except OSError as error:
+        _end(EXIT_INVALID, str(error))
+
+
 def _end_invalid(invalid: ConfigurationInvalid) -> NoReturn:
     lines = [str(problem) for problem in invalid.problems]
     _end(EXIT_INVALID, "\n".join(lines))
--- a/pimentolink/configstore.py
+++ b/pimentolink/configstore.py
@@ -7,9 +7,9 @@
 
 from pimentolink.configuration import AcceptedConfiguration, Configuration
 from pimentolink.errors import ConfigurationConflict, KeyValueUnavailable
-from pimentolink.follower import CONFIGURATION_KEY
 from pimentolink.kvstore import KeyValueStore
 
+CONFIGURATION_KEY = "pimentolink/configuration"
 HISTORY_PREFIX = "pimentolink/configuration-history"
 
 
--- a/pimentolink/configuration.py
+++ b/pimentolink/configuration.py
@@ -85,10 +85,24 @@
     drained: bool = False
 
 
+class DataCentreConfiguration(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """
+    A data centre.
+
+    :ivar region: data centres of one region are planned together.
+    """
+
+    region: str
+
+
 class Configuration(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """
     What a site runs, as operators wrote it.
 
+    :ivar site: name of the site.
+    :ivar data_centres: data centres by name.
     :ivar work: kinds of work by name.
     :ivar models: models by name.
     :ivar services: services by name.
@@ -97,12 +111,23 @@
     """
 
     site: str
+    data_centres: dict[str, DataCentreConfiguration]
     work: dict[str, WorkConfiguration]
     services: dict[str, ServiceConfiguration]
     targets: dict[str, TargetConfiguration]
     models: dict[str, ModelConfiguration] = field(default_factory=dict)
     older_system: Address | None = None
 
+    def region_of(self, data_centre: str) -> str:
+        """
+        Find the region of a data centre.
+
+        :param data_centre: its name.
+        :returns: the region's name; empty if the data centre is unknown.
+        """
+        found = self.data_centres.get(data_centre)
+        return found.region if found is not None else ""
+
     def service_of_model(self, model: str) -> str | None:
         """
         Find the service that runs a model.
@@ -135,40 +160,6 @@
     configuration: Configuration
 
 
-class Adoption:
-    """
-    The configuration that a process acts on.
-
-    Guards the rule that an accepted configuration never reverts: only a higher
-    version replaces the one in force, whoever brings it.
-    """
-
-    def __init__(self) -> None:
-        """Start with none in force."""
-        self.accepted: AcceptedConfiguration | None = None
-        self.document = b""
-
-    @property
-    def version(self) -> int:
-        """Version in force; 0 for none."""
-        return self.accepted.version if self.accepted else 0
-
-    def offer(self, document: bytes) -> bool:
-        """
-        Take a document if it is newer.
-
-        :param document: an accepted configuration as JSON.
-        :returns: whether it is now in force.
-        :raises msgspec.DecodeError: if it is no accepted configuration.
-        """
-        accepted = msgspec.json.decode(document, type=AcceptedConfiguration)
-        if accepted.version <= self.version:
-            return False
-        self.accepted = accepted
-        self.document = document
-        return True
-
-
 def check(merged: dict[str, Any]) -> Result[Configuration, errors.ConfigurationInvalid]:
     """
     Check a merged configuration as a whole.
@@ -206,6 +197,11 @@
 def _problems_of_meaning(configuration: Configuration) -> Iterator[errors.Problem]:
     yield from _problems_of_assignment(configuration)
     yield from _problems_of_services(configuration)
+    for name, target in configuration.targets.items():
+        if target.data_centre not in configuration.data_centres:
+            yield errors.ReferenceUnknown(
+                f"/targets/{name}/data_centre", f"no data centre {target.data_centre}"
+            )
     older_targets = [
         name
         for name, target in configuration.targets.items()
--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -5,10 +5,13 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from opentelemetry import trace
 from result import Err
 
 from pimentolink import link_pb2
-from pimentolink.configuration import Adoption
+from pimentolink.adoption import Adoption
+from pimentolink.claims import call_digest
+from pimentolink.directory import TargetDirectory
 from pimentolink.errors import (
     AlreadyRun,
     CallerTooSlow,
@@ -27,13 +30,13 @@
     TargetRejected,
 )
 from pimentolink.executor import CALLER_HEADER
-from pimentolink.links import EntryLink
 from pimentolink.logs import Log, LogEvent
 from pimentolink.request import Progress, Request
 from pimentolink.retry import RetryBudget
-from pimentolink.router import Router, TargetPool, TargetState
+from pimentolink.router import Router
 from pimentolink.settings import EntrySettings
 from pimentolink.timers import Timer, Timers
+from pimentolink.tracing import Tracing
 
 RETRY_AFTER = 1.0
 
@@ -74,6 +77,7 @@
     progress: Progress
     reply: Reply
     timers: dict[str, Timer]
+    spans: dict[str, trace.Span]
 
 
 class Dispatcher:
@@ -89,8 +93,10 @@
         self,
         settings: EntrySettings,
         adoption: Adoption,
+        directory: TargetDirectory,
         router: Router,
         timers: Timers,
+        tracing: Tracing,
         log: Log,
     ) -> None:
         """
@@ -98,21 +104,23 @@
 
         :param settings: limits and retries.
         :param adoption: the configuration in force.
-        :param router: chooses targets.
+        :param directory: the targets that are linked.
+        :param router: chooses among them.
         :param timers: the timer service.
+        :param tracing: makes spans.
         :param log: where events go.
         """
         self._settings = settings
         self._adoption = adoption
+        self._directory = directory
         self._router = router
         self._timers = timers
+        self._tracing = tracing
         self._log = log
         self._budget = RetryBudget(settings.retry)
         self._last_attempt_id = 0
         self._work_by_request_id: dict[str, _Work] = {}
         self._request_id_by_attempt: dict[int, str] = {}
-        self._link_by_target: dict[str, EntryLink] = {}
-        self._target_by_link: dict[EntryLink, TargetState] = {}
         self.late_events = 0
         self.retries = 0
 
@@ -129,8 +137,9 @@
         :param reply: where its answer goes.
         """
         progress = Progress(request, self._timers.now())
-        work = _Work(progress, reply, {})
+        work = _Work(progress, reply, {}, {})
         self._work_by_request_id[request.request_id] = work
+        progress.to_older_system = self._belongs_to_older_system(request)
         self._budget.earn()
         self._set_timer(work, "patience", request.patience, lambda: self._expire(work))
         self._attempt(work)
@@ -156,7 +165,7 @@
         work = self._work_by_request_id.get(request_id)
         if work is None or work.progress.attempt_id is None:
             return
-        link = self._link_by_target.get(work.progress.target_id)
+        link = self._directory.link(work.progress.target_id)
         if link is not None:
             pause = link_pb2.Pause(attempt_id=work.progress.attempt_id, paused=paused)
             link.send(link_pb2.EntryMessage(pause=pause))
@@ -170,83 +179,22 @@
         else:
             self._drop_timer(work, "stall")
 
-    def target_up(self, link: EntryLink, target_id: str, data_centre: str) -> None:
+    def target_down(self, target_id: str) -> None:
         """
-        Take a target into routing.
+        Move a lost target's requests elsewhere.
 
-        :param link: how it is reached.
-        :param target_id: its name.
-        :param data_centre: where it stands.
+        :param target_id: the target whose link ended.
         """
-        target = TargetState(target_id, data_centre)
-        self._link_by_target[target_id] = link
-        self._target_by_link[link] = target
-        self.arrange_pools()
-
-    def target_down(self, link: EntryLink) -> None:
-        """
-        Take a target out of routing and move its requests elsewhere.
-
-        :param link: the link that ended.
-        """
-        target = self._target_by_link.pop(link, None)
-        if target is None or self._link_by_target.get(target.target_id) is not link:
-            return
-        del self._link_by_target[target.target_id]
-        self.arrange_pools()
         affected = [
             work
             for work in self._work_by_request_id.values()
             if work.progress.attempt_id is not None
-            and work.progress.target_id == target.target_id
+            and work.progress.target_id == target_id
         ]
         for work in affected:
-            self._attempt_failed(work, LinkLost(f"with {target.target_id}"))
-
-    def arrange_pools(self) -> None:
-        """Sort linked targets into services as the configuration says now."""
-        accepted = self._adoption.accepted
-        if accepted is None:
-            return
-        linked_by_id = {
-            target.target_id: target for target in self._target_by_link.values()
-        }
-        configuration = accepted.configuration
-        pools = self._router.pool_by_service
-        for name, service in configuration.services.items():
-            wanted = [
-                linked_by_id[target_id]
-                for target_id in service.targets
-                if target_id in linked_by_id
-                and not configuration.targets[target_id].drained
-            ]
-            pools.setdefault(name, TargetPool()).replace(wanted)
-        for name in pools.keys() - configuration.services:
-            del pools[name]
-
-    def describe_targets(self) -> list[dict[str, object]]:
-        """Tell operators what this entry knows of each linked target."""
-        now = self._timers.now()
-        return [
-            {
-                "target": target.target_id,
-                "data_centre": target.data_centre,
-                "available": target.is_available(now),
-                "running": target.load.running,
-                "waiting": target.load.waiting,
-                "in_flight_here": target.in_flight,
-                "role": target.load.role,
-            }
-            for target in self._target_by_link.values()
-        ]
+            self._attempt_failed(work, LinkLost(f"with {target_id}"))
 
-    def load_reported(self, link: EntryLink, load: link_pb2.Load) -> None:
-        """Take a target's load report."""
-        target = self._target_by_link.get(link)
-        if target is not None:
-            target.reported(load)
-
-    def step_received(self, link: EntryLink, step: link_pb2.Step) -> None:
+    def step_received(self, step: link_pb2.Step) -> None:
         """Take all that happened at one target since its last step."""
         for event in step.events:
             work = self._work_of(event.attempt_id)
@@ -272,7 +220,7 @@
         request = progress.request
         chosen = self._router.choose(
             request,
-            self._partitions_of(request.service),
+            self._adoption.claim_partitions(request.service),
             progress.tried_target_ids,
             self._timers.now(),
         )
@@ -286,18 +234,25 @@
         self._request_id_by_attempt[self._last_attempt_id] = request.request_id
         prefill = request.prefill_tokens + len(progress.tokens)
         target.sent(prefill, progress.decode_tokens_left if request.is_model else 0)
-        submit = self._submission(progress, self._last_attempt_id)
-        self._link_by_target[target.target_id].send(
-            link_pb2.EntryMessage(submit=submit)
-        )
-
-    def _partitions_of(self, service: str) -> int:
-        accepted = self._adoption.accepted
-        if accepted is None or service not in accepted.configuration.services:
-            return 1
-        return accepted.configuration.services[service].claim_partitions
-
-    def _submission(self, progress: Progress, attempt_id: int) -> link_pb2.Submit:
+        span = self._tracing.start("attempt", request.request_id, request.traceparent)
+        span.set_attribute("target", target.target_id)
+        work.spans["attempt"] = span
+        submit = self._submission(progress, self._last_attempt_id, span)
+        link = self._directory.link(target.target_id)
+        if link is not None:
+            link.send(link_pb2.EntryMessage(submit=submit))
+
+    def _belongs_to_older_system(self, request: Request) -> bool:
+        """Draw by key, so that a caller's retry of a call draws alike."""
+        service = self._adoption.service(request.service)
+        if service is None or service.older_share == 0.0:
+            return False
+        drawn = call_digest(request.idempotency_key or request.request_id)
+        return int(drawn[:8], 16) / 0x1_0000_0000 < service.older_share
+
+    def _submission(
+        self, progress: Progress, attempt_id: int, span: trace.Span
+    ) -> link_pb2.Submit:
         request = progress.request
         headers = [
             link_pb2.Header(name=name, value=value)
@@ -315,7 +270,8 @@
             body=request.body,
             resume_tokens=progress.tokens,
             idempotency_key=request.idempotency_key,
-            traceparent=request.traceparent,
+            traceparent=self._tracing.traceparent(span) or request.traceparent,
+            to_older_system=progress.to_older_system and progress.attempts == 1,
             prefill_tokens=request.prefill_tokens,
             decode_tokens=progress.decode_tokens_left if request.is_model else 0,
         )
@@ -333,7 +289,8 @@
     def _finish_came(
         self, work: _Work, attempt_id: int, finish: link_pb2.Finish
     ) -> None:
-        target = self._target_of(work)
+        self._tracing.put(work.progress.request.request_id, finish.spans)
+        target = self._directory.target(work.progress.target_id)
         if finish.outcome == link_pb2.COMPLETE:
             if target is not None:
                 target.succeeded()
@@ -368,7 +325,7 @@
             self._retry_later(work, failure)
 
     def _blame_target(self, work: _Work, failure: Failure) -> None:
-        target = self._target_of(work)
+        target = self._directory.target(work.progress.target_id)
         if target is None or not isinstance(failure, TargetFailed | CrossedAnswer):
             return
         if target.failed(self._timers.now(), self._settings.routing):
@@ -382,8 +339,10 @@
             self._give_up(work, failure)
             return
         # The first move of a request whose target was lost is always granted: it at
-        # most doubles the load. The budget bounds all other retries.
-        if not is_first_move and not self._budget.spend():
+        # most doubles the load. So is a move away from a planned change, which cost
+        # the target nothing. The budget bounds all other retries.
+        is_free = is_first_move or isinstance(failure, Draining)
+        if not is_free and not self._budget.spend():
             self._give_up(work, failure)
             return
         self.retries += 1
@@ -417,7 +376,7 @@
         progress = work.progress
         if progress.attempt_id is None:
             return
-        link = self._link_by_target.get(progress.target_id)
+        link = self._directory.link(progress.target_id)
         if link is not None:
             cancel = link_pb2.Cancel(attempt_id=progress.attempt_id)
             link.send(link_pb2.EntryMessage(cancel=cancel))
@@ -428,15 +387,12 @@
         if attempt_id is None:
             return
         self._request_id_by_attempt.pop(attempt_id, None)
-        target = self._target_of(work)
+        work.spans.pop("attempt").end()
+        target = self._directory.target(work.progress.target_id)
         if target is not None:
             target.ended()
         work.progress.end_attempt()
 
-    def _target_of(self, work: _Work) -> TargetState | None:
-        link = self._link_by_target.get(work.progress.target_id)
-        return self._target_by_link.get(link) if link is not None else None
-
     def _close(self, work: _Work) -> None:
         work.progress.is_over = True
         self._work_by_request_id.pop(work.progress.request.request_id, None)
--- a/pimentolink/entry.py
+++ b/pimentolink/entry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any
 from uuid import uuid4
@@ -9,18 +11,23 @@
 from twisted.internet.defer import Deferred
 
 from pimentolink import link_pb2
+from pimentolink.adoption import Adoption
 from pimentolink.callers import CallerInterface, make_site
-from pimentolink.configuration import Adoption
+from pimentolink.configstore import CONFIGURATION_KEY
+from pimentolink.directory import TargetDirectory
 from pimentolink.dispatcher import Dispatcher
-from pimentolink.follower import ConfigurationFollower
+from pimentolink.follower import KeyFollower
 from pimentolink.instances import ENTRY, SIDECAR, HttpInstanceList, Instance
-from pimentolink.kvstore import HttpStore
+from pimentolink.kvstore import HttpStore, Value
 from pimentolink.links import EntryLink, LinkClient
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
+from pimentolink.plan import Group, group_of, groups_of
+from pimentolink.planner import FixedRoles, Planner
 from pimentolink.router import PredictedWork, Router
 from pimentolink.settings import EntrySettings, split_address
 from pimentolink.timers import ReactorTimers, Repeater
+from pimentolink.tracing import Tracing
 
 IDLE_POLL = 0.05
 
@@ -42,22 +49,39 @@
         self._log = Log(instance=settings.instance, role="entry")
         self._timers = ReactorTimers(reactor)
         self._metrics = Metrics()
-        self._adoption = Adoption()
+        self._tracing = Tracing(settings.instance, settings.trace_ratio, self._log)
+        self._adoption = Adoption(self._log)
         self._store = HttpStore(reactor, settings.platform)
         self._list = HttpInstanceList(reactor, settings.platform)
-        self._follower = ConfigurationFollower(
-            self._store,
+        self._follower = self._make_follower(
+            CONFIGURATION_KEY, self._configuration_came
+        )
+        self._plan_followers: dict[Group, KeyFollower] = {}
+        self._revision_by_group: dict[Group, int] = {}
+        policy = PredictedWork(settings.routing, settings.data_centre, self._random)
+        router = Router(policy)
+        self._directory = TargetDirectory(self._adoption, router, self._timers)
+        self._dispatcher = Dispatcher(
+            settings,
             self._adoption,
-            settings.platform,
+            self._directory,
+            router,
             self._timers,
-            self._random,
+            self._tracing,
             self._log,
-            self._configuration_adopted,
         )
-        policy = PredictedWork(settings.routing, settings.data_centre, self._random)
-        self._dispatcher = Dispatcher(
-            settings, self._adoption, Router(policy), self._timers, self._log
+        self._planner = Planner(
+            settings.planner,
+            self._incarnation,
+            settings.data_centre,
+            self._store,
+            self._adoption,
+            self._directory,
+            FixedRoles(),
+            self._timers,
+            self._log,
         )
+        self._adoption.subscribe(self._configuration_adopted)
         self._link_by_sidecar: dict[str, LinkClient] = {}
         self._hello_by_link: dict[EntryLink, link_pb2.SidecarHello] = {}
         self._list_is_lost = False
@@ -74,6 +98,7 @@
             self._settings.limits,
             self._metrics,
             self._timers,
+            self._tracing,
             self,
             self._settings.shared_key,
         )
@@ -81,6 +106,7 @@
         host, port = split_address(self._settings.listen)
         self._port = self._reactor.listenTCP(port, site, interface=host, backlog=1024)
         self._follower.start()
+        self._planner.start()
         self._read_list()
         interval = self._settings.platform.list_interval
         self._poll = Repeater(self._timers, interval, self._read_list)
@@ -90,6 +116,7 @@
     async def stop(self) -> None:
         """Leave the list, let the balancer notice, finish what is in work, end."""
         self.is_stopping = True
+        self._planner.stop()
         self._register(is_leaving=True)
         self._log.write(LogEvent.STOPPING, in_flight=self._dispatcher.in_flight)
         await self._sleep(self._settings.leave_delay)
@@ -97,7 +124,8 @@
         await self._finish_work()
         if self._poll is not None:
             self._poll.cancel()
-        self._follower.stop()
+        for follower in (self._follower, *self._plan_followers.values()):
+            follower.stop()
         for link in self._link_by_sidecar.values():
             link.close()
         await _ignore_failure(self._list.deregister(self._settings.instance))
@@ -125,7 +153,7 @@
             "in_flight": self._dispatcher.in_flight,
             "retries": self._dispatcher.retries,
             "late_events": self._dispatcher.late_events,
-            "targets": self._dispatcher.describe_targets(),
+            "targets": list(self._directory.describe()),
         }
 
     def greeting(self) -> link_pb2.EntryHello:
@@ -141,31 +169,84 @@
         """Take a sidecar's target into routing; bring it up to date."""
         self._log.write(LogEvent.LINK_UP, target=hello.target_id)
         self._hello_by_link[link] = hello
-        self._dispatcher.target_up(link, hello.target_id, hello.data_centre)
+        self._directory.add(link, hello.target_id, hello.data_centre)
         if hello.configuration_version < self._adoption.version:
             link.send(self._document())
+        self._tell_plan(link, hello.target_id)
 
     def link_message(self, link: EntryLink, message: link_pb2.SidecarMessage) -> None:
         """Handle a message of a sidecar."""
         kind = message.WhichOneof("body")
         if kind == "step":
-            self._dispatcher.step_received(link, message.step)
+            self._dispatcher.step_received(message.step)
         elif kind == "load":
-            self._dispatcher.load_reported(link, message.load)
+            self._directory.reported(link, message.load)
         elif kind == "document":
-            self._follower.offer(message.document.json)
+            self._adoption.offer(message.document.json)
 
     def link_down(self, link: EntryLink) -> None:
         """Take a sidecar's target out of routing."""
         hello = self._hello_by_link.pop(link)
         self._log.write(LogEvent.LINK_DOWN, target=hello.target_id)
-        self._dispatcher.target_down(link)
+        lost = self._directory.remove(link)
+        if lost is not None:
+            self._dispatcher.target_down(lost)
+
+    def _make_follower(
+        self, key: str, on_value: Callable[[Value], object]
+    ) -> KeyFollower:
+        return KeyFollower(
+            key,
+            self._store,
+            self._settings.platform,
+            self._timers,
+            self._random,
+            self._log,
+            on_value,
+        )
+
+    def _configuration_came(self, value: Value) -> None:
+        if value.data is not None:
+            self._adoption.offer(value.data)
 
     def _configuration_adopted(self) -> None:
-        self._dispatcher.arrange_pools()
         document = self._document()
         for link in self._hello_by_link:
             link.send(document)
+        self._follow_plans()
+
+    def _follow_plans(self) -> None:
+        """Follow the plans of this region's groups, and no others."""
+        assert self._adoption.accepted is not None
+        configuration = self._adoption.accepted.configuration
+        region = configuration.region_of(self._settings.data_centre)
+        wanted = {group for group in groups_of(configuration) if group.region == region}
+        for group in self._plan_followers.keys() - wanted:
+            self._plan_followers.pop(group).stop()
+        for group in wanted - self._plan_followers.keys():
+            follower = self._make_follower(
+                group.plan_key, partial(self._plan_came, group)
+            )
+            self._plan_followers[group] = follower
+            follower.start()
+
+    def _plan_came(self, group: Group, value: Value) -> None:
+        self._revision_by_group[group] = value.revision
+        for link, hello in self._hello_by_link.items():
+            self._tell_plan(link, hello.target_id)
+
+    def _tell_plan(self, link: EntryLink, target_id: str) -> None:
+        if self._adoption.accepted is None:
+            return
+        group = group_of(self._adoption.accepted.configuration, target_id)
+        if group is None or group not in self._revision_by_group:
+            return
+        news = link_pb2.PlanNews(
+            service=group.service,
+            region=group.region,
+            revision=self._revision_by_group[group],
+        )
+        link.send(link_pb2.EntryMessage(plan_news=news))
 
     def _document(self) -> link_pb2.EntryMessage:
         document = link_pb2.Document(
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -188,6 +188,29 @@
     ran = True
 
 
+class OrderRefused(Failure):
+    """An engine refused an order, which had no effect."""
+
+    code = "order_refused"
+    status = 409
+
+
+class OrderLost(Failure):
+    """It is not known whether an order took effect."""
+
+    code = "order_lost"
+    status = 502
+    ran = True
+
+
+class OrderStuck(Failure):
+    """An engine has been under an order for too long."""
+
+    code = "order_stuck"
+    status = 504
+    ran = True
+
+
 class Unauthenticated(Failure):
     """A peer could not prove that it belongs to the system."""
 
--- a/pimentolink/executor.py
+++ b/pimentolink/executor.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from opentelemetry import trace
 from result import Err, Result
+from twisted.internet.defer import Deferred
 
 from pimentolink import link_pb2
 from pimentolink.claims import ClaimPartition, ClaimState, call_digest, partition_of
@@ -27,6 +29,7 @@
 from pimentolink.targetqueue import LOWEST_PRIORITY, TargetQueue, Waiting
 from pimentolink.targets import RunningCall, Target, TargetCall
 from pimentolink.timers import Timers
+from pimentolink.tracing import Tracing
 
 CALLER_HEADER = "pimentolink-caller"
 KEPT_HEADERS = frozenset({"content-type", "location", "retry-after"})
@@ -50,6 +53,8 @@
         self.submit = submit
         self.offset = len(submit.resume_tokens)
         self.running: RunningCall | None = None
+        self.span: trace.Span = trace.INVALID_SPAN
+        self.call_span: trace.Span = trace.INVALID_SPAN
 
 
 class _ClaimedCall:
@@ -109,6 +114,7 @@
         target: Target,
         claims: ClaimSource,
         timers: Timers,
+        tracing: Tracing,
         answers_kept: int,
     ) -> None:
         """
@@ -118,27 +124,33 @@
         :param target: the target beside this sidecar.
         :param claims: commits claims of calls that may not be repeated.
         :param timers: the timer service.
+        :param tracing: makes spans.
         :param answers_kept: answers kept for callers that ask again.
         """
         self._target = target
         self._claims = claims
         self._timers = timers
+        self._tracing = tracing
+        self.older_system: Target | None = None
         self._answers_kept = answers_kept
         self._slots = settings.slots
         self._queue: TargetQueue[AttemptKey] = TargetQueue(settings)
         self._attempts_by_key: dict[AttemptKey, _Attempt] = {}
         self._claimed_by_key: dict[str, _ClaimedCall] = {}
         self._answers_by_key: OrderedDict[str, tuple[str, Answer]] = OrderedDict()
-        self._when_idle: Callable[[], None] | None = None
+        self._idle_waiters: list[Deferred[None]] = []
+        self.prefill_done = 0
+        self.decode_done = 0
         self.is_draining = False
         self.is_held = False
         self.target_is_lost = False
-        self.role = ""
+        self.is_drained = False
 
     @property
     def is_accepting(self) -> bool:
         """Whether new work is taken."""
-        return not (self.is_draining or self.is_held or self.target_is_lost)
+        is_kept_out = self.is_draining or self.is_drained or self.is_held
+        return not is_kept_out and not self.target_is_lost
 
     @property
     def is_idle(self) -> bool:
@@ -154,7 +166,9 @@
             decode_tokens=self._queue.decode_tokens,
             accepting=self.is_accepting,
             slots=self._slots,
-            role=self.role,
+            held=self.is_held or self.is_drained,
+            prefill_done=self.prefill_done,
+            decode_done=self.decode_done,
         )
 
     def submit(self, link: SidecarLink, submit: link_pb2.Submit) -> None:
@@ -165,6 +179,9 @@
         :param submit: what to do.
         """
         attempt = _Attempt(AttemptKey(id(link), submit.attempt_id), link, submit)
+        attempt.span = self._tracing.start(
+            "sidecar", submit.request_id, submit.traceparent
+        )
         if not self.is_accepting:
             self._refuse(attempt, Draining("the target takes no new work"))
             return
@@ -228,14 +245,29 @@
             elif attempt.running is None and not self._is_claimed(attempt):
                 self.fail(attempt, NotRun("the target does not answer"))
 
-    def call_when_idle(self, callback: Callable[[], None]) -> None:
+    def hold(self) -> Deferred[None]:
+        """
+        Take no new work until :meth:`release`.
+
+        :returns: ends when what was taken before has ended.
+        """
+        self.is_held = True
+        return self.when_idle()
+
+    def release(self) -> None:
+        """Take new work again."""
+        self.is_held = False
+
+    def when_idle(self) -> Deferred[None]:
         """
         Wait for the end of all work.
 
-        :param callback: called once, at once if there is none.
+        :returns: ends at once if there is none.
         """
-        self._when_idle = callback
+        waiter: Deferred[None] = Deferred()
+        self._idle_waiters.append(waiter)
         self._tell_if_idle()
+        return waiter
 
     def tokens(self, attempt: _Attempt, tokens: list[str]) -> None:
         """Pass tokens of an answer on."""
@@ -244,11 +276,15 @@
                 attempt_id=attempt.key.attempt_id, offset=attempt.offset, tokens=tokens
             )
         )
+        if attempt.offset == len(attempt.submit.resume_tokens):
+            self.prefill_done += attempt.submit.prefill_tokens
         attempt.offset += len(tokens)
+        self.decode_done += len(tokens)
 
     def finish(self, attempt: _Attempt, finish: link_pb2.Finish) -> None:
         """End an attempt."""
         self._forget(attempt)
+        self._end_span(attempt, finish)
         attempt.link.send_event(
             link_pb2.Event(
                 attempt_id=attempt.key.attempt_id, offset=attempt.offset, finish=finish
@@ -260,6 +296,12 @@
         """End an attempt with a failure."""
         self.finish(attempt, _finish_of(failure))
 
+    def _end_span(self, attempt: _Attempt, finish: link_pb2.Finish) -> None:
+        attempt.span.set_attribute("outcome", finish.error_code or "complete")
+        attempt.call_span.end()
+        attempt.span.end()
+        finish.spans = self._tracing.take(attempt.submit.request_id)
+
     def _shed(
         self, offered: Result[AttemptKey | None, Overloaded], attempt: _Attempt
     ) -> None:
@@ -270,11 +312,11 @@
             self.fail(shed, Overloaded("more urgent work came"))
 
     def _refuse(self, attempt: _Attempt, failure: Failure) -> None:
+        finish = _finish_of(failure)
+        self._end_span(attempt, finish)
         attempt.link.send_event(
             link_pb2.Event(
-                attempt_id=attempt.key.attempt_id,
-                offset=attempt.offset,
-                finish=_finish_of(failure),
+                attempt_id=attempt.key.attempt_id, offset=attempt.offset, finish=finish
             )
         )
 
@@ -289,12 +331,37 @@
         submit = attempt.submit
         if submit.idempotency_key:
             self._start_claimed(attempt)
-        elif submit.prefill_tokens or submit.decode_tokens:
-            listener = _AttemptListener(self, attempt)
-            attempt.running = self._target.start_stream(_call_of(submit), listener)
+            return
+        listener = _AttemptListener(self, attempt)
+        place = self._place_of(submit)
+        if submit.prefill_tokens or submit.decode_tokens:
+            attempt.running = place.start_stream(self._call_of(attempt), listener)
         else:
-            listener = _AttemptListener(self, attempt)
-            attempt.running = self._target.start_plain(_call_of(submit), listener)
+            attempt.running = place.start_plain(self._call_of(attempt), listener)
+
+    def _place_of(self, submit: link_pb2.Submit) -> Target:
+        if submit.to_older_system and self.older_system is not None:
+            return self.older_system
+        return self._target
+
+    def _call_of(self, attempt: _Attempt) -> TargetCall:
+        submit = attempt.submit
+        headers = {header.name: header.value for header in submit.headers}
+        attempt.call_span = self._tracing.start(
+            "target", submit.request_id, self._tracing.traceparent(attempt.span)
+        )
+        traceparent = self._tracing.traceparent(attempt.call_span) or submit.traceparent
+        if traceparent:
+            headers["traceparent"] = traceparent
+        return TargetCall(
+            attempt=f"{submit.request_id}.{submit.attempt_id}",
+            method=submit.method,
+            path=submit.path,
+            headers=headers,
+            body=submit.body,
+            priority=submit.priority,
+            resume_tokens=list(submit.resume_tokens),
+        )
 
     def _join(self, attempt: _Attempt) -> bool:
         """Attach an attempt to a call under the same key, if there is one."""
@@ -342,8 +409,9 @@
             self._give_back(call, NotRun("nobody waits for the call any more"))
             return
         call.is_made = True
-        submit = call.attempts[0].submit
-        self._target.start_plain(_call_of(submit), _ClaimedListener(self, call))
+        first = call.attempts[0]
+        place = self._place_of(first.submit)
+        place.start_plain(self._call_of(first), _ClaimedListener(self, call))
 
     def _give_back(self, call: _ClaimedCall, failure: Failure) -> None:
         stored = call.partition.release(call.key)
@@ -383,6 +451,9 @@
         for call in self._claimed_by_key.values():
             if attempt in call.attempts:
                 call.attempts.remove(attempt)
+        attempt.call_span.end()
+        attempt.span.end()
+        self._tracing.take(attempt.submit.request_id)
         self._forget(attempt)
         self._start_next()
 
@@ -392,9 +463,11 @@
         self._tell_if_idle()
 
     def _tell_if_idle(self) -> None:
-        if self._when_idle is not None and self.is_idle:
-            callback, self._when_idle = self._when_idle, None
-            callback()
+        if not self.is_idle:
+            return
+        waiters, self._idle_waiters = self._idle_waiters, []
+        for waiter in waiters:
+            waiter.callback(None)
 
 
 class _AttemptListener:
@@ -439,18 +512,6 @@
     return key, call_digest(submit.method, submit.path, submit.body)
 
 
-def _call_of(submit: link_pb2.Submit) -> TargetCall:
-    return TargetCall(
-        attempt=f"{submit.request_id}.{submit.attempt_id}",
-        method=submit.method,
-        path=submit.path,
-        headers={header.name: header.value for header in submit.headers},
-        body=submit.body,
-        priority=submit.priority,
-        resume_tokens=list(submit.resume_tokens),
-    )
-
-
 def _finish_of_answer(answer: Answer) -> link_pb2.Finish:
     return link_pb2.Finish(
         outcome=link_pb2.COMPLETE,
--- a/pimentolink/follower.py
+++ b/pimentolink/follower.py
@@ -1,14 +1,13 @@
-"""Follows the accepted configuration in the key-value service."""
+"""Follows one key of the key-value service through outages."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from random import Random
 
-import msgspec
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure as TwistedFailure
 
-from pimentolink.configuration import Adoption
 from pimentolink.errors import KeyValueUnavailable
 from pimentolink.kvstore import KeyValueStore, Value
 from pimentolink.logs import Log, LogEvent
@@ -16,52 +15,46 @@
 from pimentolink.settings import PlatformSettings
 from pimentolink.timers import Timers
 
-CONFIGURATION_KEY = "pimentolink/configuration"
 
-
-class ConfigurationFollower:
-    """
-    Keeps one watch on the configuration and offers what it brings.
-
-    Goes on through outages with growing pauses; what is in force stays in force.
-    """
+class KeyFollower:
+    """Keeps one watch on a key and tells each value, with growing pauses in outages."""
 
     def __init__(
         self,
+        key: str,
         store: KeyValueStore,
-        adoption: Adoption,
         settings: PlatformSettings,
         timers: Timers,
         random: Random,
         log: Log,
-        on_adopted: Callable[[], None],
+        on_value: Callable[[Value], object],
     ) -> None:
         """
         Prepare; :meth:`start` begins.
 
+        :param key: what to follow.
         :param store: the key-value service.
-        :param adoption: the configuration in force.
         :param settings: patience and pauses.
         :param timers: the timer service.
         :param random: seeded source for jitter.
         :param log: where events go.
-        :param on_adopted: called after a newer configuration came into force.
+        :param on_value: called with each value that is present.
         """
+        self._key = key
         self._store = store
-        self._adoption = adoption
         self._settings = settings
         self._timers = timers
         self._backoff = Backoff(settings.backoff_first, settings.backoff_most, random)
         self._log = log
-        self._on_adopted = on_adopted
+        self._on_value = on_value
         self._index = 0
         self._is_stopped = False
         self._pending: Deferred[Value] | None = None
         self.is_connected = False
 
     def start(self) -> None:
-        """Read the configuration, then watch it."""
-        self._ask(self._store.get(CONFIGURATION_KEY))
+        """Read the key, then watch it."""
+        self._ask()
 
     def stop(self) -> None:
         """Watch no more."""
@@ -69,52 +62,41 @@
         if self._pending is not None:
             self._pending.cancel()
 
-    def offer(self, document: bytes) -> bool:
-        """
-        Offer a document from anywhere.
-
-        :param document: an accepted configuration as JSON.
-        :returns: whether it is now in force.
-        """
-        try:
-            is_newer = self._adoption.offer(document)
-        except msgspec.DecodeError as error:
-            self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=str(error))
-            return False
-        if is_newer:
-            version = self._adoption.version
-            self._log.write(LogEvent.CONFIGURATION_ADOPTED, version=version)
-            self._on_adopted()
-        return is_newer
-
-    def _ask(self, pending: Deferred[Value]) -> None:
-        self._pending = pending
-        pending.addCallbacks(self._came, self._failed)
+    def _ask(self) -> None:
+        if self._is_stopped:
+            return
+        if self._index == 0:
+            self._pending = self._store.get(self._key)
+        else:
+            wait = self._settings.watch_wait
+            self._pending = self._store.watch(self._key, self._index, wait)
+        self._pending.addCallbacks(self._came, self._failed)
 
     def _came(self, value: Value) -> None:
-        if not self.is_connected:
-            self.is_connected = True
-            self._log.write(LogEvent.KEY_VALUE_BACK)
+        self._set_connected(True)
         self._backoff.reset()
         # A service that was set up anew counts from the start again.
-        self._index = value.service_index if value.service_index >= self._index else 0
+        went_back = value.service_index < self._index
+        self._index = 0 if went_back else value.service_index
         if value.data is not None:
-            self.offer(value.data)
-        self._watch()
+            self._on_value(value)
+        if self._index == 0:
+            self._timers.call_later(self._backoff.next(), self._ask)
+        else:
+            self._ask()
 
-    def _failed(self, failure: object) -> None:
-        if self._is_stopped:
+    def _failed(self, failure: TwistedFailure) -> None:
+        if self._is_stopped or failure.check(CancelledError):
             return
-        if self.is_connected:
-            self.is_connected = False
-            self._log.write(LogEvent.KEY_VALUE_LOST, code=KeyValueUnavailable.code)
-        self._timers.call_later(self._backoff.next(), self._watch)
+        self._set_connected(False)
+        self._timers.call_later(self._backoff.next(), self._ask)
 
-    def _watch(self) -> None:
-        if self._is_stopped:
+    def _set_connected(self, is_connected: bool) -> None:
+        if is_connected == self.is_connected:
             return
-        wait = self._settings.watch_wait
-        if self._index == 0:
-            self._ask(self._store.get(CONFIGURATION_KEY))
+        self.is_connected = is_connected
+        if is_connected:
+            self._log.write(LogEvent.KEY_VALUE_BACK, key=self._key)
         else:
-            self._ask(self._store.watch(CONFIGURATION_KEY, self._index, wait))
+            code = KeyValueUnavailable.code
+            self._log.write(LogEvent.KEY_VALUE_LOST, key=self._key, code=code)
--- a/pimentolink/kvstore.py
+++ b/pimentolink/kvstore.py
@@ -58,6 +58,17 @@
         :raises KeyValueUnavailable: without an answer; the write may have been made.
         """
 
+    def hold_lease(self, key: str, holder: str, seconds: float) -> Deferred[bool]:
+        """
+        Take or renew a lease, which spares work but never decides anything.
+
+        :param key: what is leased.
+        :param holder: incarnation of the process.
+        :param seconds: after which it lapses unless renewed.
+        :returns: whether this process holds it.
+        :raises KeyValueUnavailable: without an answer.
+        """
+
 
 class MemoryStore:
     """The service's twin in memory, with its faults, for tests and embedding."""
@@ -70,6 +81,7 @@
         self._index = 0
         self._value_by_key: dict[str, Value] = {}
         self._watchers: list[tuple[str, int, Deferred[Value]]] = []
+        self._holder_by_key: dict[str, str] = {}
 
     def get(self, key: str) -> Deferred[Value]:
         """Read a key."""
@@ -107,6 +119,17 @@
             return _failed()
         return succeed(self._index if swapped else None)
 
+    def hold_lease(self, key: str, holder: str, seconds: float) -> Deferred[bool]:
+        """Take a lease, which lasts here until :meth:`lapse`."""
+        self.calls += 1
+        if self.is_down:
+            return _failed()
+        return succeed(self._holder_by_key.setdefault(key, holder) == holder)
+
+    def lapse(self, key: str) -> None:
+        """Let a lease run out."""
+        self._holder_by_key.pop(key, None)
+
     def _read(self, key: str) -> Value:
         return self._value_by_key.get(key, Value(None, 0, 0))
 
@@ -130,6 +153,12 @@
     modify_index: int
 
 
+class _ConsulSession(msgspec.Struct, rename={"id": "ID"}):
+    """A session of the service, which leases hang on."""
+
+    id: str
+
+
 class _ConsulWritten(msgspec.Struct, rename="pascal"):
     """What the service tells of a key that it wrote."""
 
@@ -153,7 +182,7 @@
     The service over its HTTP interface.
 
     :source: Consul KV HTTP API: ``/v1/kv`` with blocking queries by ``index``,
-        ``/v1/txn`` with ``cas``.
+        ``/v1/txn`` with ``cas``, ``/v1/session`` and ``acquire`` for leases.
     """
 
     def __init__(self, reactor: Any, settings: PlatformSettings) -> None:
@@ -165,6 +194,8 @@
         """
         self._settings = settings
         self._client = HttpClient(reactor, settings.timeout)
+        self._session = ""
+        self._leased_keys: set[str] = set()
 
     def get(self, key: str) -> Deferred[Value]:
         """Read a key."""
@@ -182,6 +213,10 @@
         """Write a key if it still has ``revision``."""
         return Deferred.fromCoroutine(self._swap(key, data, revision))
 
+    def hold_lease(self, key: str, holder: str, seconds: float) -> Deferred[bool]:
+        """Take or renew a lease."""
+        return Deferred.fromCoroutine(self._hold(key, holder, seconds))
+
     def close(self) -> Deferred[None]:
         """Close idle connections."""
         return self._client.close()
@@ -209,6 +244,31 @@
         written = msgspec.json.decode(answer.body, type=_ConsulTransaction)
         return written.results[0].kv.modify_index
 
+    async def _hold(self, key: str, holder: str, seconds: float) -> bool:
+        await self._renew_session(seconds)
+        if key in self._leased_keys:
+            return True
+        path = f"{_path(key)}?acquire={self._session}"
+        patience = self._settings.timeout
+        answer = await self._call("PUT", path, holder.encode(), patience)
+        is_held = answer.body.strip() == b"true"
+        if is_held:
+            self._leased_keys.add(key)
+        return is_held
+
+    async def _renew_session(self, seconds: float) -> None:
+        patience = self._settings.timeout
+        if self._session:
+            path = f"/v1/session/renew/{self._session}"
+            answer = await self._call("PUT", path, b"", patience)
+            if answer.status == 200:
+                return
+        self._leased_keys.clear()
+        body = {"TTL": f"{seconds:g}s", "LockDelay": "0s", "Behavior": "release"}
+        encoded = msgspec.json.encode(body)
+        answer = await self._call("PUT", "/v1/session/create", encoded, patience)
+        self._session = msgspec.json.decode(answer.body, type=_ConsulSession).id
+
     async def _call(
         self, method: str, path: str, body: bytes, patience: float
     ) -> Answer:
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -94,6 +94,7 @@
         logging.WARNING,
         "Another sidecar took over a partition of claims; this one stopped using it.",
     )
+    PLAN_WRITTEN = ("E1600", logging.INFO, "This entry wrote a new plan for a group.")
     ORDER_STARTED = ("E1601", logging.INFO, "An order to the engine began.")
     ORDER_DONE = ("E1602", logging.INFO, "An order to the engine took effect.")
     ORDER_FAILED = (
@@ -101,6 +102,7 @@
         logging.ERROR,
         "An order failed; it is tried again as the plan stands then.",
     )
+    SPAN_ENDED = ("E1701", logging.INFO, "One hop of a traced request ended.")
 
     @property
     def number(self) -> str:
--- /dev/null
+++ b/pimentolink/planner.py
@@ -0,0 +1,247 @@
+"""The duty of planning for a group of engines; any entry may hold it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from pimentolink.adoption import Adoption
+from pimentolink.configuration import Configuration, Role
+from pimentolink.errors import KeyValueUnavailable
+from pimentolink.kvstore import KeyValueStore
+from pimentolink.logs import Log, LogEvent
+from pimentolink.plan import Group, Plan, Wanted, decode_plan, groups_of, wanted_of
+from pimentolink.settings import PlannerSettings
+from pimentolink.timers import Repeater, Timers
+
+
+class TargetView(NamedTuple):
+    """
+    What a planner knows of an engine.
+
+    :ivar is_linked: whether its sidecar answers.
+    :ivar settled_number: of the plan's last change to it that it meets.
+    :ivar prefill_done: prompt tokens read since its sidecar started.
+    :ivar decode_done: tokens written since its sidecar started.
+    """
+
+    target_id: str
+    is_linked: bool
+    role: str
+    settled_number: int
+    running: int
+    waiting: int
+    prefill_tokens: int
+    decode_tokens: int
+    prefill_done: int
+    decode_done: int
+
+
+class FleetView(Protocol):
+    """Where a planner learns of engines."""
+
+    def view(self, target_ids: list[str]) -> list[TargetView]:
+        """
+        Look at engines.
+
+        :param target_ids: their names.
+        """
+
+
+class RolePolicy(Protocol):
+    """How the roles of a group are chosen."""
+
+    def choose(
+        self, group: Group, configured: dict[str, Role], views: list[TargetView]
+    ) -> dict[str, Role]:
+        """
+        Choose the role of each engine.
+
+        :param group: the engines' group.
+        :param configured: roles as operators wrote them, by name.
+        :param views: what is known of the engines.
+        """
+
+
+class FixedRoles:
+    """Keeps the roles that operators configured."""
+
+    def choose(
+        self, group: Group, configured: dict[str, Role], views: list[TargetView]
+    ) -> dict[str, Role]:
+        """Choose the configured roles."""
+        return configured
+
+
+class Planner:
+    """
+    Keeps the plans of one region's groups up to date.
+
+    The lease on a group spares other entries the work; that no plan is lost or mixed
+    up rests on the compare-and-swap alone. A plan changes few engines at a time, so
+    that the others can carry the work.
+    """
+
+    def __init__(
+        self,
+        settings: PlannerSettings,
+        incarnation: str,
+        data_centre: str,
+        store: KeyValueStore,
+        adoption: Adoption,
+        fleet: FleetView,
+        policy: RolePolicy,
+        timers: Timers,
+        log: Log,
+    ) -> None:
+        """
+        Prepare; :meth:`start` begins.
+
+        :param settings: intervals and bounds.
+        :param incarnation: identity of this process's life.
+        :param data_centre: where this entry stands.
+        :param store: the key-value service.
+        :param adoption: the configuration in force.
+        :param fleet: what is known of engines.
+        :param policy: chooses roles.
+        :param timers: the timer service.
+        :param log: where events go.
+        """
+        self._settings = settings
+        self._incarnation = incarnation
+        self._data_centre = data_centre
+        self._store = store
+        self._adoption = adoption
+        self._fleet = fleet
+        self._policy = policy
+        self._timers = timers
+        self._log = log
+        self._repeater: Repeater | None = None
+        self._is_busy = False
+        self._is_stopped = False
+        self._held_until_by_group: dict[Group, float] = {}
+        self._plan_by_group: dict[Group, tuple[Plan, int]] = {}
+
+    def start(self) -> None:
+        """Look at the groups again and again."""
+        self._repeater = Repeater(self._timers, self._settings.interval, self.look)
+
+    def stop(self) -> None:
+        """Plan no more; the leases lapse."""
+        self._is_stopped = True
+        if self._repeater is not None:
+            self._repeater.cancel()
+
+    def look(self) -> None:
+        """Look at every group of the region once."""
+        if not self._is_busy and self._adoption.accepted is not None:
+            self._is_busy = True
+            Deferred.fromCoroutine(self._look(self._adoption.accepted.configuration))
+
+    async def _look(self, configuration: Configuration) -> None:
+        try:
+            region = configuration.region_of(self._data_centre)
+            for group, target_ids in groups_of(configuration).items():
+                if group.region == region and not self._is_stopped:
+                    await self._plan_group(group, target_ids, configuration)
+        except KeyValueUnavailable:
+            # The plan stands as it is; what was read may be old after an outage.
+            self._plan_by_group.clear()
+            self._held_until_by_group.clear()
+        finally:
+            self._is_busy = False
+
+    async def _plan_group(
+        self, group: Group, target_ids: list[str], configuration: Configuration
+    ) -> None:
+        if not await self._holds(group):
+            self._plan_by_group.pop(group, None)
+            return
+        if group not in self._plan_by_group:
+            value = await self._store.get(group.plan_key)
+            self._plan_by_group[group] = (decode_plan(value.data), value.revision)
+        plan, revision = self._plan_by_group[group]
+        views = self._fleet.view(target_ids)
+        configured = {name: configuration.targets[name].role for name in target_ids}
+        roles = self._policy.choose(group, configured, views)
+        wanted = {
+            name: wanted_of(configuration, group.service, roles[name])
+            for name in target_ids
+        }
+        allowed = self._allowed(plan, wanted, views)
+        version = self._adoption.version
+        changed = plan.changed(self._incarnation, version, allowed)
+        if changed.wanted_by_target != plan.wanted_by_target:
+            await self._write(group, changed, revision)
+
+    async def _holds(self, group: Group) -> bool:
+        now = self._timers.now()
+        if now < self._held_until_by_group.get(group, 0.0):
+            return True
+        lease = self._settings.lease
+        is_held = await self._store.hold_lease(
+            group.planner_key, self._incarnation, lease
+        )
+        if is_held:
+            self._held_until_by_group[group] = now + lease / 3
+        return is_held
+
+    def _allowed(
+        self, plan: Plan, wanted: dict[str, Wanted], views: list[TargetView]
+    ) -> dict[str, Wanted]:
+        """
+        Hold back changes beyond ``most_changing`` engines at once.
+
+        :returns: what the next plan may want.
+        """
+        view_by_id = {view.target_id: view for view in views}
+        allowed: dict[str, Wanted] = {}
+        changing = 0
+        for name in wanted:
+            before = plan.wanted_by_target.get(name)
+            if before is None:
+                continue
+            allowed[name] = before
+            changing += not _is_settled(before, view_by_id[name])
+        for name, new in wanted.items():
+            before = allowed.get(name)
+            if before is not None and _is_same(before, new):
+                continue
+            view = view_by_id[name]
+            is_changing = before is not None and not _is_settled(before, view)
+            if before is not None and not view.is_linked:
+                continue
+            if is_changing or changing < self._settings.most_changing:
+                allowed[name] = new
+                changing += not is_changing
+        return allowed
+
+    async def _write(self, group: Group, plan: Plan, revision: int) -> None:
+        data = msgspec.json.encode(plan)
+        written = await self._store.compare_and_swap(group.plan_key, data, revision)
+        if written is None:
+            # Another planner came first: read its plan before the next look.
+            self._plan_by_group.pop(group, None)
+            return
+        self._plan_by_group[group] = (plan, written)
+        self._log.write(
+            LogEvent.PLAN_WRITTEN,
+            service=group.service,
+            region=group.region,
+            plan=plan.number,
+        )
+
+
+def _is_settled(wanted: Wanted, view: TargetView) -> bool:
+    """
+    Tell whether an engine has reached what the plan wants.
+
+    A lost engine serves nobody, so it does not count as one that changes.
+    """
+    return not view.is_linked or view.settled_number >= wanted.number
+
+
+def _is_same(before: Wanted, new: Wanted) -> bool:
+    return before.is_met_by(new.role, new.models, new.adapters)
--- a/pimentolink/porcelain.py
+++ b/pimentolink/porcelain.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from pimentolink.callers import STATUS_PATH
+from pimentolink.callers import STATUS_PATH, TRACE_PREFIX
 from pimentolink.configstore import ConfigurationStore
 from pimentolink.configuration import (
     AcceptedConfiguration,
@@ -28,6 +28,7 @@
 from pimentolink.httpclient import HttpClient
 from pimentolink.instances import ENTRY, InstanceList
 from pimentolink.kvstore import KeyValueStore
+from pimentolink.plan import decode_plan, groups_of
 from pimentolink.settings import merge_documents
 
 CHANGE_TRIES = 5
@@ -142,6 +143,55 @@
     return outcome
 
 
+class PlannedTarget(NamedTuple):
+    """What a plan wants of one target."""
+
+    service: str
+    region: str
+    target: str
+    role: str
+    models: dict[str, str]
+    plan: int
+
+
+async def show_plans(store: KeyValueStore) -> list[PlannedTarget]:
+    """
+    Read the plans of every group.
+
+    :param store: the key-value service.
+    :raises KeyValueUnavailable: without an answer.
+    """
+    accepted = await ConfigurationStore(store).read()
+    found: list[PlannedTarget] = []
+    if accepted is None:
+        return found
+    for group in groups_of(accepted.configuration):
+        plan = decode_plan((await store.get(group.plan_key)).data)
+        found += [
+            PlannedTarget(*group, name, wanted.role, wanted.models, wanted.number)
+            for name, wanted in plan.wanted_by_target.items()
+        ]
+    return found
+
+
+async def trace_request(
+    client: HttpClient, instances: InstanceList, shared_key: str, request_id: str
+) -> list[dict[str, Any]]:
+    """
+    Collect the spans of a request from all entries.
+
+    :param client: makes the calls.
+    :param instances: the platform's list.
+    :param shared_key: proof that the asker belongs to the system.
+    :param request_id: as the answer's ``pimentolink-request`` header names it.
+    :returns: spans by start; none if the request was not traced or is forgotten.
+    """
+    path = f"{TRACE_PREFIX}{request_id}"
+    asked = await _ask_entries(client, instances, shared_key, path)
+    told = [item.ok_value for item in asked if not isinstance(item, Err)]
+    return sorted((span for spans in told for span in spans), key=lambda s: s["start"])
+
+
 async def status(
     client: HttpClient, instances: InstanceList, shared_key: str
 ) -> list[Result[dict[str, Any], Failure]]:
@@ -153,10 +203,16 @@
     :param shared_key: proof that the asker belongs to the system.
     :returns: what each tells, or why it does not answer.
     """
+    return await _ask_entries(client, instances, shared_key, STATUS_PATH)
+
+
+async def _ask_entries(
+    client: HttpClient, instances: InstanceList, shared_key: str, path: str
+) -> list[Result[Any, Failure]]:
     headers = {"authorization": f"Bearer {shared_key}"}
-    found: list[Result[dict[str, Any], Failure]] = []
+    found: list[Result[Any, Failure]] = []
     for instance in await instances.read(ENTRY):
-        url = f"http://{instance.address}{STATUS_PATH}"
+        url = f"http://{instance.address}{path}"
         try:
             answer = await client.request("GET", url, headers=headers, patience=2.0)
         except Exception as error:
--- a/pimentolink/request.py
+++ b/pimentolink/request.py
@@ -68,6 +68,7 @@
         self.may_have_run = False
         self.is_over = False
         self.tried_target_ids: list[str] = []
+        self.to_older_system = False
 
     @property
     def decode_tokens_left(self) -> int:
--- a/pimentolink/settings.py
+++ b/pimentolink/settings.py
@@ -4,7 +4,7 @@
 
 import json
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import json_merge_patch
 import msgspec
@@ -124,6 +124,22 @@
     ejection_most: Seconds = 30.0
 
 
+class PlannerSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    Planning the roles of engines.
+
+    :ivar interval: seconds between two looks at the groups of the region.
+    :ivar lease: seconds that the duty for a group lasts unless renewed.
+    :ivar most_changing: engines of a group that may be out of service for orders.
+    :ivar policy: ``fixed`` keeps the configured roles.
+    """
+
+    interval: Seconds = 1.0
+    lease: Seconds = 10.0
+    most_changing: Count = 1
+    policy: Literal["fixed"] = "fixed"
+
+
 class EntrySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """
     Settings of an entry.
@@ -146,6 +162,7 @@
     limits: CallerLimits = field(default_factory=CallerLimits)
     retry: RetrySettings = field(default_factory=RetrySettings)
     routing: RoutingSettings = field(default_factory=RoutingSettings)
+    planner: PlannerSettings = field(default_factory=PlannerSettings)
     leave_delay: Seconds = 2.0
     stop_within: Seconds = 60.0
     trace_ratio: Ratio = 0.0
@@ -185,12 +202,10 @@
     """
     Carrying out the plan.
 
-    :ivar poll: seconds between two readings of the plan without news of it.
     :ivar timeout: seconds after which an order counts as lost.
     :ivar quiet: seconds a new sidecar waits for its predecessor's orders to land.
     """
 
-    poll: Seconds = 5.0
     timeout: Seconds = 60.0
     quiet: Seconds = 1.0
 
--- a/pimentolink/sidecar.py
+++ b/pimentolink/sidecar.py
@@ -6,21 +6,24 @@
 from typing import Any
 from uuid import uuid4
 
-import msgspec
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from pimentolink import link_pb2
+from pimentolink.adoption import Adoption
 from pimentolink.claims import ClaimPartition
-from pimentolink.configuration import Adoption
+from pimentolink.engines import HttpEngineControl
 from pimentolink.executor import ClaimSource, Executor
 from pimentolink.httpclient import Answer
 from pimentolink.instances import SIDECAR, HttpInstanceList, Instance
 from pimentolink.kvstore import HttpStore
 from pimentolink.links import LinkServer, SidecarLink
 from pimentolink.logs import Log, LogEvent
+from pimentolink.orders import OrderKeeper
+from pimentolink.plan import group_of
 from pimentolink.settings import SidecarSettings
 from pimentolink.targets import HttpTarget
 from pimentolink.timers import ReactorTimers, Repeater
+from pimentolink.tracing import Tracing
 
 PROBE_PATH = "/health"
 
@@ -35,14 +38,17 @@
         :param reactor: the loop.
         :param settings: of this sidecar.
         """
+        self._reactor = reactor
         self._settings = settings
+        self._older_address: str | None = None
         self._incarnation = uuid4().hex
         self._random = Random(self._incarnation)
         self._log = Log(
             instance=settings.instance, role="sidecar", target=settings.target
         )
         self._timers = ReactorTimers(reactor)
-        self._adoption = Adoption()
+        self._adoption = Adoption(self._log)
+        self._adoption.subscribe(self._configuration_adopted)
         self._store = HttpStore(reactor, settings.platform)
         self._list = HttpInstanceList(reactor, settings.platform)
         self._target = HttpTarget(
@@ -51,10 +57,21 @@
         self._executor = Executor(
             settings.queue,
             self._target,
-            ClaimSource(self._open_partition, self._partitions_of),
+            ClaimSource(self._open_partition, self._adoption.claim_partitions),
             self._timers,
+            Tracing(settings.instance, settings.trace_ratio, self._log),
             settings.claims.answers,
         )
+        self._orders = OrderKeeper(
+            settings.orders,
+            settings.target,
+            self._store,
+            HttpEngineControl(self._target, settings.orders),
+            self._executor,
+            self._timers,
+            self._random,
+            self._log,
+        )
         self._server = LinkServer(settings.shared_key, settings.links, self, self._log)
         self._links: set[SidecarLink] = set()
         self._last_load = link_pb2.Load()
@@ -88,12 +105,13 @@
         self._report_load()
         self._register(is_leaving=True)
         self._log.write(LogEvent.STOPPING)
-        is_idle: Deferred[None] = Deferred()
-        self._executor.call_when_idle(lambda: is_idle.callback(None))
+        self._orders.stop()
+        is_idle = self._executor.when_idle()
         limit = self._timers.call_later(self._settings.stop_within, is_idle.cancel)
         try:
             await is_idle
-        except Exception:
+            await self._orders.when_idle()
+        except CancelledError:
             self._log.write(LogEvent.STOP_TIMEOUT)
         limit.cancel()
         for repeater in self._repeaters:
@@ -115,7 +133,7 @@
         """Serve an entry; bring it up to date if it knows less."""
         self._links.add(link)
         self._log.write(LogEvent.LINK_UP, entry=hello.instance_id)
-        link.send(link_pb2.SidecarMessage(load=self._executor.load()))
+        link.send(link_pb2.SidecarMessage(load=self._load()))
         if hello.configuration_version < self._adoption.version:
             document = link_pb2.Document(
                 version=self._adoption.version, json=self._adoption.document
@@ -133,22 +151,33 @@
             pause = message.pause
             self._executor.pause(link, pause.attempt_id, pause.paused)
         elif kind == "document":
-            self._adopt(message.document.json)
+            self._adoption.offer(message.document.json)
+        elif kind == "plan_news":
+            self._orders.tell(message.plan_news.revision)
 
     def link_down(self, link: SidecarLink) -> None:
         """Give up what a lost entry asked for."""
         self._links.discard(link)
         self._executor.link_down(link)
 
-    def _adopt(self, document: bytes) -> None:
-        try:
-            is_newer = self._adoption.offer(document)
-        except msgspec.DecodeError as error:
-            self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=str(error))
+    def _configuration_adopted(self) -> None:
+        assert self._adoption.accepted is not None
+        configuration = self._adoption.accepted.configuration
+        target = configuration.targets.get(self._settings.target)
+        self._executor.is_drained = target is None or target.drained
+        self._find_older_system(configuration.older_system)
+        self._orders.assign(group_of(configuration, self._settings.target))
+        self._report_load()
+
+    def _find_older_system(self, address: str | None) -> None:
+        if address == self._older_address:
             return
-        if is_newer:
-            version = self._adoption.version
-            self._log.write(LogEvent.CONFIGURATION_ADOPTED, version=version)
+        self._older_address = address
+        self._executor.older_system = None
+        if address is not None:
+            timeout = self._settings.target_timeout
+            older_system = HttpTarget(self._reactor, address, timeout)
+            self._executor.older_system = older_system
 
     def _open_partition(self, service: str, number: int) -> ClaimPartition:
         self._log.write(LogEvent.CLAIMS_TAKEN_OVER, service=service, partition=number)
@@ -160,14 +189,8 @@
             self._settings.claims,
         )
 
-    def _partitions_of(self, service: str) -> int:
-        accepted = self._adoption.accepted
-        if accepted is None or service not in accepted.configuration.services:
-            return 1
-        return accepted.configuration.services[service].claim_partitions
-
     def _report_load(self) -> None:
-        load = self._executor.load()
+        load = self._load()
         now = self._timers.now()
         is_due = now - self._load_sent_at >= self._settings.links.heartbeat
         if load == self._last_load and not is_due:
@@ -177,6 +200,12 @@
         for link in self._links:
             link.send(link_pb2.SidecarMessage(load=load))
 
+    def _load(self) -> link_pb2.Load:
+        load = self._executor.load()
+        load.role = self._orders.role
+        load.settled_number = self._orders.settled_number
+        return load
+
     def _probe(self) -> None:
         pending = self._target.ask(
             "GET", PROBE_PATH, patience=self._settings.probe_interval
--- a/pimentolink/timers.py
+++ b/pimentolink/timers.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from twisted.internet.defer import Deferred
+
 
 class Timer(Protocol):
     """A pending call."""
@@ -42,6 +44,18 @@
         """
 
 
+def pause(timers: Timers, seconds: float) -> Deferred[None]:
+    """
+    Wait.
+
+    :param timers: the timer service.
+    :param seconds: how long.
+    """
+    pending: Deferred[None] = Deferred()
+    timers.call_later(seconds, lambda: pending.callback(None))
+    return pending
+
+
 class Repeater:
     """Calls back at a fixed interval until cancelled."""
 
--- /dev/null
+++ b/pimentolink/tracing.py
@@ -0,0 +1,169 @@
+"""Traces: a span for each hop of a request, in W3C trace context."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+from opentelemetry import trace
+from opentelemetry.context import Context
+from opentelemetry.sdk.trace import ReadableSpan, Span, SpanProcessor, TracerProvider
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from pimentolink.logs import Log, LogEvent
+
+REQUEST_ATTRIBUTE = "pimentolink.request"
+TRACES_KEPT = 1_000
+SPANS_KEPT = 64
+_propagator = TraceContextTextMapPropagator()
+
+
+class SpanRecord(NamedTuple):
+    """
+    A span that has ended.
+
+    :ivar start: nanoseconds since 1970.
+    :ivar end: nanoseconds since 1970.
+    """
+
+    trace_id: str
+    span_id: str
+    parent_id: str
+    name: str
+    process: str
+    start: int
+    end: int
+    attributes: dict[str, str]
+
+
+class Tracing:
+    """
+    Makes spans and keeps the last ones by request, bounded.
+
+    Spans are handed on when they end, on the loop: no thread of the library is used.
+    """
+
+    def __init__(self, process: str, ratio: float, log: Log) -> None:
+        """
+        Prepare.
+
+        :param process: name of this process.
+        :param ratio: share of requests traced that bring no trace of their own.
+        :param log: where ended spans go.
+        """
+        self._process = process
+        self._log = log
+        self._spans_by_request: OrderedDict[str, list[SpanRecord]] = OrderedDict()
+        provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(ratio)), shutdown_on_exit=False
+        )
+        provider.add_span_processor(_Handover(self._ended))
+        self._tracer = provider.get_tracer("pimentolink")
+
+    def start(self, name: str, request_id: str, traceparent: str) -> trace.Span:
+        """
+        Begin a span.
+
+        :param name: of the hop.
+        :param request_id: which request it belongs to.
+        :param traceparent: of the hop before, or empty.
+        """
+        parent = _propagator.extract({"traceparent": traceparent}, Context())
+        attributes = {REQUEST_ATTRIBUTE: request_id}
+        return self._tracer.start_span(name, parent, attributes=attributes)
+
+    @staticmethod
+    def traceparent(span: trace.Span) -> str:
+        """
+        Write a span's context for the next hop.
+
+        :param span: of this hop.
+        """
+        carrier: dict[str, str] = {}
+        _propagator.inject(carrier, trace.set_span_in_context(span, Context()))
+        return carrier.get("traceparent", "")
+
+    def spans(self, request_id: str) -> list[SpanRecord]:
+        """
+        Look up the spans of a request.
+
+        :param request_id: which.
+        :returns: those still kept, by start.
+        """
+        spans = self._spans_by_request.get(request_id, [])
+        return sorted(spans, key=lambda span: span.start)
+
+    def take(self, request_id: str) -> bytes:
+        """
+        Hand over the spans of a request to the hop before.
+
+        :param request_id: which.
+        :returns: JSON, or nothing if the request is not traced.
+        """
+        spans = self._spans_by_request.pop(request_id, [])
+        return msgspec.json.encode(spans) if spans else b""
+
+    def put(self, request_id: str, spans: bytes) -> None:
+        """
+        Keep spans of the next hop.
+
+        :param request_id: which request's.
+        :param spans: as :meth:`take` gave them.
+        """
+        if spans:
+            for span in msgspec.json.decode(spans, type=list[SpanRecord]):
+                self._keep(request_id, span)
+
+    def _ended(self, span: ReadableSpan) -> None:
+        record = self._record(span)
+        self._log.write(LogEvent.SPAN_ENDED, **record._asdict())
+        request_id = record.attributes.get(REQUEST_ATTRIBUTE, "")
+        self._keep(request_id, record)
+
+    def _record(self, span: ReadableSpan) -> SpanRecord:
+        context = span.get_span_context()
+        assert context is not None
+        attributes = {key: str(value) for key, value in (span.attributes or {}).items()}
+        return SpanRecord(
+            trace_id=trace.format_trace_id(context.trace_id),
+            span_id=trace.format_span_id(context.span_id),
+            parent_id=trace.format_span_id(span.parent.span_id) if span.parent else "",
+            name=span.name,
+            process=self._process,
+            start=span.start_time or 0,
+            end=span.end_time or 0,
+            attributes=attributes,
+        )
+
+    def _keep(self, request_id: str, record: SpanRecord) -> None:
+        spans = self._spans_by_request.setdefault(request_id, [])
+        if len(spans) < SPANS_KEPT:
+            spans.append(record)
+        if len(self._spans_by_request) > TRACES_KEPT:
+            self._spans_by_request.popitem(last=False)
+
+
+class _Handover(SpanProcessor):
+    """Hands each ended span on at once."""
+
+    def __init__(self, on_end: Callable[[ReadableSpan], None]) -> None:
+        self._on_end = on_end
+
+    def on_start(self, span: Span, parent_context: Context | None = None) -> None:
+        """Do nothing."""
+
+    def on_end(self, span: ReadableSpan) -> None:
+        """Hand the span on."""
+        self._on_end(span)
+
+    def shutdown(self) -> None:
+        """Do nothing."""
+
+    def force_flush(self, timeout_millis: int = 30_000) -> bool:
+        """Do nothing: nothing is held back."""
+        return True
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -120,7 +120,8 @@
         """Start idle in the role given."""
         self.options = options
         self.role = options.role
-        self.models: dict[str, str] = {}
+        self.models: dict[str, str] = json.loads(options.models)
+        self.adapters: list[str] = []
         self.fencing_number = 0
         self.orders_done: list[dict[str, Any]] = []
         self.ordering: dict[str, Any] | None = None
@@ -278,6 +279,7 @@
             {
                 "role": self.role,
                 "models": self.models,
+                "adapters": self.adapters,
                 "fencing_number": self.fencing_number,
                 "ordering": self.ordering,
                 "orders_done": self.orders_done,
@@ -310,6 +312,7 @@
             self.cache.clear()
         self.role = order["role"]
         self.models = order["models"]
+        self.adapters = order["adapters"]
         self.orders_done.append(order)
         self.ordering = None
         answer(request, {"fencing_number": order["fencing_number"]})
@@ -346,6 +349,7 @@
     options = parse(
         __doc__,
         role="mixed",
+        models="{}",
         batch=32,
         prefill_rate=20_000.0,
         step_base=0.008,
--- a/standins/key_value.py
+++ b/standins/key_value.py
@@ -4,6 +4,7 @@
 
 import base64
 from typing import Any
+from uuid import uuid4
 
 from twisted.web.server import Request
 
@@ -20,11 +21,16 @@
         self._index = 1
         self._data_by_key: dict[str, tuple[str, int]] = {}
         self._watching: list[tuple[str, int, Request]] = []
+        self._session_by_key: dict[str, str] = {}
+        self._expiry_by_session: dict[str, tuple[float, float]] = {}
         self.faults: dict[str, Any] = {"down": False, "delay": 0.0, "lose_answers": 0}
         self.calls = {"reads": 0, "writes": 0, "watches": 0, "refused": 0}
         self.routes = Routes()
         self.routes.add("GET", "/v1/kv/", self.read)
         self.routes.add("PUT", "/v1/txn", self.write)
+        self.routes.add("PUT", "/v1/session/create", self.create_session)
+        self.routes.add("PUT", "/v1/session/renew/", self.renew_session)
+        self.routes.add("PUT", "/v1/kv/", self.acquire)
         self.routes.add("PUT", "/faults", self.set_faults)
         self.routes.add("GET", "/calls", lambda request: answer(request, self.calls))
 
@@ -54,6 +60,46 @@
         operation = body_of(request)[0]["KV"]
         self._later(lambda: self._swap(request, operation))
 
+    def create_session(self, request: Request) -> None:
+        """Make a session that lapses unless renewed."""
+        if self._fails(request):
+            return
+        self.calls["writes"] += 1
+        seconds = float(body_of(request)["TTL"].removesuffix("s"))
+        session = uuid4().hex
+        self._expiry_by_session[session] = (reactor.seconds() + seconds, seconds)
+        self._later(lambda: answer(request, {"ID": session}))
+
+    def renew_session(self, request: Request) -> None:
+        """Renew a session, if it has not lapsed."""
+        if self._fails(request):
+            return
+        self.calls["writes"] += 1
+        session = request.path.decode().rpartition("/")[2]
+        is_live = self._is_live(session)
+        if is_live:
+            seconds = self._expiry_by_session[session][1]
+            self._expiry_by_session[session] = (reactor.seconds() + seconds, seconds)
+        self._later(lambda: answer(request, [], 200 if is_live else 404))
+
+    def acquire(self, request: Request) -> None:
+        """Give a key's lock to a session, if no live one has it."""
+        if self._fails(request):
+            return
+        self.calls["writes"] += 1
+        key = request.path.decode().removeprefix("/v1/kv/")
+        session = argument(request, "acquire")
+        holder = self._session_by_key.get(key, "")
+        is_taken = holder != session and self._is_live(holder)
+        if not is_taken and self._is_live(session):
+            self._session_by_key[key] = session
+        is_held = self._session_by_key.get(key) == session
+        self._later(lambda: answer(request, is_held))
+
+    def _is_live(self, session: str) -> bool:
+        expiry, _ = self._expiry_by_session.get(session, (0.0, 0.0))
+        return expiry > reactor.seconds()
+
     def _swap(self, request: Request, operation: dict[str, Any]) -> None:
         key, value = operation["Key"], operation["Value"]
         _, modified = self._data_by_key.get(key, ("", 0))
--- a/standins/older_system.py
+++ b/standins/older_system.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
 
 from twisted.web.server import Request
 
-from standins.engine import prompt_of, whole_answer
-from standins.web import Routes, answer, body_of, listen, parse
+from standins.engine import prompt_of, token_at
+from standins.web import Routes, answer, body_of, content_of, listen, parse
 
 
 class OlderSystemStandIn:
@@ -22,15 +23,21 @@
         self.routes.add("POST", "/", self.call)
 
     def complete(self, request: Request) -> None:
-        """Answer a completion as a whole."""
+        """Stream a completion."""
         body = body_of(request)
         self._asked["completions"] += 1
-        text = whole_answer(prompt_of(body), int(body.get("max_tokens") or 16))
-        answer(request, {"choices": [{"index": 0, "text": text}]})
+        wanted = int(body.get("max_tokens") or 16)
+        request.setHeader("content-type", "text/event-stream")
+        for index in range(wanted):
+            choice = {"index": 0, "text": token_at(prompt_of(body), index)}
+            request.write(b"data: " + json.dumps({"choices": [choice]}).encode())
+            request.write(b"\n\n")
+        request.write(b"data: [DONE]\n\n")
+        request.finish()
 
     def call(self, request: Request) -> None:
         """Answer a plain call."""
-        self._asked[request.path.decode()] += 1
+        self._asked[content_of(request).decode()] += 1
         answer(request, {"older": True})
 
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,7 @@
 
 SMALL: dict[str, Any] = {
     "site": "small",
+    "data_centres": {"north": {"region": "east"}, "south": {"region": "east"}},
     "work": {
         "triage": {"priority": 0, "patience": 20},
         "contract_check": {"priority": 6, "patience": 60},
--- a/tools/docs.py
+++ b/tools/docs.py
@@ -17,6 +17,7 @@
 PAGES_NEEDED = ("index", "GLOSSARY", "OPERATIONS", "PROOFS", "CAPACITY")
 CONFIGURATION_TYPES: tuple[type[msgspec.Struct], ...] = (
     configuration.Configuration,
+    configuration.DataCentreConfiguration,
     configuration.WorkConfiguration,
     configuration.ModelConfiguration,
     configuration.ServiceConfiguration,
@@ -30,6 +31,7 @@
     settings.CallerLimits,
     settings.RetrySettings,
     settings.RoutingSettings,
+    settings.PlannerSettings,
     settings.QueueSettings,
     settings.ClaimSettings,
     settings.OrderSettings,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -54,10 +54,14 @@
     )
     try:
         with urllib.request.urlopen(request, timeout=timeout) as response:
-            return Reply(response.status, dict(response.headers), response.read())
+            return Reply(response.status, _lower(response.headers), response.read())
     except urllib.error.HTTPError as error:
         with error:
-            return Reply(error.code, dict(error.headers), error.read())
+            return Reply(error.code, _lower(error.headers), error.read())
+
+
+def _lower(headers: Any) -> dict[str, str]:
+    return {name.lower(): value for name, value in headers.items()}
 
 
 def wait_until(condition: Any, within: float = START_WITHIN, what: str = "") -> Any:
@@ -114,6 +118,14 @@
         self.send(signal.SIGTERM)
         return self.popen.wait(within)
 
+    def listens(self) -> bool:
+        """Tell whether it takes connections."""
+        if not self.is_running:
+            raise RuntimeError(f"{self.name} ended: {self.log_path.read_text()}")
+        host, _, port = self.address.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=1.0):
+            return True
+
     @property
     def is_running(self) -> bool:
         """Whether it has not ended."""
@@ -128,7 +140,7 @@
         self._folder = tempfile.TemporaryDirectory(prefix="pimentolink-")
         self.folder = Path(self._folder.name)
         self.processes_by_name: dict[str, Process] = {}
-        self.overrides: dict[str, Any] = {}
+        self._starting: list[Process] = []
 
     def __enter__(self) -> Fleet:
         """Use as a context: every process is ended with it."""
@@ -150,7 +162,7 @@
     def start(
         self, name: str, module: str, *options: str, address: str | None = None
     ) -> Process:
-        """Start a stand-in; wait until it listens."""
+        """Start a stand-in."""
         address = address or f"127.0.0.1:{free_port()}"
         arguments = [module, "--listen", address, *options]
         return self._launch(name, arguments, address)
@@ -213,17 +225,15 @@
     def _launch(self, name: str, arguments: list[str], address: str) -> Process:
         process = Process(name, arguments, address, self.folder)
         self.processes_by_name[name] = process
-        host, _, port = address.rpartition(":")
-
-        def listens() -> bool:
-            if not process.is_running:
-                raise RuntimeError(f"{name} ended: {process.log_path.read_text()}")
-            with socket.create_connection((host, int(port)), timeout=1.0):
-                return True
-
-        wait_until(listens, what=f"{name} to listen")
+        self._starting.append(process)
         return process
 
+    def settle(self) -> None:
+        """Wait until every process that was started listens."""
+        starting, self._starting = self._starting, []
+        for process in starting:
+            wait_until(process.listens, what=f"{process.name} to listen")
+
     def write(self, name: str, value: Any) -> Path:
         """Write a JSON file; return its path."""
         path = self.folder / f"{name}.json"
@@ -235,7 +245,8 @@
         return self.processes_by_name[name].address
 
     def url(self, name: str, path: str) -> str:
-        """Make a URL of a process."""
+        """Make a URL of a process, which is waited for if it has just started."""
+        self.settle()
         return f"http://{self.address(name)}{path}"
 
     def command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
@@ -250,6 +261,7 @@
 
     def apply(self, configuration: dict[str, Any]) -> None:
         """Apply a configuration with the command line."""
+        self.settle()
         path = self.write("configuration", configuration)
         platform = str(self.folder / "platform.json")
         done = self.command("config", "apply", str(path), "--platform", platform)
