--- a/pimentolink/callers.py
+++ b/pimentolink/callers.py
@@ -5,7 +5,7 @@
 import hmac
 import math
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 from uuid import uuid4
 
 import msgspec
@@ -17,14 +17,11 @@
 from zope.interface import implementer
 
 from pimentolink import completions, errors, link_pb2
-from pimentolink.adoption import Adoption
 from pimentolink.configuration import Configuration
-from pimentolink.dispatcher import Dispatcher
-from pimentolink.metrics import Metrics
+from pimentolink.entry import Entry
 from pimentolink.request import Progress, Request
 from pimentolink.settings import CallerLimits
 from pimentolink.timers import Timer, Timers
-from pimentolink.tracing import Tracing
 
 SERVICES_PREFIX = "/services/"
 TRACE_PREFIX = "/pimentolink/trace/"
@@ -34,15 +31,6 @@
 JSON = b"application/json"
 
 
-class EntryFacts(Protocol):
-    """What the interface tells of its entry."""
-
-    is_stopping: bool
-
-    def status(self) -> dict[str, Any]:
-        """Describe the entry for operators."""
-
-
 class BoundedRequest(WebRequest):
     """A request that is refused once it is too large or takes too long to come."""
 
@@ -112,36 +100,24 @@
     isLeaf = True  # noqa: N815
 
     def __init__(
-        self,
-        dispatcher: Dispatcher,
-        adoption: Adoption,
-        limits: CallerLimits,
-        metrics: Metrics,
-        timers: Timers,
-        tracing: Tracing,
-        facts: EntryFacts,
-        shared_key: str,
+        self, entry: Entry, limits: CallerLimits, timers: Timers, shared_key: str
     ) -> None:
         """
         Prepare.
 
-        :param dispatcher: brings requests to their answers.
-        :param adoption: the configuration in force.
+        :param entry: brings requests to their answers.
         :param limits: bounds on what callers may ask.
-        :param metrics: where figures go.
         :param timers: the timer service.
-        :param tracing: makes spans.
-        :param facts: of the entry.
         :param shared_key: what operators' programs prove themselves with.
         """
         super().__init__()
-        self._dispatcher = dispatcher
-        self._adoption = adoption
+        self._entry = entry
+        self._dispatcher = entry.dispatcher
+        self._adoption = entry.adoption
+        self._metrics = entry.metrics
+        self._tracing = entry.tracing
         self._limits = limits
-        self._metrics = metrics
         self._timers = timers
-        self._tracing = tracing
-        self._facts = facts
         self._shared_key = shared_key.encode()
         self._page_by_path: dict[str, Callable[[WebRequest], object]] = {
             "/healthz": lambda web: _answer(web, 200, b"{}"),
@@ -171,7 +147,7 @@
         return NOT_DONE_YET
 
     def _ready(self, web: WebRequest) -> None:
-        is_ready = self._adoption.accepted is not None and not self._facts.is_stopping
+        is_ready = self._adoption.accepted is not None and not self._entry.is_stopping
         _answer(web, 200 if is_ready else 503, b"{}")
 
     def _models(self, web: WebRequest) -> None:
@@ -184,7 +160,7 @@
         if not self._is_operator(web):
             _refuse(web, errors.Unauthenticated("the shared key is needed"))
             return
-        _answer(web, 200, msgspec.json.encode(self._facts.status()))
+        _answer(web, 200, msgspec.json.encode(self._entry.status()))
 
     def _trace(self, web: WebRequest) -> None:
         if not self._is_operator(web):
@@ -293,7 +269,7 @@
 
     def closing(self) -> bool:
         """Tell whether connections are closed after their answer."""
-        return self._facts.is_stopping
+        return self._entry.is_stopping
 
     def answered(self, progress: Progress) -> None:
         """Record a whole answer."""
--- a/pimentolink/cli.py
+++ b/pimentolink/cli.py
@@ -155,29 +155,17 @@
 
     def entry(self, settings: str, *overlays: str) -> None:
         """Run an entry until SIGTERM."""
-        from pimentolink.daemon import run
+        from pimentolink.daemon import EntryDaemon, run
 
         read = _read(EntrySettings, [settings, *overlays])
-
-        def make(reactor: Any) -> Any:
-            from pimentolink.entry import Entry
-
-            return Entry(reactor, read)
-
-        sys.exit(run(make))
+        sys.exit(run(lambda reactor: EntryDaemon(reactor, read)))
 
     def sidecar(self, settings: str, *overlays: str) -> None:
         """Run a sidecar until SIGTERM."""
-        from pimentolink.daemon import run
+        from pimentolink.daemon import SidecarDaemon, run
 
         read = _read(SidecarSettings, [settings, *overlays])
-
-        def make(reactor: Any) -> Any:
-            from pimentolink.sidecar import Sidecar
-
-            return Sidecar(reactor, read)
-
-        sys.exit(run(make))
+        sys.exit(run(lambda reactor: SidecarDaemon(reactor, read)))
 
     def status(self, platform: str, key: str, json: bool = False) -> None:
         """Ask every listed entry how it is; ``key`` is the shared key's file."""
--- a/pimentolink/daemon.py
+++ b/pimentolink/daemon.py
@@ -1,4 +1,4 @@
-"""Runs an entry or a sidecar as a process on one loop and one thread."""
+"""Runs an entry or a sidecar as a process, with sockets, on one loop and thread."""
 
 from __future__ import annotations
 
@@ -6,13 +6,31 @@
 import signal
 from collections.abc import Callable
 from typing import Any, Protocol
+from uuid import uuid4
 
 from twisted.internet import asyncioreactor
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure as TwistedFailure
 
 from pimentolink import logs
-
+from pimentolink.callers import CallerInterface, make_site
+from pimentolink.directwrite import listen
+from pimentolink.engines import HttpEngineControl
+from pimentolink.entry import Entry, EntryPorts
+from pimentolink.instances import HttpInstanceList
+from pimentolink.kvstore import HttpStore
+from pimentolink.links import (
+    EntryLinkListener,
+    LinkClient,
+    LinkServer,
+    SidecarLinkListener,
+)
+from pimentolink.settings import EntrySettings, SidecarSettings, split_address
+from pimentolink.sidecar import Sidecar, SidecarPorts
+from pimentolink.targets import HttpTarget
+from pimentolink.timers import ReactorTimers
+
+LISTEN_BACKLOG = 1024
 EXIT_SLOT_TAKEN = 3
 EXIT_FAILED = 1
 
@@ -27,6 +45,106 @@
         """End gracefully."""
 
 
+class EntryDaemon:
+    """An entry with its sockets."""
+
+    def __init__(self, reactor: Any, settings: EntrySettings) -> None:
+        """
+        Open nothing yet.
+
+        :param reactor: the loop.
+        :param settings: of the entry.
+        """
+        self._reactor = reactor
+        self._settings = settings
+        self._timers = ReactorTimers(reactor)
+        self._port: Any = None
+        ports = EntryPorts(
+            timers=self._timers,
+            store=HttpStore(reactor, settings.platform),
+            instances=HttpInstanceList(reactor, settings.platform),
+            open_link=self._open_link,
+            incarnation=uuid4().hex,
+        )
+        self._entry = Entry(settings, ports)
+
+    async def start(self) -> None:
+        """Listen to callers and begin."""
+        interface = CallerInterface(
+            self._entry, self._settings.limits, self._timers, self._settings.shared_key
+        )
+        site = make_site(interface, self._settings.limits, self._timers)
+        host, port = split_address(self._settings.listen)
+        self._port = listen(self._reactor, host, port, site, LISTEN_BACKLOG)
+        self._entry.start()
+
+    async def stop(self) -> None:
+        """Leave, take no more connections, finish."""
+        await self._entry.leave()
+        await self._port.stopListening()
+        await self._entry.finish()
+
+    def _open_link(self, address: str, listener: EntryLinkListener) -> LinkClient:
+        return LinkClient(
+            self._reactor,
+            address,
+            self._settings.shared_key,
+            self._settings.links,
+            listener,
+            self._timers,
+            self._entry.log,
+        )
+
+
+class SidecarDaemon:
+    """A sidecar with its sockets."""
+
+    def __init__(self, reactor: Any, settings: SidecarSettings) -> None:
+        """
+        Open nothing yet.
+
+        :param reactor: the loop.
+        :param settings: of the sidecar.
+        """
+        self._reactor = reactor
+        self._settings = settings
+        self._timers = ReactorTimers(reactor)
+        self._log = logs.Log(instance=settings.instance, role="sidecar")
+        target = self._open_target(settings.target_address)
+        ports = SidecarPorts(
+            timers=self._timers,
+            store=HttpStore(reactor, settings.platform),
+            instances=HttpInstanceList(reactor, settings.platform),
+            target=target,
+            engine=HttpEngineControl(target, settings.orders),
+            open_older_system=self._open_target,
+            listening=self._listening,
+            incarnation=uuid4().hex,
+        )
+        self._sidecar = Sidecar(settings, ports)
+
+    async def start(self) -> bool:
+        """Take the target's slot; tell whether it was free."""
+        return self._sidecar.start()
+
+    async def stop(self) -> None:
+        """Finish and leave."""
+        await self._sidecar.stop()
+
+    def _open_target(self, address: str) -> HttpTarget:
+        return HttpTarget(self._reactor, address, self._settings.target_timeout)
+
+    def _listening(self, listener: SidecarLinkListener) -> LinkServer:
+        return LinkServer(
+            self._reactor,
+            self._settings.shared_key,
+            self._settings.links,
+            listener,
+            self._timers,
+            self._log,
+        )
+
+
 def run(make_service: Callable[[Any], Service]) -> int:
     """
     Run a service until SIGTERM or SIGINT, then stop it gracefully.
--- a/pimentolink/entry.py
+++ b/pimentolink/entry.py
@@ -1,60 +1,75 @@
-"""The entry: takes callers' requests and sends them to targets."""
+"""The entry: takes callers' requests and sends them to targets; opens no sockets."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from functools import partial
 from random import Random
-from typing import Any
-from uuid import uuid4
-
-from twisted.internet.defer import Deferred
+from typing import Any, NamedTuple, Protocol
 
 from pimentolink import link_pb2
 from pimentolink.adoption import Adoption
-from pimentolink.callers import CallerInterface, make_site
 from pimentolink.configstore import CONFIGURATION_KEY
 from pimentolink.directory import TargetDirectory
-from pimentolink.directwrite import listen
 from pimentolink.dispatcher import Dispatcher
 from pimentolink.follower import KeyFollower
-from pimentolink.instances import ENTRY, SIDECAR, HttpInstanceList, Instance
-from pimentolink.kvstore import HttpStore, Value
-from pimentolink.links import EntryLink, LinkClient
+from pimentolink.instances import ENTRY, SIDECAR, Instance, InstanceList
+from pimentolink.kvstore import KeyValueStore, Value
+from pimentolink.links import EntryLink, EntryLinkListener
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
 from pimentolink.plan import Group, group_of, groups_of
 from pimentolink.planner import FixedRoles, Planner
 from pimentolink.router import PredictedWork, Router
-from pimentolink.settings import EntrySettings, split_address
-from pimentolink.timers import ReactorTimers, Repeater
+from pimentolink.settings import EntrySettings
+from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.tracing import Tracing
 
 IDLE_POLL = 0.05
-LISTEN_BACKLOG = 1024
+
+
+class OpenLink(EntryLink, Protocol):
+    """A link that attaches by itself until it is closed."""
+
+    address: str
+
+    def close(self) -> None:
+        """End the link for good."""
+
+
+class EntryPorts(NamedTuple):
+    """
+    What an entry needs from outside; real in the daemon, in memory elsewhere.
+
+    :ivar open_link: starts a link to a sidecar's address.
+    :ivar incarnation: identity of this process's life; also seeds its random source.
+    """
+
+    timers: Timers
+    store: KeyValueStore
+    instances: InstanceList
+    open_link: Callable[[str, EntryLinkListener], OpenLink]
+    incarnation: str
 
 
 class Entry:
     """One entry: wires the parts and answers its links."""
 
-    def __init__(self, reactor: Any, settings: EntrySettings) -> None:
+    def __init__(self, settings: EntrySettings, ports: EntryPorts) -> None:
         """
         Wire the parts; :meth:`start` begins.
 
-        :param reactor: the loop.
         :param settings: of this entry.
+        :param ports: to the world outside.
         """
-        self._reactor = reactor
         self._settings = settings
-        self._incarnation = uuid4().hex
-        self._random = Random(self._incarnation)
-        self._log = Log(instance=settings.instance, role="entry")
-        self._timers = ReactorTimers(reactor)
-        self._metrics = Metrics()
-        self._tracing = Tracing(settings.instance, settings.trace_ratio, self._log)
-        self._adoption = Adoption(self._log)
-        self._store = HttpStore(reactor, settings.platform)
-        self._list = HttpInstanceList(reactor, settings.platform)
+        self._ports = ports
+        self._random = Random(ports.incarnation)
+        self._timers = ports.timers
+        self.log = Log(instance=settings.instance, role="entry")
+        self.metrics = Metrics()
+        self.tracing = Tracing(settings.instance, settings.trace_ratio, self.log)
+        self.adoption = Adoption(self.log)
         self._follower = self._make_follower(
             CONFIGURATION_KEY, self._configuration_came
         )
@@ -62,67 +77,55 @@
         self._revision_by_group: dict[Group, int] = {}
         policy = PredictedWork(settings.routing, settings.data_centre, self._random)
         router = Router(policy)
-        self._directory = TargetDirectory(self._adoption, router, self._timers)
-        self._dispatcher = Dispatcher(
+        self.directory = TargetDirectory(self.adoption, router, self._timers)
+        self.dispatcher = Dispatcher(
             settings,
-            self._adoption,
-            self._directory,
+            self.adoption,
+            self.directory,
             router,
             self._timers,
-            self._tracing,
-            self._log,
+            self.tracing,
+            self.log,
         )
         self._planner = Planner(
             settings.planner,
-            self._incarnation,
+            ports.incarnation,
             settings.data_centre,
-            self._store,
-            self._adoption,
-            self._directory,
+            ports.store,
+            self.adoption,
+            self.directory,
             FixedRoles(),
             self._timers,
-            self._log,
+            self.log,
         )
-        self._adoption.subscribe(self._configuration_adopted)
-        self._link_by_sidecar: dict[str, LinkClient] = {}
+        self.adoption.subscribe(self._configuration_adopted)
+        self._link_by_sidecar: dict[str, OpenLink] = {}
         self._hello_by_link: dict[EntryLink, link_pb2.SidecarHello] = {}
         self._list_is_lost = False
-        self._port: Any = None
         self._poll: Repeater | None = None
         self.is_stopping = False
         self._publish_gauges()
 
-    async def start(self) -> None:
-        """Listen to callers and begin to look for sidecars."""
-        interface = CallerInterface(
-            self._dispatcher,
-            self._adoption,
-            self._settings.limits,
-            self._metrics,
-            self._timers,
-            self._tracing,
-            self,
-            self._settings.shared_key,
-        )
-        site = make_site(interface, self._settings.limits, self._timers)
-        host, port = split_address(self._settings.listen)
-        self._port = listen(self._reactor, host, port, site, LISTEN_BACKLOG)
+    def start(self) -> None:
+        """Follow the configuration and look for sidecars."""
         self._follower.start()
         self._planner.start()
         self._read_list()
         interval = self._settings.platform.list_interval
         self._poll = Repeater(self._timers, interval, self._read_list)
         self._register(is_leaving=False)
-        self._log.write(LogEvent.STARTED, address=self._settings.listen)
+        self.log.write(LogEvent.STARTED, address=self._settings.listen)
 
-    async def stop(self) -> None:
-        """Leave the list, let the balancer notice, finish what is in work, end."""
+    async def leave(self) -> None:
+        """Leave the list and give the balancer time to notice; still take requests."""
         self.is_stopping = True
         self._planner.stop()
         self._register(is_leaving=True)
-        self._log.write(LogEvent.STOPPING, in_flight=self._dispatcher.in_flight)
-        await self._sleep(self._settings.leave_delay)
-        await self._port.stopListening()
+        self.log.write(LogEvent.STOPPING, in_flight=self.dispatcher.in_flight)
+        await pause(self._timers, self._settings.leave_delay)
+
+    async def finish(self) -> None:
+        """Finish what is in work, then end all links."""
         await self._finish_work()
         if self._poll is not None:
             self._poll.cancel()
@@ -130,49 +133,51 @@
             follower.stop()
         for link in self._link_by_sidecar.values():
             link.close()
-        await _ignore_failure(self._list.deregister(self._settings.instance))
-        self._log.write(LogEvent.STOPPED)
+        # The list drops an instance that is gone by itself, only later.
+        left = self._ports.instances.deregister(self._settings.instance)
+        await left.addErrback(lambda _: None)
+        self.log.write(LogEvent.STOPPED)
 
     async def _finish_work(self) -> None:
         end = self._timers.now() + self._settings.stop_within
-        while self._dispatcher.in_flight:
+        while self.dispatcher.in_flight:
             if self._timers.now() > end:
-                left = self._dispatcher.in_flight
-                self._log.write(LogEvent.STOP_TIMEOUT, in_flight=left)
+                left = self.dispatcher.in_flight
+                self.log.write(LogEvent.STOP_TIMEOUT, in_flight=left)
                 return
-            await self._sleep(IDLE_POLL)
+            await pause(self._timers, IDLE_POLL)
 
     def status(self) -> dict[str, Any]:
         """Describe the entry for operators."""
-        accepted = self._adoption.accepted
+        accepted = self.adoption.accepted
         return {
             "instance": self._settings.instance,
             "data_centre": self._settings.data_centre,
             "is_stopping": self.is_stopping,
-            "configuration_version": self._adoption.version,
+            "configuration_version": self.adoption.version,
             "change_id": accepted.change_id if accepted else "",
             "key_value_is_up": self._follower.is_connected,
-            "in_flight": self._dispatcher.in_flight,
-            "retries": self._dispatcher.retries,
-            "late_events": self._dispatcher.late_events,
-            "targets": list(self._directory.describe()),
+            "in_flight": self.dispatcher.in_flight,
+            "retries": self.dispatcher.retries,
+            "late_events": self.dispatcher.late_events,
+            "targets": list(self.directory.describe()),
         }
 
     def greeting(self) -> link_pb2.EntryHello:
         """Make the first message of a link."""
         return link_pb2.EntryHello(
             instance_id=self._settings.instance,
-            incarnation=self._incarnation,
+            incarnation=self._ports.incarnation,
             data_centre=self._settings.data_centre,
-            configuration_version=self._adoption.version,
+            configuration_version=self.adoption.version,
         )
 
     def link_up(self, link: EntryLink, hello: link_pb2.SidecarHello) -> None:
         """Take a sidecar's target into routing; bring it up to date."""
-        self._log.write(LogEvent.LINK_UP, target=hello.target_id)
+        self.log.write(LogEvent.LINK_UP, target=hello.target_id)
         self._hello_by_link[link] = hello
-        self._directory.add(link, hello.target_id, hello.data_centre)
-        if hello.configuration_version < self._adoption.version:
+        self.directory.add(link, hello.target_id, hello.data_centre)
+        if hello.configuration_version < self.adoption.version:
             link.send(self._document())
         self._tell_plan(link, hello.target_id)
 
@@ -181,37 +186,37 @@
         kind = message.WhichOneof("body")
         if kind == "step":
             if message.step.HasField("load"):
-                self._directory.reported(link, message.step.load)
-            self._dispatcher.step_received(message.step)
+                self.directory.reported(link, message.step.load)
+            self.dispatcher.step_received(message.step)
         elif kind == "load":
-            self._directory.reported(link, message.load)
+            self.directory.reported(link, message.load)
         elif kind == "document":
-            self._adoption.offer(message.document.json)
+            self.adoption.offer(message.document.json)
 
     def link_down(self, link: EntryLink) -> None:
         """Take a sidecar's target out of routing."""
         hello = self._hello_by_link.pop(link)
-        self._log.write(LogEvent.LINK_DOWN, target=hello.target_id)
-        lost = self._directory.remove(link)
+        self.log.write(LogEvent.LINK_DOWN, target=hello.target_id)
+        lost = self.directory.remove(link)
         if lost is not None:
-            self._dispatcher.target_down(lost)
+            self.dispatcher.target_down(lost)
 
     def _make_follower(
         self, key: str, on_value: Callable[[Value], object]
     ) -> KeyFollower:
         return KeyFollower(
             key,
-            self._store,
+            self._ports.store,
             self._settings.platform,
             self._timers,
             self._random,
-            self._log,
+            self.log,
             on_value,
         )
 
     def _configuration_came(self, value: Value) -> None:
         if value.data is not None:
-            self._adoption.offer(value.data)
+            self.adoption.offer(value.data)
 
     def _configuration_adopted(self) -> None:
         document = self._document()
@@ -221,8 +226,8 @@
 
     def _follow_plans(self) -> None:
         """Follow the plans of this region's groups, and no others."""
-        assert self._adoption.accepted is not None
-        configuration = self._adoption.accepted.configuration
+        assert self.adoption.accepted is not None
+        configuration = self.adoption.accepted.configuration
         region = configuration.region_of(self._settings.data_centre)
         wanted = {group for group in groups_of(configuration) if group.region == region}
         for group in self._plan_followers.keys() - wanted:
@@ -240,9 +245,9 @@
             self._tell_plan(link, hello.target_id)
 
     def _tell_plan(self, link: EntryLink, target_id: str) -> None:
-        if self._adoption.accepted is None:
+        if self.adoption.accepted is None:
             return
-        group = group_of(self._adoption.accepted.configuration, target_id)
+        group = group_of(self.adoption.accepted.configuration, target_id)
         if group is None or group not in self._revision_by_group:
             return
         news = link_pb2.PlanNews(
@@ -254,12 +259,14 @@
 
     def _document(self) -> link_pb2.EntryMessage:
         document = link_pb2.Document(
-            version=self._adoption.version, json=self._adoption.document
+            version=self.adoption.version, json=self.adoption.document
         )
         return link_pb2.EntryMessage(document=document)
 
     def _read_list(self) -> None:
-        self._list.read(SIDECAR).addCallbacks(self._list_came, self._list_failed)
+        self._ports.instances.read(SIDECAR).addCallbacks(
+            self._list_came, self._list_failed
+        )
 
     def _list_came(self, instances: list[Instance]) -> None:
         self._list_is_lost = False
@@ -272,20 +279,13 @@
                 link.close()
                 link = None
             if link is None:
-                self._link_by_sidecar[name] = LinkClient(
-                    self._reactor,
-                    instance.address,
-                    self._settings.shared_key,
-                    self._settings.links,
-                    self,
-                    self._timers,
-                    self._log,
-                )
+                opened = self._ports.open_link(instance.address, self)
+                self._link_by_sidecar[name] = opened
 
     def _list_failed(self, failure: object) -> None:
         if not self._list_is_lost:
             self._list_is_lost = True
-            self._log.write(LogEvent.LIST_LOST)
+            self.log.write(LogEvent.LIST_LOST)
 
     def _register(self, is_leaving: bool) -> None:
         instance = Instance(
@@ -296,22 +296,12 @@
             target="",
             is_leaving=is_leaving,
         )
-        self._list.register(instance).addErrback(self._list_failed)
+        self._ports.instances.register(instance).addErrback(self._list_failed)
 
     def _publish_gauges(self) -> None:
-        dispatcher = self._dispatcher
-        self._metrics.gauge("in_flight", lambda: dispatcher.in_flight)
-        self._metrics.gauge("retries", lambda: dispatcher.retries)
-        self._metrics.gauge("late_events", lambda: dispatcher.late_events)
-        self._metrics.gauge("configuration_version", lambda: self._adoption.version)
-        self._metrics.gauge("links", lambda: len(self._hello_by_link))
-
-    def _sleep(self, seconds: float) -> Deferred[None]:
-        pending: Deferred[None] = Deferred()
-        self._timers.call_later(seconds, lambda: pending.callback(None))
-        return pending
-
-
-async def _ignore_failure(pending: Deferred[None]) -> None:
-    # The list drops an instance that is gone by itself, only later.
-    await pending.addErrback(lambda _: None)
+        dispatcher = self.dispatcher
+        self.metrics.gauge("in_flight", lambda: dispatcher.in_flight)
+        self.metrics.gauge("retries", lambda: dispatcher.retries)
+        self.metrics.gauge("late_events", lambda: dispatcher.late_events)
+        self.metrics.gauge("configuration_version", lambda: self.adoption.version)
+        self.metrics.gauge("links", lambda: len(self._hello_by_link))
--- a/pimentolink/kvstore.py
+++ b/pimentolink/kvstore.py
@@ -126,9 +126,19 @@
             return _failed()
         return succeed(self._holder_by_key.setdefault(key, holder) == holder)
 
-    def lapse(self, key: str) -> None:
-        """Let a lease run out."""
-        self._holder_by_key.pop(key, None)
+    def lapse(self, holder: str) -> None:
+        """Let the leases of a holder run out."""
+        for key, held_by in list(self._holder_by_key.items()):
+            if held_by == holder:
+                del self._holder_by_key[key]
+
+    def set_down(self, is_down: bool) -> None:
+        """Begin or end an outage; watches that wait fail with it."""
+        self.is_down = is_down
+        if is_down:
+            watchers, self._watchers = self._watchers, []
+            for _, _, pending in watchers:
+                pending.errback(KeyValueUnavailable("down"))
 
     def _read(self, key: str) -> Value:
         return self._value_by_key.get(key, Value(None, 0, 0))
--- a/pimentolink/planner.py
+++ b/pimentolink/planner.py
@@ -123,6 +123,8 @@
         self._is_stopped = False
         self._held_until_by_group: dict[Group, float] = {}
         self._plan_by_group: dict[Group, tuple[Plan, int]] = {}
+        self._seen_by_id: dict[str, tuple[int, float]] = {}
+        self._started_at = timers.now()
 
     def start(self) -> None:
         """Look at the groups again and again."""
@@ -164,6 +166,7 @@
             self._plan_by_group[group] = (decode_plan(value.data), value.revision)
         plan, revision = self._plan_by_group[group]
         views = self._fleet.view(target_ids)
+        self._remember(views)
         configured = {name: configuration.targets[name].role for name in target_ids}
         roles = self._policy.choose(group, configured, views)
         wanted = {
@@ -197,27 +200,49 @@
         :returns: what the next plan may want.
         """
         view_by_id = {view.target_id: view for view in views}
-        allowed: dict[str, Wanted] = {}
-        changing = 0
-        for name in wanted:
-            before = plan.wanted_by_target.get(name)
-            if before is None:
-                continue
-            allowed[name] = before
-            changing += not _is_settled(before, view_by_id[name])
+        before_by_id = {
+            name: before
+            for name, before in plan.wanted_by_target.items()
+            if name in wanted
+        }
+        allowed = dict(before_by_id)
+        changing = {
+            name
+            for name, before in before_by_id.items()
+            if not self._is_settled(before, view_by_id[name])
+        }
         for name, new in wanted.items():
-            before = allowed.get(name)
-            if before is not None and _is_same(before, new):
-                continue
-            view = view_by_id[name]
-            is_changing = before is not None and not _is_settled(before, view)
-            if before is not None and not view.is_linked:
+            before = before_by_id.get(name)
+            is_same = before is not None and _is_same(before, new)
+            # Nothing is known of an engine that is not linked: its plan stands.
+            if is_same or not view_by_id[name].is_linked:
                 continue
-            if is_changing or changing < self._settings.most_changing:
+            if name in changing or len(changing) < self._settings.most_changing:
                 allowed[name] = new
-                changing += not is_changing
+                changing.add(name)
         return allowed
 
+    def _remember(self, views: list[TargetView]) -> None:
+        now = self._timers.now()
+        for view in views:
+            if view.is_linked:
+                self._seen_by_id[view.target_id] = (view.settled_number, now)
+
+    def _is_settled(self, before: Wanted, view: TargetView) -> bool:
+        """
+        Tell whether an engine has reached what the plan wants.
+
+        One that is not linked may be under an order that others see; it counts as
+        changing for a while, then as lost, so that it does not block the others.
+        """
+        if view.is_linked:
+            return view.settled_number >= before.number
+        settled_number, seen_at = self._seen_by_id.get(
+            view.target_id, (0, self._started_at)
+        )
+        is_lost = self._timers.now() - seen_at > self._settings.lost_after
+        return is_lost or settled_number >= before.number
+
     async def _write(self, group: Group, plan: Plan, revision: int) -> None:
         data = msgspec.json.encode(plan)
         written = await self._store.compare_and_swap(group.plan_key, data, revision)
@@ -234,14 +259,5 @@
         )
 
 
-def _is_settled(wanted: Wanted, view: TargetView) -> bool:
-    """
-    Tell whether an engine has reached what the plan wants.
-
-    A lost engine serves nobody, so it does not count as one that changes.
-    """
-    return not view.is_linked or view.settled_number >= wanted.number
-
-
 def _is_same(before: Wanted, new: Wanted) -> bool:
     return before.is_met_by(new.role, new.models, new.adapters)
--- a/pimentolink/settings.py
+++ b/pimentolink/settings.py
@@ -131,12 +131,15 @@
     :ivar interval: seconds between two looks at the groups of the region.
     :ivar lease: seconds that the duty for a group lasts unless renewed.
     :ivar most_changing: engines of a group that may be out of service for orders.
+    :ivar lost_after: seconds without a link after which an engine under a change
+        counts as lost and no longer holds up the others.
     :ivar policy: ``fixed`` keeps the configured roles.
     """
 
     interval: Seconds = 1.0
     lease: Seconds = 10.0
     most_changing: Count = 1
+    lost_after: Seconds = 60.0
     policy: Literal["fixed"] = "fixed"
 
 
@@ -217,6 +220,7 @@
     :ivar instance: name of this instance.
     :ivar data_centre: where it stands.
     :ivar listen: address for entries; held as the target's one slot.
+    :ivar advertise: address that entries are told, if it is not ``listen``.
     :ivar target: name of the target beside it.
     :ivar target_address: where the target listens.
     :ivar shared_key: secret that processes of the system prove themselves with.
@@ -232,6 +236,7 @@
     data_centre: str
     listen: Address
     target: str
+    advertise: Address | None = None
     target_address: Address
     shared_key: Annotated[str, Meta(min_length=16)]
     platform: PlatformSettings
--- a/pimentolink/sidecar.py
+++ b/pimentolink/sidecar.py
@@ -1,97 +1,111 @@
-"""The sidecar: the only way in to the target beside it."""
+"""The sidecar: the only way in to the target beside it; opens no sockets."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
-from typing import Any
-from uuid import uuid4
+from typing import NamedTuple, Protocol
 
 from twisted.internet.defer import CancelledError
 
 from pimentolink import link_pb2
 from pimentolink.adoption import Adoption
 from pimentolink.claims import ClaimPartition
-from pimentolink.engines import HttpEngineControl
 from pimentolink.executor import ClaimSource, Executor
-from pimentolink.httpclient import Answer
-from pimentolink.instances import SIDECAR, HttpInstanceList, Instance
-from pimentolink.kvstore import HttpStore
-from pimentolink.links import LinkServer, SidecarLink
+from pimentolink.instances import SIDECAR, Instance, InstanceList
+from pimentolink.kvstore import KeyValueStore
+from pimentolink.links import SidecarLink, SidecarLinkListener
 from pimentolink.logs import Log, LogEvent
-from pimentolink.orders import OrderKeeper
+from pimentolink.orders import EngineControl, OrderKeeper
 from pimentolink.plan import group_of
 from pimentolink.settings import SidecarSettings
-from pimentolink.targets import HttpTarget
-from pimentolink.timers import ReactorTimers, Repeater, pause
+from pimentolink.targets import Target
+from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.tracing import Tracing
 
-PROBE_PATH = "/health"
+
+class LinkListening(Protocol):
+    """Takes links of entries on one address."""
+
+    def start(self, address: str) -> bool:
+        """Listen; tell whether the target's slot was free."""
+
+    def stop(self) -> None:
+        """End every link once what is queued for it has gone out."""
+
+
+class SidecarPorts(NamedTuple):
+    """
+    What a sidecar needs from outside; real in the daemon, in memory elsewhere.
+
+    :ivar target: the target beside it.
+    :ivar engine: asks and orders the target, if it is an engine.
+    :ivar open_older_system: makes calls to the older system at an address.
+    :ivar listening: makes what takes links of entries.
+    :ivar incarnation: identity of this process's life; also seeds its random source.
+    """
+
+    timers: Timers
+    store: KeyValueStore
+    instances: InstanceList
+    target: Target
+    engine: EngineControl
+    open_older_system: Callable[[str], Target]
+    listening: Callable[[SidecarLinkListener], LinkListening]
+    incarnation: str
 
 
 class Sidecar:
     """One sidecar: wires the parts and answers its links."""
 
-    def __init__(self, reactor: Any, settings: SidecarSettings) -> None:
+    def __init__(self, settings: SidecarSettings, ports: SidecarPorts) -> None:
         """
         Wire the parts; :meth:`start` begins.
 
-        :param reactor: the loop.
         :param settings: of this sidecar.
+        :param ports: to the world outside.
         """
-        self._reactor = reactor
         self._settings = settings
+        self._ports = ports
         self._older_address: str | None = None
-        self._incarnation = uuid4().hex
-        self._random = Random(self._incarnation)
-        self._log = Log(
+        self._random = Random(ports.incarnation)
+        self._timers = ports.timers
+        self.log = Log(
             instance=settings.instance, role="sidecar", target=settings.target
         )
-        self._timers = ReactorTimers(reactor)
-        self._adoption = Adoption(self._log)
+        self._adoption = Adoption(self.log)
         self._adoption.subscribe(self._configuration_adopted)
-        self._store = HttpStore(reactor, settings.platform)
-        self._list = HttpInstanceList(reactor, settings.platform)
-        self._target = HttpTarget(
-            reactor, settings.target_address, settings.target_timeout
-        )
         self._executor = Executor(
             settings.queue,
-            self._target,
+            ports.target,
             ClaimSource(self._open_partition, self._adoption.claim_partitions),
             self._timers,
-            Tracing(settings.instance, settings.trace_ratio, self._log),
+            Tracing(settings.instance, settings.trace_ratio, self.log),
             settings.claims.answers,
         )
         self._orders = OrderKeeper(
             settings.orders,
             settings.target,
-            self._store,
-            HttpEngineControl(self._target, settings.orders),
+            ports.store,
+            ports.engine,
             self._executor,
             self._timers,
             self._random,
-            self._log,
-        )
-        self._server = LinkServer(
-            reactor,
-            settings.shared_key,
-            settings.links,
-            self,
-            self._timers,
-            self._log,
+            self.log,
         )
+        self._server = ports.listening(self)
         self._reports_by_link: dict[SidecarLink, tuple[link_pb2.Load, float]] = {}
         self._probes_missed = 0
         self._repeaters: list[Repeater] = []
 
-    async def start(self) -> bool:
+    def start(self) -> bool:
         """
         Take the target's slot and serve it.
 
         :returns: whether the slot was free.
         """
         if not self._server.start(self._settings.listen):
-            self._log.write(LogEvent.SLOT_TAKEN, address=self._settings.listen)
+            self.log.write(LogEvent.SLOT_TAKEN, address=self._settings.listen)
             return False
         self._repeaters = [
             Repeater(
@@ -100,7 +114,7 @@
             Repeater(self._timers, self._settings.probe_interval, self._probe),
         ]
         self._register(is_leaving=False)
-        self._log.write(LogEvent.STARTED, address=self._settings.listen)
+        self.log.write(LogEvent.STARTED, address=self._settings.listen)
         return True
 
     async def stop(self) -> None:
@@ -108,7 +122,7 @@
         self._executor.is_draining = True
         self._report_load()
         self._register(is_leaving=True)
-        self._log.write(LogEvent.STOPPING)
+        self.log.write(LogEvent.STOPPING)
         self._orders.stop()
         is_idle = self._executor.when_idle()
         limit = self._timers.call_later(self._settings.stop_within, is_idle.cancel)
@@ -116,27 +130,29 @@
             await is_idle
             await self._orders.when_idle()
         except CancelledError:
-            self._log.write(LogEvent.STOP_TIMEOUT)
+            self.log.write(LogEvent.STOP_TIMEOUT)
         limit.cancel()
         for repeater in self._repeaters:
             repeater.cancel()
-        await self._list.deregister(self._settings.instance).addErrback(lambda _: None)
+        await self._ports.instances.deregister(self._settings.instance).addErrback(
+            lambda _: None
+        )
         self._server.stop()
         await pause(self._timers, self._settings.stop_grace)
-        self._log.write(LogEvent.STOPPED)
+        self.log.write(LogEvent.STOPPED)
 
     def greeting(self) -> link_pb2.SidecarHello:
         """Make the first message of a link."""
         return link_pb2.SidecarHello(
             target_id=self._settings.target,
-            incarnation=self._incarnation,
+            incarnation=self._ports.incarnation,
             data_centre=self._settings.data_centre,
             configuration_version=self._adoption.version,
         )
 
     def link_up(self, link: SidecarLink, hello: link_pb2.EntryHello) -> None:
         """Serve an entry; bring it up to date if it knows less."""
-        self._log.write(LogEvent.LINK_UP, entry=hello.instance_id)
+        self.log.write(LogEvent.LINK_UP, entry=hello.instance_id)
         self._send_load(link, self._load())
         if hello.configuration_version < self._adoption.version:
             document = link_pb2.Document(
@@ -179,16 +195,14 @@
         self._older_address = address
         self._executor.older_system = None
         if address is not None:
-            timeout = self._settings.target_timeout
-            older_system = HttpTarget(self._reactor, address, timeout)
-            self._executor.older_system = older_system
+            self._executor.older_system = self._ports.open_older_system(address)
 
     def _open_partition(self, service: str, number: int) -> ClaimPartition:
-        self._log.write(LogEvent.CLAIMS_TAKEN_OVER, service=service, partition=number)
+        self.log.write(LogEvent.CLAIMS_TAKEN_OVER, service=service, partition=number)
         return ClaimPartition(
             f"pimentolink/claims/{service}/{number}",
-            self._incarnation,
-            self._store,
+            self._ports.incarnation,
+            self._ports.store,
             self._timers,
             self._settings.claims,
         )
@@ -223,12 +237,10 @@
         return load
 
     def _probe(self) -> None:
-        pending = self._target.ask(
-            "GET", PROBE_PATH, patience=self._settings.probe_interval
-        )
+        pending = self._ports.target.probe(self._settings.probe_interval)
         pending.addCallbacks(self._probe_answered, self._probe_missed)
 
-    def _probe_answered(self, answer: Answer) -> None:
+    def _probe_answered(self, _: None) -> None:
         self._probes_missed = 0
         if self._executor.target_is_lost:
             self._executor.target_is_lost = False
@@ -245,12 +257,12 @@
         instance = Instance(
             name=self._settings.instance,
             role=SIDECAR,
-            address=self._settings.listen,
+            address=self._settings.advertise or self._settings.listen,
             data_centre=self._settings.data_centre,
             target=self._settings.target,
             is_leaving=is_leaving,
         )
-        pending = self._list.register(instance)
+        pending = self._ports.instances.register(instance)
         if not is_leaving:
             pending.addErrback(self._register_again)
         else:
--- a/pimentolink/targets.py
+++ b/pimentolink/targets.py
@@ -25,6 +25,7 @@
 
 REQUEST_ID_HEADER = "x-request-id"
 CONNECT_TIMEOUT = 2.0
+PROBE_PATH = "/health"
 STREAM_PREFIX = b"data: "
 STREAM_END = b"[DONE]"
 
@@ -80,6 +81,14 @@
     def start_plain(self, call: TargetCall, listener: CallListener) -> RunningCall:
         """Start a plain service's call."""
 
+    def probe(self, patience: float) -> Deferred[None]:
+        """
+        Find out whether the target answers at all.
+
+        :param patience: seconds to wait.
+        :raises Exception: without an answer.
+        """
+
 
 class _Choice(msgspec.Struct):
     """One choice of a streamed answer; ``text`` or ``delta`` holds the token."""
@@ -251,6 +260,10 @@
         Deferred.fromCoroutine(_follow_plain(running, running.pending))
         return running
 
+    def probe(self, patience: float) -> Deferred[None]:
+        """Find out whether the target answers at all."""
+        return self.ask("GET", PROBE_PATH, patience=patience).addCallback(_ignore)
+
     def ask(
         self, method: str, path: str, body: bytes = b"", patience: float = 2.0
     ) -> Deferred[Answer]:
@@ -313,6 +326,10 @@
     return TargetFailed(detail)
 
 
+def _ignore(_: Answer) -> None:
+    """Turn any answer into none."""
+
+
 def _headers(call: TargetCall) -> dict[str, str]:
     return {**call.headers, REQUEST_ID_HEADER: call.attempt}
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -284,6 +284,7 @@
                 "ordering": self.ordering,
                 "orders_done": self.orders_done,
                 "overlaps": self.overlaps,
+                "started": self._count,
             },
         )
 
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,156 @@
+"""The scenario language: what to start, break and expect, a statement a line."""
+
+from pathlib import Path
+from typing import Any, NamedTuple, Protocol
+
+from lark import Lark, Token, Transformer, UnexpectedInput
+
+GRAMMAR = r"""
+start: _NL* header (_NL+ statement)* _NL*
+header: "runs" WORLD ("and" WORLD)*
+statement: "start" "entry" NAME "in" NAME           -> start_entry
+    | "restart" NAME                                -> restart
+    | "stop" NAME                                   -> stop
+    | "kill" NAME                                   -> kill
+    | "pause" NAME                                  -> pause
+    | "resume" NAME                                 -> resume
+    | "cut" NAME "from" NAME                        -> cut
+    | "heal" NAME "with" NAME                       -> heal
+    | "outage"                                      -> outage
+    | "recovery"                                    -> recovery
+    | "lose" INT "answers"                          -> lose
+    | "set" NAME "role" NAME                        -> set_role
+    | "drain" NAME                                  -> drain
+    | "return" NAME                                 -> restore
+    | "race" NAME "role" NAME "against" NAME        -> race
+    | "slow" NAME "to" NUMBER                       -> slow
+    | "stranger" "submits" "to" NAME                -> stranger
+    | "send" NAME "to" NAME "through" NAME ["key" NAME] ["tokens" INT] -> send
+    | "pass" NUMBER                                 -> pass_time
+    | "until" condition                             -> until
+    | "expect" condition                            -> expect
+condition: NAME OUTCOME ("or" OUTCOME)*             -> outcome
+    | NAME "over"                                   -> over
+    | NAME "has" INT "tokens"                       -> tokens
+    | NAME "ran" NAME "at" "most" INT               -> ran_at_most
+    | NAME "ran" NAME INT "times"                   -> ran
+    | NAME "role" NAME                              -> role
+    | NAME "under" "order"                          -> under_order
+    | NAME "started" INT                            -> started
+    | "orders" "at" NAME "never" "go" "back"        -> orders_in_order
+    | "version" INT "at" NAME                       -> version
+    | "version" INT "everywhere"                    -> version_everywhere
+    | NAME "reaches" NAME                           -> reaches
+    | NAME "ended" "with" INT                       -> ended
+    | NAME "lost" "the" "race"                      -> lost_race
+WORLD: "virtual" | "real"
+OUTCOME.2: "whole" | "refused" | "unknown" | "late"
+NAME: /[a-z][a-z0-9-]*/
+NUMBER: /[0-9]+(\.[0-9]+)?/
+COMMENT: /#[^\n]*/
+_NL: /\r?\n[ \t]*/
+%import common.INT
+%import common.WS_INLINE
+%ignore WS_INLINE
+%ignore COMMENT
+"""
+
+_parser = Lark(GRAMMAR, parser="earley", propagate_positions=True)
+
+
+class ScenarioError(Exception):
+    """A line that is no statement."""
+
+
+class Condition(NamedTuple):
+    kind: str
+    arguments: list[Any]
+
+
+class Statement(NamedTuple):
+    verb: str
+    arguments: list[Any]
+    line: int
+
+
+class Scenario(NamedTuple):
+    path: str
+    worlds: list[str]
+    statements: list[Statement]
+
+
+class World(Protocol):
+    """What a scenario runs in; a method for each verb besides these."""
+
+    def check(self, condition: Condition) -> bool: ...
+
+    def wait_for(self, condition: Condition) -> bool: ...
+
+
+class _Build(Transformer):
+    """Turns the tree into statements."""
+
+    def __default__(self, data: Any, children: list[Any], meta: Any) -> Any:
+        values = [_value(child) for child in children]
+        if data == "header":
+            return values
+        if data == "start":
+            return values[0], values[1:]
+        kinds = {rule for rule in CONDITIONS if rule == data}
+        if kinds:
+            return Condition(str(data), values)
+        return Statement(str(data), values, meta.line)
+
+
+CONDITIONS = {
+    "outcome",
+    "over",
+    "tokens",
+    "ran_at_most",
+    "ran",
+    "role",
+    "under_order",
+    "started",
+    "orders_in_order",
+    "version",
+    "version_everywhere",
+    "reaches",
+    "ended",
+    "lost_race",
+}
+
+
+def _value(child: Any) -> Any:
+    if isinstance(child, Token):
+        if child.type == "INT":
+            return int(child)
+        return float(child) if child.type == "NUMBER" else str(child)
+    return child
+
+
+def parse(text: str, path: str) -> Scenario:
+    """Read a scenario; a line that is none is told with what was expected."""
+    try:
+        tree = _parser.parse(text.strip("\n") + "\n")
+    except UnexpectedInput as error:
+        wanted = sorted(getattr(error, "allowed", None) or error.expected)  # type: ignore
+        line = error.line if error.line > 0 else text.count("\n") + 1
+        raise ScenarioError(f"{path}:{line}: expected {' or '.join(wanted)}") from None
+    worlds, statements = _Build().transform(tree)
+    return Scenario(path, worlds, statements)
+
+
+def load(path: Path) -> Scenario:
+    return parse(path.read_text(), path.name)
+
+
+def run(scenario: Scenario, world: World) -> None:
+    """Run every statement; a broken expectation names file and line."""
+    for statement in scenario.statements:
+        where = f"{scenario.path}:{statement.line}"
+        if statement.verb == "expect":
+            assert world.check(statement.arguments[0]), f"{where}: {statement}"
+        elif statement.verb == "until":
+            assert world.wait_for(statement.arguments[0]), f"{where}: {statement}"
+        else:
+            getattr(world, statement.verb)(*statement.arguments)
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,542 @@
+"""Entries and sidecars in virtual time: small fakes at their ports."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from pimentolink import link_pb2
+from pimentolink.entry import Entry, EntryPorts
+from pimentolink.errors import Failure, KeyValueUnavailable, OrderLost, TargetFailed
+from pimentolink.httpclient import Answer
+from pimentolink.instances import MemoryInstanceList
+from pimentolink.kvstore import MemoryStore
+from pimentolink.orders import EngineState
+from pimentolink.settings import EntrySettings, PlatformSettings, SidecarSettings
+from pimentolink.sidecar import Sidecar, SidecarPorts
+from pimentolink.targets import TargetCall
+from pimentolink.timers import ManualTimers
+from standins.engine import token_at
+
+LATENCY = 0.001
+LIST_LAG = 2.0
+STORE_TIMEOUT = 0.5
+TOKEN_TIME = 0.02
+LEASE = 10.0
+KEY = "a key for virtual time"
+PLATFORM = PlatformSettings(key_value="127.0.0.1:1", instance_list="127.0.0.1:2")
+
+
+class VirtualProcess:
+    """One process: may be killed, or paused, when all that reaches it waits."""
+
+    def __init__(self, world: "VirtualNetwork", name: str) -> None:
+        self.world = world
+        self.name = name
+        self.is_killed = False
+        self.is_paused = False
+        self._held: list[Callable[[], object]] = []
+
+    def run(self, callback: Callable[[], object]) -> None:
+        if self.is_killed:
+            return
+        if self.is_paused:
+            self._held.append(callback)
+        else:
+            callback()
+
+    def later(self, delay: float, callback: Callable[[], object]) -> Any:
+        return self.world.clock.call_later(delay, lambda: self.run(callback))
+
+    def now(self) -> float:
+        return self.world.clock.now()
+
+    def wall_time(self) -> float:
+        return self.world.clock.wall_time()
+
+    call_later = later
+
+    def pause(self) -> None:
+        self.is_paused = True
+
+    def resume(self) -> None:
+        self.is_paused = False
+        held, self._held = self._held, []
+        for callback in held:
+            self.run(callback)
+
+
+class VirtualConnection:
+    """An established link; the two ends see it break at their own times."""
+
+    def __init__(self, network: "VirtualNetwork", client: "VirtualClient") -> None:
+        self.network = network
+        self.client = client
+        self.server = network.listening_by_address[client.address]
+        self.is_broken = False
+        self._held: list[Callable[[], object]] = []
+
+    @property
+    def is_cut(self) -> bool:
+        pair = frozenset((self.client.process.name, self.server.process.name))
+        return pair in self.network.cuts
+
+    def carry(self, process: VirtualProcess, deliver: Callable[[], object]) -> None:
+        if self.is_broken:
+            return
+        if self.is_cut:
+            self._held.append(lambda: process.later(LATENCY, deliver))
+        else:
+            process.later(LATENCY, lambda: self.is_broken or deliver())
+
+    def heal(self) -> None:
+        held, self._held = self._held, []
+        for carry in held:
+            carry()
+
+    def to_server(self, message: link_pb2.EntryMessage) -> None:
+        listener = self.server.listener
+        data = message.SerializeToString()
+        parsed = link_pb2.EntryMessage.FromString(data)
+        self.carry(self.server.process, lambda: listener.link_message(self, parsed))
+
+    def send(self, message: link_pb2.SidecarMessage) -> None:
+        data = message.SerializeToString()
+        parsed = link_pb2.SidecarMessage.FromString(data)
+        self.carry(self.client.process, lambda: self.client.received(parsed))
+
+    def send_event(self, event: link_pb2.Event) -> None:
+        self.send(link_pb2.SidecarMessage(step=link_pb2.Step(events=[event])))
+
+    def break_off(self) -> None:
+        if self.is_broken:
+            return
+        self.is_broken = True
+        self.network.connections.remove(self)
+        server, client = self.server, self.client
+        server.process.later(LATENCY, lambda: server.listener.link_down(self))
+        client.process.later(LATENCY, lambda: client.broken(self))
+
+
+class VirtualClient:
+    """An entry's link that attaches again whenever it is lost."""
+
+    def __init__(
+        self, network: "VirtualNetwork", process: VirtualProcess, address: str, to: Any
+    ) -> None:
+        self.network = network
+        self.process = process
+        self.address = address
+        self._listener = to
+        self._connection: VirtualConnection | None = None
+        self._is_closed = False
+        process.later(LATENCY, self._attach)
+
+    def _attach(self) -> None:
+        server = self.network.listening_by_address.get(self.address)
+        if self._is_closed or self._connection is not None:
+            return
+        pair = frozenset((self.process.name, server.process.name)) if server else None
+        if server is None or server.process.is_paused or pair in self.network.cuts:
+            self.process.later(0.1, self._attach)
+            return
+        connection = VirtualConnection(self.network, self)
+        self.network.connections.append(connection)
+        self._connection = connection
+        hello = server.listener.greeting()
+        greeting = self._listener.greeting()
+        self._listener.link_up(self, hello)
+        server.listener.link_up(connection, greeting)
+
+    def send(self, message: link_pb2.EntryMessage) -> None:
+        if self._connection is not None:
+            self._connection.to_server(message)
+
+    def received(self, message: link_pb2.SidecarMessage) -> None:
+        if self._connection is not None:
+            self._listener.link_message(self, message)
+
+    def broken(self, connection: VirtualConnection) -> None:
+        if self._connection is connection:
+            self._connection = None
+            self._listener.link_down(self)
+            self.process.later(0.1, self._attach)
+
+    def close(self) -> None:
+        self._is_closed = True
+        if self._connection is not None:
+            self._connection.break_off()
+
+
+class VirtualListening:
+    """A sidecar's port: its target's one slot."""
+
+    def __init__(self, network: "VirtualNetwork", process: VirtualProcess) -> None:
+        self.network = network
+        self.process = process
+        self.listener: Any = None
+        self.address = ""
+
+    def __call__(self, listener: Any) -> "VirtualListening":
+        self.listener = listener
+        return self
+
+    def start(self, address: str) -> bool:
+        if address in self.network.listening_by_address:
+            return False
+        self.address = address
+        self.network.listening_by_address[address] = self
+        return True
+
+    def stop(self) -> None:
+        if self.network.listening_by_address.get(self.address) is self:
+            del self.network.listening_by_address[self.address]
+        for connection in list(self.network.connections):
+            if connection.server is self:
+                connection.break_off()
+
+
+class VirtualStore:
+    """The key-value service as one process reaches it."""
+
+    def __init__(self, process: VirtualProcess, memory: MemoryStore) -> None:
+        self._process = process
+        self._memory = memory
+
+    def get(self, key: str) -> Deferred:
+        return self._call(lambda: self._memory.get(key))
+
+    def watch(self, key: str, index: int, wait: float) -> Deferred:
+        return self._call(lambda: self._memory.watch(key, index, wait))
+
+    def compare_and_swap(self, key: str, data: bytes, revision: int) -> Deferred:
+        return self._call(lambda: self._memory.compare_and_swap(key, data, revision))
+
+    def hold_lease(self, key: str, holder: str, seconds: float) -> Deferred:
+        return self._call(lambda: self._memory.hold_lease(key, holder, seconds))
+
+    def _call(self, call: Callable[[], Deferred]) -> Deferred:
+        answer: Deferred = Deferred()
+
+        def arrive() -> None:
+            call().addCallbacks(
+                lambda value: self._process.later(
+                    LATENCY, lambda: answer.callback(value)
+                ),
+                lambda _: self._process.later(
+                    STORE_TIMEOUT, lambda: answer.errback(KeyValueUnavailable("down"))
+                ),
+            )
+
+        # What has been sent arrives, also if its sender is killed meanwhile.
+        self._process.world.clock.call_later(LATENCY, arrive)
+        return answer
+
+
+class VirtualEngine:
+    """An engine that checks no fencing numbers, as a target and under orders."""
+
+    def __init__(self, network: "VirtualNetwork", name: str) -> None:
+        self.process = VirtualProcess(network, name)
+        self.sidecar: VirtualProcess | None = None
+        self.role = "mixed"
+        self.models: dict[str, str] = {"claims": "1"}
+        self.order_time = 1.0
+        self.order_transit = LATENCY
+        self.begun: list[int] = []
+        self.under_order = 0
+        self.overlaps = 0
+        self.crosses_answers = False
+        self.started: list[float] = []
+
+    def start_stream(self, call: TargetCall, listener: Any) -> "VirtualStream":
+        return VirtualStream(self, call, listener)
+
+    def start_plain(self, call: TargetCall, listener: Any) -> "VirtualStream":
+        raise NotImplementedError
+
+    def probe(self, patience: float) -> Deferred:
+        return self._answer(lambda: None, patience)
+
+    def state(self) -> Deferred:
+        return self._answer(
+            lambda: EngineState(self.role, self.models, [], self.under_order > 0), 1.0
+        )
+
+    def order(self, wanted: Any, fencing_number: int) -> Deferred:
+        answer: Deferred = Deferred()
+        asker = self.sidecar
+        assert asker is not None
+
+        def begin() -> None:
+            self.overlaps += self.under_order > 0
+            self.under_order += 1
+            self.begun.append(fencing_number)
+            self.process.later(self.order_time, finish)
+
+        def finish() -> None:
+            self.under_order -= 1
+            self.role, self.models = wanted.role, wanted.models
+            asker.later(LATENCY, lambda: answer.called or answer.callback(None))
+
+        def lost() -> None:
+            if not answer.called:
+                answer.errback(OrderLost("no answer"))
+
+        # An order on its way arrives, also if its sidecar is killed meanwhile.
+        self.process.later(self.order_transit, begin)
+        asker.later(self.order_time + self.order_transit + 1.0, lost)
+        return answer
+
+    def _answer(self, read: Callable[[], Any], patience: float) -> Deferred:
+        answer: Deferred = Deferred()
+        asker = self.sidecar
+        assert asker is not None
+
+        def arrive() -> None:
+            value = read()
+            asker.later(LATENCY, lambda: answer.called or answer.callback(value))
+
+        def silent() -> None:
+            if not answer.called:
+                answer.errback(TargetFailed("no answer"))
+
+        self.process.later(LATENCY, arrive)
+        asker.later(patience, silent)
+        return answer
+
+
+class VirtualStream:
+    """One call to a virtual engine."""
+
+    def __init__(self, engine: VirtualEngine, call: TargetCall, listener: Any) -> None:
+        self._engine = engine
+        self._sidecar = engine.sidecar
+        self._listener = listener
+        body = __import__("json").loads(call.body)
+        self._prompt = body["prompt"]
+        self._wanted = body["max_tokens"]
+        self._emitted = len(call.resume_tokens)
+        self._is_over = False
+        engine.started.append(engine.process.now())
+        engine.process.world.streams.append(self)
+        engine.process.later(TOKEN_TIME, self._step)
+
+    def cancel(self) -> None:
+        self._is_over = True
+
+    def pause(self, paused: bool) -> None:
+        raise NotImplementedError
+
+    def engine_lost(self, engine: VirtualEngine) -> None:
+        if engine is self._engine and not self._is_over:
+            self._is_over = True
+            failure = TargetFailed("the answer broke off")
+            self._sidecar.later(LATENCY, lambda: self._listener.failed(failure))
+
+    def _step(self) -> None:
+        if self._is_over or self._sidecar.is_killed:
+            return
+        token = token_at(self._prompt, self._emitted)
+        self._emitted += 1
+        is_last = self._emitted >= self._wanted
+        self._is_over = is_last
+        self._sidecar.later(LATENCY, lambda: self._arrived([token], is_last))
+        if not is_last:
+            self._engine.process.later(TOKEN_TIME, self._step)
+
+    def _arrived(self, tokens: list[str], is_last: bool) -> None:
+        self._listener.tokens(tokens)
+        if is_last:
+            self._listener.finished(Answer(200, {}, b""), "length")
+
+
+class VirtualPlain(VirtualEngine):
+    """A plain service: runs a call whether or not its asker still waits."""
+
+    def __init__(self, network: "VirtualNetwork", name: str) -> None:
+        super().__init__(network, name)
+        self.runs: Counter[str] = Counter()
+        self.duration = 0.05
+
+    def start_plain(self, call: TargetCall, listener: Any) -> "VirtualPlain":
+        asker = self.sidecar
+
+        def run() -> None:
+            self.runs[call.body.decode()] += 1
+            self.process.later(self.duration, done)
+
+        def done() -> None:
+            asker.later(LATENCY, lambda: listener.finished(Answer(200, {}, b"ok"), ""))
+
+        def silent() -> None:
+            listener.failed(TargetFailed("no answer"))
+
+        if self.process.is_killed:
+            asker.later(LATENCY, silent)
+        else:
+            self.process.later(LATENCY, run)
+        return self
+
+
+class VirtualReply:
+    """What a caller gets."""
+
+    def __init__(self) -> None:
+        self.received: list[str] = []
+        self.failure: Failure | None = None
+        self.finals = 0
+        self.is_complete = False
+
+    def tokens(self, tokens: list[str]) -> None:
+        self.received += tokens
+
+    def complete(self, finish: link_pb2.Finish, progress: Any) -> None:
+        self.finals += 1
+        self.is_complete = True
+
+    def fail(self, failure: Failure, progress: Any) -> None:
+        self.finals += 1
+        self.failure = failure
+
+
+class VirtualList:
+    """The list of instances as one process reaches it, with its lag."""
+
+    def __init__(self, process: VirtualProcess, memory: MemoryInstanceList) -> None:
+        self._process = process
+        self._memory = memory
+
+    def read(self, role: str) -> Deferred:
+        return self._memory.read(role)
+
+    def register(self, instance: Any) -> Deferred:
+        clock = self._process.world.clock
+        clock.call_later(LIST_LAG, lambda: self._memory.register(instance))
+        return Deferred()
+
+    def deregister(self, name: str) -> Deferred:
+        clock = self._process.world.clock
+        clock.call_later(LIST_LAG, lambda: self._memory.deregister(name))
+        done: Deferred = Deferred()
+        done.callback(None)
+        return done
+
+
+class VirtualNetwork:
+    """All processes, what connects them, and the faults between them."""
+
+    def __init__(self) -> None:
+        self.clock = ManualTimers()
+        self.memory = MemoryStore()
+        self.list = MemoryInstanceList()
+        self.listening_by_address: dict[str, VirtualListening] = {}
+        self.connections: list[VirtualConnection] = []
+        self.cuts: set[frozenset[str]] = set()
+        self.processes: dict[str, VirtualProcess] = {}
+        self.entries: dict[str, Entry] = {}
+        self.sidecars: dict[str, Sidecar] = {}
+        self.targets: dict[str, VirtualEngine] = {}
+        self.streams: list[VirtualStream] = []
+        self._lives = Counter()
+
+    def _process(self, name: str) -> VirtualProcess:
+        self._lives[name] += 1
+        self.processes[name] = VirtualProcess(self, name)
+        return self.processes[name]
+
+    def start_entry(self, name: str, data_centre: str) -> Entry:
+        process = self._process(name)
+        ports = EntryPorts(
+            timers=process,
+            store=VirtualStore(process, self.memory),
+            instances=VirtualList(process, self.list),
+            open_link=lambda address, to: VirtualClient(self, process, address, to),
+            incarnation=f"{name}/{self._lives[name]}",
+        )
+        settings = EntrySettings(
+            instance=name,
+            data_centre=data_centre,
+            listen="127.0.0.1:3",
+            shared_key=KEY,
+            platform=PLATFORM,
+        )
+        self.entries[name] = Entry(settings, ports)
+        self.entries[name].start()
+        return self.entries[name]
+
+    def start_target(self, name: str, kind: type[VirtualEngine]) -> None:
+        self.targets[name] = kind(self, name)
+        self.processes[name] = self.targets[name].process
+
+    def start_sidecar(self, target: str, data_centre: str, port: int) -> bool:
+        name = f"sidecar-{target}"
+        process = self._process(name)
+        self.targets[target].sidecar = process
+        ports = SidecarPorts(
+            timers=process,
+            store=VirtualStore(process, self.memory),
+            instances=VirtualList(process, self.list),
+            target=self.targets[target],
+            engine=self.targets[target],
+            open_older_system=lambda _: self.targets[target],
+            listening=VirtualListening(self, process),
+            incarnation=f"{name}/{self._lives[name]}",
+        )
+        settings = SidecarSettings(
+            instance=name,
+            data_centre=data_centre,
+            listen=f"127.0.0.1:{port}",
+            target=target,
+            target_address="127.0.0.1:4",
+            shared_key=KEY,
+            platform=PLATFORM,
+        )
+        self.sidecars[name] = Sidecar(settings, ports)
+        return self.sidecars[name].start()
+
+    def kill(self, name: str) -> None:
+        process = self.processes[name]
+        process.is_killed = True
+        self._lapse_leases(name)
+        for listening in list(self.listening_by_address.values()):
+            if listening.process is process:
+                listening.stop()
+        for connection in list(self.connections):
+            if connection.client.process is process:
+                connection.break_off()
+        if name in self.targets:
+            for stream in self.streams:
+                stream.engine_lost(self.targets[name])
+
+    def _lapse_leases(self, name: str) -> None:
+        holder = f"{name}/{self._lives[name]}"
+        self.clock.call_later(LEASE, lambda: self.memory.lapse(holder))
+
+    def pause(self, name: str) -> None:
+        process = self.processes[name]
+        process.pause()
+        self._lapse_leases(name)
+        self.clock.call_later(4.0, lambda: self._break_silent(process))
+
+    def _break_silent(self, process: VirtualProcess) -> None:
+        for connection in list(self.connections):
+            ends = (connection.client.process, connection.server.process)
+            if process in ends and process.is_paused:
+                connection.break_off()
+
+    def cut(self, one: str, other: str) -> None:
+        pair = frozenset((one, other))
+        self.cuts.add(pair)
+        self.clock.call_later(4.0, lambda: self._break_cut(pair))
+
+    def _break_cut(self, pair: frozenset[str]) -> None:
+        for connection in list(self.connections):
+            if connection.is_cut and pair in self.cuts:
+                connection.break_off()
+
+    def heal(self, one: str, other: str) -> None:
+        self.cuts.discard(frozenset((one, other)))
+        for connection in self.connections:
+            connection.heal()
