--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/python -m tools.docs --check
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4
 
 demo: environment
 	$(BIN)/python -m tools.demo
--- a/pimentolink/orders.py
+++ b/pimentolink/orders.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
-from pimentolink.errors import Failure, KeyValueUnavailable, OrderStuck
+from pimentolink.errors import Failure, KeyValueUnavailable, OrderLost, OrderStuck
 from pimentolink.kvstore import KeyValueStore
 from pimentolink.logs import Log, LogEvent
 from pimentolink.plan import Group, Wanted, decode_plan
@@ -148,9 +148,10 @@
             Deferred.fromCoroutine(self._work())
 
     async def _work(self) -> None:
-        await pause(self._timers, max(0.0, self._quiet_until - self._timers.now()))
         try:
             while self._has_news and self._group is not None and not self._is_stopped:
+                quiet = self._quiet_until - self._timers.now()
+                await pause(self._timers, max(0.0, quiet))
                 self._has_news = False
                 if not await self._try_once():
                     self._has_news = True
@@ -163,6 +164,9 @@
         try:
             await self._settle()
         except Failure as failure:
+            if isinstance(failure, OrderLost):
+                # It may begin yet, as one of a dead predecessor may.
+                self._quiet_until = self._timers.now() + self._settings.quiet
             # An engine still under an order refuses work by itself meanwhile.
             self._gate.release()
             self._log.write(
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, checked state by state."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -135,6 +135,7 @@
         self.cache = Cache(options.cache_blocks)
         self.emitted = 0
         self.overlaps = 0
+        self.cut_off = 0
         self._count = 0
         self._is_stepping = False
         self._reported: deque[tuple[float, dict[str, Any]]] = deque(maxlen=100)
@@ -154,12 +155,18 @@
         add("POST", "/cache/export", self.export_cache)
         add("POST", "/cache/import", self.import_cache)
         add("PUT", "/faults", self.set_faults)
+        add("PUT", "/duration", self.set_duration)
 
     def set_faults(self, request: Request) -> None:
         """Switch faults on or off."""
         self.faults.update(body_of(request))
         answer(request, self.faults)
 
+    def set_duration(self, request: Request) -> None:
+        """Change how long an order takes."""
+        self.options.order_seconds = float(body_of(request))
+        answer(request, {})
+
     def complete(self, request: Request) -> None:
         """Queue a completion."""
         if self.ordering is not None:
@@ -284,6 +291,7 @@
                 "ordering": self.ordering,
                 "orders_done": self.orders_done,
                 "overlaps": self.overlaps,
+                "cut_off": self.cut_off,
                 "started": self._count,
             },
         )
@@ -302,12 +310,20 @@
                 return
         self.fencing_number = number
         self.ordering = order
+        self._cut_off_all()
         request.notifyFinish().addErrback(lambda _: None)
         seconds = float(self.options.order_seconds)
         if self.faults["crash_in_order"]:
             reactor.callLater(seconds / 2, self._crash)
         reactor.callLater(seconds, self._finish_order, request, order)
 
+    def _cut_off_all(self) -> None:
+        """End every answer under way: an order takes the engine out of service."""
+        for sequence in self.running + self.waiting:
+            self.cut_off += 1
+            self._drop(sequence)
+            sequence.request.transport.abortConnection()  # type: ignore[union-attr]
+
     def _finish_order(self, request: Request, order: dict[str, Any]) -> None:
         if order["role"] != self.role:
             self.cache.clear()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -24,6 +24,7 @@
     | "return" NAME                                 -> restore
     | "race" NAME "role" NAME "against" NAME        -> race
     | "slow" NAME "to" NUMBER                       -> slow
+    | "note" "started" "at" NAME                    -> note_started
     | "stranger" "submits" "to" NAME                -> stranger
     | "send" NAME "to" NAME "through" NAME ["key" NAME] ["tokens" INT] -> send
     | "pass" NUMBER                                 -> pass_time
@@ -37,7 +38,9 @@
     | NAME "role" NAME                              -> role
     | NAME "under" "order"                          -> under_order
     | NAME "started" INT                            -> started
+    | NAME "started" "no" "more"                    -> started_no_more
     | "orders" "at" NAME "never" "go" "back"        -> orders_in_order
+    | "nothing" "was" "cut" "off" "at" NAME         -> nothing_cut
     | "version" INT "at" NAME                       -> version
     | "version" INT "everywhere"                    -> version_everywhere
     | NAME "reaches" NAME                           -> reaches
@@ -111,7 +114,9 @@
     "role",
     "under_order",
     "started",
+    "started_no_more",
     "orders_in_order",
+    "nothing_cut",
     "version",
     "version_everywhere",
     "reaches",
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -247,6 +247,7 @@
         self.begun: list[int] = []
         self.under_order = 0
         self.overlaps = 0
+        self.cut_off = 0
         self.crosses_answers = False
         self.started: list[float] = []
 
@@ -270,6 +271,8 @@
         assert asker is not None
 
         def begin() -> None:
+            for stream in self.process.world.streams:
+                self.cut_off += stream.engine_lost(self)
             self.overlaps += self.under_order > 0
             self.under_order += 1
             self.begun.append(fencing_number)
@@ -329,11 +332,14 @@
     def pause(self, paused: bool) -> None:
         raise NotImplementedError
 
-    def engine_lost(self, engine: VirtualEngine) -> None:
-        if engine is self._engine and not self._is_over:
-            self._is_over = True
-            failure = TargetFailed("the answer broke off")
-            self._sidecar.later(LATENCY, lambda: self._listener.failed(failure))
+    def engine_lost(self, engine: VirtualEngine) -> bool:
+        """Break the answer off; tell whether there was one under way."""
+        if engine is not self._engine or self._is_over or self._sidecar.is_killed:
+            return False
+        self._is_over = True
+        failure = TargetFailed("the answer broke off")
+        self._sidecar.later(LATENCY, lambda: self._listener.failed(failure))
+        return True
 
     def _step(self) -> None:
         if self._is_over or self._sidecar.is_killed:
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -1,7 +1,10 @@
 """The two worlds that scenarios run in: virtual time, and real processes."""
 
+import http.client
 import json
 import threading
+import urllib.error
+import urllib.request
 from typing import Any
 
 import msgspec
@@ -26,9 +29,20 @@
 class BaseWorld:
     """What both worlds share: how conditions are told from facts."""
 
+    noted = 0
+
     def check(self, condition: Condition) -> bool:
         return bool(getattr(self, f"is_{condition.kind}")(*condition.arguments))
 
+    def note_started(self, target: str) -> None:
+        self.noted = self.started_at(target)
+
+    def is_started(self, target: str, count: int) -> bool:
+        return self.started_at(target) == count
+
+    def is_started_no_more(self, target: str) -> bool:
+        return self.started_at(target) == self.noted
+
     def is_orders_in_order(self, target: str) -> bool:
         begun, overlaps = self.orders_of(target)
         return begun == sorted(begun) and overlaps == 0
@@ -45,6 +59,9 @@
     def runs(self, service: str, key: str) -> int:
         raise NotImplementedError
 
+    def started_at(self, target: str) -> int:
+        raise NotImplementedError
+
 
 class VirtualWorld(BaseWorld):
     """Entries and sidecars as objects in virtual time."""
@@ -231,13 +248,16 @@
     def is_under_order(self, target: str) -> bool:
         return self.network.targets[target].under_order > 0
 
-    def is_started(self, target: str, count: int) -> bool:
-        return len(self.network.targets[target].started) == count
+    def started_at(self, target: str) -> int:
+        return len(self.network.targets[target].started)
 
     def orders_of(self, target: str) -> tuple[list[int], int]:
         engine = self.network.targets[target]
         return engine.begun, engine.overlaps
 
+    def is_nothing_cut(self, target: str) -> bool:
+        return self.network.targets[target].cut_off == 0
+
     def is_version(self, version: int, name: str) -> bool:
         node = self.network.entries.get(name) or self.network.sidecars[name]
         adoption = getattr(node, "adoption", None) or node._adoption
@@ -425,7 +445,7 @@
     def send(
         self, name: str, service: str, entry: str, key: str | None, tokens: int | None
     ) -> None:
-        result: dict[str, Any] = {"text": "", "status": None}
+        result: dict[str, Any] = {"text": "", "status": None, "tokens": 0}
         self.results[name] = result
         count = tokens or DEFAULT_TOKENS
         self.wanted[name] = whole_answer(name, count) if service == "claims" else ""
@@ -445,8 +465,30 @@
         self, name: str, result: Any, service: str, entry: str, _: Any, count: int
     ) -> None:
         url = self.fleet.url(entry, "/v1/completions")
-        body = {"model": service, "prompt": name, "max_tokens": count}
-        self._finish(result, url, json.dumps(body).encode(), {})
+        body = {"model": service, "prompt": name, "max_tokens": count, "stream": True}
+        asked = urllib.request.Request(url, json.dumps(body).encode(), method="POST")
+        try:
+            with urllib.request.urlopen(asked, timeout=40.0) as response:
+                self._read_stream(result, response)
+        except urllib.error.HTTPError as error:
+            result.update(status=error.code, error=json.load(error)["error"])
+        except (OSError, http.client.HTTPException) as error:
+            result.update(status=0, error={"ran": True, "code": str(error)})
+
+    def _read_stream(self, result: Any, response: Any) -> None:
+        for line in response:
+            if not line.startswith(b"data: "):
+                continue
+            if line.startswith(b"data: [DONE]"):
+                result["status"] = 200
+                return
+            event = json.loads(line.removeprefix(b"data: "))
+            if "error" in event:
+                result.update(status=0, error=event["error"])
+                return
+            result["text"] += event["choices"][0]["text"]
+            result["tokens"] += 1
+        result.update(status=0, error={"ran": True, "code": "broken off"})
 
     def _finish(self, result: Any, url: str, body: bytes, headers: Any) -> None:
         try:
@@ -454,8 +496,6 @@
         except OSError as error:
             result.update(status=0, error={"ran": True, "code": str(error)})
             return
-        if reply.status == 200 and "v1" in url:
-            result["text"] = reply.json["choices"][0]["text"]
         if reply.status != 200:
             result["error"] = reply.json["error"]
         result["status"] = reply.status
@@ -485,14 +525,20 @@
     def is_under_order(self, target: str) -> bool:
         return self._state(target)["ordering"] is not None
 
-    def is_started(self, target: str, count: int) -> bool:
-        return self._state(target)["started"] == count
+    def started_at(self, target: str) -> int:
+        return self._state(target)["started"]
 
     def orders_of(self, target: str) -> tuple[list[int], int]:
         state = self._state(target)
         done = [order["fencing_number"] for order in state["orders_done"]]
         return done, state["overlaps"]
 
+    def is_nothing_cut(self, target: str) -> bool:
+        return self._state(target)["cut_off"] == 0
+
+    def is_tokens(self, name: str, count: int) -> bool:
+        return self.results[name]["tokens"] >= count
+
     def _status(self, entry: str) -> Any:
         headers = {"authorization": f"Bearer {SHARED_KEY}"}
         return call(self.fleet.url(entry, "/pimentolink/status"), headers=headers).json
