--- a/pimentolink/daemon.py
+++ b/pimentolink/daemon.py
@@ -75,7 +75,14 @@
         )
         site = make_site(interface, self._settings.limits, self._timers)
         host, port = split_address(self._settings.listen)
-        self._port = listen(self._reactor, host, port, site, LISTEN_BACKLOG)
+        self._port = listen(
+            self._reactor,
+            host,
+            port,
+            site,
+            LISTEN_BACKLOG,
+            self._settings.limits.buffered_bytes,
+        )
         self._entry.start()
 
     async def stop(self) -> None:
@@ -159,6 +166,7 @@
 
     reactor: Any = installed_reactor
     logs.configure()
+    logs.catch_unhandled(logs.Log())
     process = _Process(reactor, make_service)
     reactor.callWhenRunning(process.start)
     reactor.run(installSignalHandlers=False)
--- a/pimentolink/directwrite.py
+++ b/pimentolink/directwrite.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Iterable
 from typing import Any
 
@@ -40,7 +41,21 @@
 
 
 class DirectServer(_DirectWrites, tcp.Server):
-    """An accepted connection whose writes go to the socket straight away."""
+    """
+    An accepted connection whose writes go to the socket straight away.
+
+    :cvar send_buffer: bytes that the system may keep for a slow peer; 0 leaves it to
+        the system, which may keep megabytes.
+    """
+
+    send_buffer = 0
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        """Bound the system's buffer."""
+        super().__init__(*args, **kwargs)
+        if self.send_buffer:
+            option = (socket.SOL_SOCKET, socket.SO_SNDBUF, self.send_buffer)
+            self.socket.setsockopt(*option)
 
 
 class DirectClient(_DirectWrites, tcp.Client):
@@ -60,7 +75,14 @@
     transport = DirectServer
 
 
-def listen(reactor: Any, host: str, port: int, factory: Any, backlog: int) -> Any:
+def listen(
+    reactor: Any,
+    host: str,
+    port: int,
+    factory: Any,
+    backlog: int,
+    send_buffer: int = 0,
+) -> Any:
     """
     Listen for connections that write at once.
 
@@ -69,9 +91,16 @@
     :param port: TCP port.
     :param factory: makes a protocol for each connection.
     :param backlog: connections that may wait to be accepted.
+    :param send_buffer: bytes that the system may keep for a slow peer.
     :returns: the listening port.
     """
     listening = DirectPort(port, factory, backlog, host, reactor)
+
+    class BoundedServer(DirectServer):
+        """A connection with this port's bound."""
+
+    BoundedServer.send_buffer = send_buffer
+    listening.transport = BoundedServer
     listening.startListening()
     return listening
 
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -8,6 +8,8 @@
 from typing import Any, NamedTuple
 
 import structlog
+from twisted.logger import ILogObserver, globalLogPublisher
+from zope.interface import provider
 
 SECRET_FIELDS = frozenset({"shared_key", "authorization", "body", "idempotency_key"})
 
@@ -102,6 +104,11 @@
         logging.ERROR,
         "An order failed; it is tried again as the plan stands then.",
     )
+    UNHANDLED_ERROR = (
+        "E1901",
+        logging.ERROR,
+        "A fault in this process itself; it should be reported.",
+    )
     SPAN_ENDED = ("E1701", logging.INFO, "One hop of a traced request ended.")
 
     @property
@@ -147,6 +154,23 @@
     )
 
 
+def catch_unhandled(log: Log) -> None:
+    """
+    Write the faults that the loop catches as events, instead of losing them.
+
+    :param log: where they go.
+    """
+
+    @provider(ILogObserver)
+    def observe(event: dict[str, Any]) -> None:
+        failure = event.get("log_failure")
+        if failure is not None:
+            text = failure.getTraceback()
+            log.write(LogEvent.UNHANDLED_ERROR, traceback=text)
+
+    globalLogPublisher.addObserver(observe)
+
+
 class Log:
     """Writes events of the catalogue with the fields of one process."""
 
--- a/pimentolink/settings.py
+++ b/pimentolink/settings.py
@@ -67,15 +67,15 @@
 
     :ivar body_bytes: largest body.
     :ivar in_flight: requests in work at once.
-    :ivar buffered_tokens: tokens kept for a caller that reads slowly, before
-        reading from its target is paused.
+    :ivar buffered_bytes: bytes that the system may keep for a caller that reads
+        slowly, before reading from its target is paused.
     :ivar stall: seconds that a caller may leave its answer unread.
     :ivar request_head: seconds a caller may take to send a request.
     """
 
     body_bytes: Count = 4_000_000
     in_flight: Count = 4_000
-    buffered_tokens: Count = 256
+    buffered_bytes: Count = 65_536
     stall: Seconds = 30.0
     request_head: Seconds = 30.0
 
--- a/pimentolink/targets.py
+++ b/pimentolink/targets.py
@@ -117,6 +117,7 @@
 
     delimiter = b"\n"
     MAX_LENGTH = 1_000_000
+    transport: Any
 
     def __init__(self, call: _HttpCall) -> None:
         self._call = call
@@ -140,7 +141,7 @@
 
     def abort(self) -> None:
         if self.transport is not None:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
 
 class _HttpCall:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -24,6 +24,7 @@
             "targets": ["dispatch-1", "dispatch-2"],
             "work": "dispatch",
             "repeatable": False,
+            "claim_partitions": 1,
         },
     },
     "targets": {
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,3 +7,5 @@
 def fleet():
     with Fleet() as running:
         yield running
+        faults = running.faults()
+    assert faults == []
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -280,6 +280,15 @@
         if done.returncode:
             raise RuntimeError(done.stderr)
 
+    def faults(self) -> list[str]:
+        """List the lines in which a process tells of a fault of its own."""
+        return [
+            f"{name}: {line}"
+            for name, process in self.processes_by_name.items()
+            for line in process.log_path.read_text().splitlines()
+            if "unhandled_error" in line or line.startswith("Traceback")
+        ]
+
     def wait_ready(self, entry: str, targets: list[str]) -> None:
         """Wait until an entry can reach all of these targets."""
 
