--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: environment test demo bench capacity generate
+.PHONY: environment test demo bench capacity experiment generate
 
 environment: .venv/installed
 
@@ -25,3 +25,9 @@
 
 generate: environment
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --pyi_out=. pimentolink/link.proto
+
+capacity: environment
+	$(BIN)/python -m tools.capacity
+
+experiment: environment
+	$(BIN)/python -m tools.experiment
--- a/pimentolink/adoption.py
+++ b/pimentolink/adoption.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pimentolink.configstore import digest_of, patched
 from pimentolink.configuration import AcceptedConfiguration, ServiceConfiguration
 from pimentolink.logs import Log, LogEvent
 
@@ -63,6 +64,25 @@
             callback()
         return True
 
+    def offer_patch(self, patch: bytes, version: int, digest: str) -> bool:
+        """
+        Take a change to the document in force.
+
+        :param patch: JSON merge patch.
+        :param version: that it leads to.
+        :param digest: of the document that it leads to.
+        :returns: whether that version, or a newer one, is now in force; if not, the
+            whole document is needed.
+        """
+        if version <= self.version:
+            return True
+        if version != self.version + 1 or not self.document:
+            return False
+        document = patched(self.document, patch)
+        if digest_of(document) != digest:
+            return False
+        return self.offer(document)
+
     def service(self, name: str) -> ServiceConfiguration | None:
         """
         Look a service up.
--- a/pimentolink/callers.py
+++ b/pimentolink/callers.py
@@ -232,7 +232,7 @@
             is_model=False,
             prefill_tokens=0,
             decode_tokens=0,
-            prefix=0,
+            prefixes=(),
             traceparent=headers.get("traceparent", ""),
         )
         self._start(web, request, _ServiceReply(self, web, request))
--- a/pimentolink/completions.py
+++ b/pimentolink/completions.py
@@ -19,7 +19,8 @@
 WORK_HEADER = "pimentolink-work"
 CHARACTERS_PER_TOKEN = 4
 DEFAULT_DECODE_TOKENS = 256
-PREFIX_CHARACTERS = 512
+# Lengths at which beginnings of prompts are compared, for the engines' caches.
+PREFIX_TOKENS = (256, 512, 1_024, 2_048, 4_096, 8_192, 16_384, 32_768)
 
 
 class ChatMessage(Struct):
@@ -115,7 +116,7 @@
         is_model=True,
         prefill_tokens=1 + len(prompt) // CHARACTERS_PER_TOKEN,
         decode_tokens=asked.max_tokens or DEFAULT_DECODE_TOKENS,
-        prefix=_prefix_of(prompt),
+        prefixes=_prefixes_of(prompt),
         traceparent=headers.get("traceparent", ""),
     )
     return Ok(Asked(request, asked.model, is_chat, asked.stream))
@@ -129,10 +130,13 @@
     return "\n".join(message.content for message in asked.messages)
 
 
-def _prefix_of(prompt: str) -> int:
-    if len(prompt) < PREFIX_CHARACTERS:
-        return 0
-    return xxhash.xxh3_64_intdigest(prompt[:PREFIX_CHARACTERS].encode())
+def _prefixes_of(prompt: str) -> tuple[int, ...]:
+    lengths = (tokens * CHARACTERS_PER_TOKEN for tokens in PREFIX_TOKENS)
+    return tuple(
+        xxhash.xxh3_64_intdigest(prompt[:length].encode())
+        for length in lengths
+        if length <= len(prompt)
+    )
 
 
 class ChunkEncoder:
--- a/pimentolink/configstore.py
+++ b/pimentolink/configstore.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import json_merge_patch
 import msgspec
+import xxhash
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from pimentolink.configuration import AcceptedConfiguration, Configuration
@@ -10,15 +15,65 @@
 from pimentolink.kvstore import KeyValueStore
 
 CONFIGURATION_KEY = "pimentolink/configuration"
-HISTORY_PREFIX = "pimentolink/configuration-history"
+DOCUMENT_PREFIX = "pimentolink/configurations"
+
+
+class Head(Struct, frozen=True, kw_only=True):
+    """
+    What says which configuration is accepted; small, since every entry watches it.
+
+    :ivar version: of the accepted configuration.
+    :ivar change_id: names the stored document and recognises its writer.
+    :ivar patch: what changed since the version before, as JSON merge patch.
+    :ivar digest: of the whole document, to tell whether the patch led to it.
+    """
+
+    version: int
+    change_id: str
+    patch: msgspec.Raw
+    digest: str
+
+    @property
+    def document_key(self) -> str:
+        """Key of the whole document."""
+        return f"{DOCUMENT_PREFIX}/{self.change_id}"
+
+
+def digest_of(document: bytes) -> str:
+    """
+    Digest a document.
+
+    :param document: as :func:`encode` wrote it.
+    """
+    return xxhash.xxh3_64_hexdigest(document)
+
+
+def encode(accepted: AcceptedConfiguration) -> bytes:
+    """Write an accepted configuration; the same one always in the same bytes."""
+    return msgspec.json.encode(accepted, order="sorted")
+
+
+def patched(document: bytes, patch: bytes) -> bytes:
+    """
+    Apply a patch to a whole document.
+
+    :param document: as :func:`encode` wrote it.
+    :param patch: of a :class:`Head`.
+    :returns: the document that follows it.
+    :source: RFC 7396, JSON Merge Patch.
+    """
+    before = msgspec.json.decode(document)
+    after = json_merge_patch.merge(before, msgspec.json.decode(patch))
+    return encode(msgspec.convert(after, AcceptedConfiguration))
 
 
 class ConfigurationStore:
     """
     Reads and replaces the accepted configuration.
 
-    A change is one compare-and-swap from the version that it was made against, so of
-    operators who race only one wins and the others are told against what.
+    The whole document is stored first, under a key of its own; a change is one
+    compare-and-swap of the small head, so of operators who race only one wins and the
+    others are told against what.
     """
 
     def __init__(self, store: KeyValueStore) -> None:
@@ -36,8 +91,8 @@
         :returns: ``None`` if nothing has been yet.
         :raises KeyValueUnavailable: without an answer.
         """
-        value = await self._store.get(CONFIGURATION_KEY)
-        return _decode(value.data)
+        head, _ = await self._head()
+        return await self._document(head.change_id) if head is not None else None
 
     async def history(self, most: int) -> list[AcceptedConfiguration]:
         """
@@ -50,8 +105,7 @@
         accepted = await self.read()
         while accepted is not None and len(versions) < most:
             versions.append(accepted)
-            key = f"{HISTORY_PREFIX}/{accepted.version - 1}"
-            accepted = _decode((await self._store.get(key)).data)
+            accepted = await self._document(accepted.previous)
         return versions
 
     async def replace(
@@ -73,35 +127,47 @@
         :returns: what was accepted; or who came first; or that the service gave no
             answer and could not be asked what became of the write.
         """
-        value = await self._store.get(CONFIGURATION_KEY)
-        current = _decode(value.data)
+        head, revision = await self._head()
+        current = await self._document(head.change_id) if head is not None else None
         if current is not None and current.version != against:
             return Err(_conflict(current))
         if current is None and against != 0:
             return Err(ConfigurationConflict(0, "nobody", "none"))
-        if current is not None and value.data is not None:
-            await self._keep(current.version, value.data)
         accepted = AcceptedConfiguration(
             version=against + 1,
             change_id=change_id,
+            previous=current.change_id if current is not None else "",
             author=author,
             applied_at=applied_at,
             configuration=configuration,
         )
-        data = msgspec.json.encode(accepted)
+        new_head = _head_of(current, accepted)
+        document = encode(accepted)
+        await self._store.compare_and_swap(new_head.document_key, document, 0)
+        data = msgspec.json.encode(new_head)
         try:
-            revision = await self._store.compare_and_swap(
-                CONFIGURATION_KEY, data, value.revision
+            written = await self._store.compare_and_swap(
+                CONFIGURATION_KEY, data, revision
             )
         except KeyValueUnavailable as error:
             return await self._find_own_change(accepted, error)
-        if revision is None:
+        if written is None:
             return await self._lost_against()
         return Ok(accepted)
 
-    async def _keep(self, version: int, data: bytes) -> None:
-        key = f"{HISTORY_PREFIX}/{version}"
-        await self._store.compare_and_swap(key, data, 0)
+    async def _head(self) -> tuple[Head | None, int]:
+        value = await self._store.get(CONFIGURATION_KEY)
+        if value.data is None:
+            return None, 0
+        return msgspec.json.decode(value.data, type=Head), value.revision
+
+    async def _document(self, change_id: str) -> AcceptedConfiguration | None:
+        if not change_id:
+            return None
+        value = await self._store.get(f"{DOCUMENT_PREFIX}/{change_id}")
+        if value.data is None:
+            return None
+        return msgspec.json.decode(value.data, type=AcceptedConfiguration)
 
     async def _lost_against(
         self,
@@ -125,11 +191,18 @@
         return Err(error)
 
 
-def _conflict(winner: AcceptedConfiguration) -> ConfigurationConflict:
-    return ConfigurationConflict(winner.version, winner.author, winner.change_id)
+def _head_of(
+    current: AcceptedConfiguration | None, accepted: AcceptedConfiguration
+) -> Head:
+    before: Any = msgspec.to_builtins(current) if current is not None else {}
+    patch = json_merge_patch.create_patch(before, msgspec.to_builtins(accepted))
+    return Head(
+        version=accepted.version,
+        change_id=accepted.change_id,
+        patch=msgspec.Raw(msgspec.json.encode(patch)),
+        digest=digest_of(encode(accepted)),
+    )
 
 
-def _decode(data: bytes | None) -> AcceptedConfiguration | None:
-    if data is None:
-        return None
-    return msgspec.json.decode(data, type=AcceptedConfiguration)
+def _conflict(winner: AcceptedConfiguration) -> ConfigurationConflict:
+    return ConfigurationConflict(winner.version, winner.author, winner.change_id)
--- a/pimentolink/configuration.py
+++ b/pimentolink/configuration.py
@@ -17,7 +17,9 @@
 Role = Literal["mixed", "prefill", "decode"]
 
 
-class WorkConfiguration(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+class WorkConfiguration(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
+):
     """
     A kind of work.
 
@@ -29,7 +31,9 @@
     patience: Seconds = 60.0
 
 
-class ModelConfiguration(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+class ModelConfiguration(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
+):
     """
     A model.
 
@@ -42,7 +46,7 @@
 
 
 class ServiceConfiguration(
-    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
 ):
     """
     A service.
@@ -66,7 +70,7 @@
 
 
 class TargetConfiguration(
-    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
 ):
     """
     A target.
@@ -86,7 +90,7 @@
 
 
 class DataCentreConfiguration(
-    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
 ):
     """
     A data centre.
@@ -97,7 +101,9 @@
     region: str
 
 
-class Configuration(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+class Configuration(
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
+):
     """
     What a site runs, as operators wrote it.
 
@@ -142,19 +148,21 @@
 
 
 class AcceptedConfiguration(
-    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+    Struct, frozen=True, forbid_unknown_fields=True, kw_only=True, omit_defaults=True
 ):
     """
     A configuration as it stands in the key-value service.
 
     :ivar version: one more than the version it replaced.
     :ivar change_id: identity of the change, by which its writer recognises it.
+    :ivar previous: identity of the change that it replaced; empty for the first.
     :ivar author: who applied it.
     :ivar applied_at: when, as ISO 8601.
     """
 
     version: int
     change_id: str
+    previous: str = ""
     author: str
     applied_at: str
     configuration: Configuration
--- a/pimentolink/directory.py
+++ b/pimentolink/directory.py
@@ -126,8 +126,5 @@
             settled_number=load.settled_number,
             running=load.running,
             waiting=load.waiting,
-            prefill_tokens=load.prefill_tokens,
-            decode_tokens=load.decode_tokens,
-            prefill_done=load.prefill_done,
-            decode_done=load.decode_done,
+            long_prefill_asked=load.long_prefill_asked,
         )
--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -33,7 +33,7 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.request import Progress, Request
 from pimentolink.retry import RetryBudget
-from pimentolink.router import Router
+from pimentolink.router import PREFILL, PrefixMemory, Router, TargetState
 from pimentolink.settings import EntrySettings
 from pimentolink.timers import Timer, Timers
 from pimentolink.tracing import Tracing
@@ -95,6 +95,7 @@
         adoption: Adoption,
         directory: TargetDirectory,
         router: Router,
+        memory: PrefixMemory,
         timers: Timers,
         tracing: Tracing,
         log: Log,
@@ -106,6 +107,7 @@
         :param adoption: the configuration in force.
         :param directory: the targets that are linked.
         :param router: chooses among them.
+        :param memory: which prompts were read where.
         :param timers: the timer service.
         :param tracing: makes spans.
         :param log: where events go.
@@ -114,6 +116,7 @@
         self._adoption = adoption
         self._directory = directory
         self._router = router
+        self._memory = memory
         self._timers = timers
         self._tracing = tracing
         self._log = log
@@ -219,7 +222,7 @@
         progress = work.progress
         request = progress.request
         chosen = self._router.choose(
-            request,
+            progress.remaining,
             self._adoption.claim_partitions(request.service),
             progress.tried_target_ids,
             self._timers.now(),
@@ -232,16 +235,36 @@
         self._last_attempt_id += 1
         progress.begin(self._last_attempt_id, target.target_id)
         self._request_id_by_attempt[self._last_attempt_id] = request.request_id
-        prefill = request.prefill_tokens + len(progress.tokens)
-        target.sent(prefill, progress.decode_tokens_left if request.is_model else 0)
+        work_tokens = self._prefill_work(progress, target)
+        target.sent(work_tokens)
+        progress.is_prefill_only = self._is_split(progress, target)
         span = self._tracing.start("attempt", request.request_id, request.traceparent)
         span.set_attribute("target", target.target_id)
         work.spans["attempt"] = span
-        submit = self._submission(progress, self._last_attempt_id, span)
+        submit = self._submission(progress, work_tokens, span)
         link = self._directory.link(target.target_id)
         if link is not None:
             link.send(link_pb2.EntryMessage(submit=submit))
 
+    def _prefill_work(self, progress: Progress, target: TargetState) -> int:
+        """Predict the prompt work that is left for a target, in tokens."""
+        request = progress.remaining
+        held = self._memory.expected_tokens(request, target.target_id)
+        return max(1, request.prefill_tokens - held) + len(progress.tokens)
+
+    def _is_split(self, progress: Progress, target: TargetState) -> bool:
+        """Tell whether a target only reads the prompt for another to answer."""
+        request = progress.request
+        routing = self._settings.routing
+        return (
+            routing.split
+            and target.load.role == PREFILL
+            and request.prefill_tokens >= routing.split_from
+            and request.decode_tokens > 1
+            and not progress.was_handed_over
+            and not progress.to_older_system
+        )
+
     def _belongs_to_older_system(self, request: Request) -> bool:
         """Draw by key, so that a caller's retry of a call draws alike."""
         service = self._adoption.service(request.service)
@@ -251,7 +274,7 @@
         return int(drawn[:8], 16) / 0x1_0000_0000 < service.older_share
 
     def _submission(
-        self, progress: Progress, attempt_id: int, span: trace.Span
+        self, progress: Progress, work_tokens: int, span: trace.Span
     ) -> link_pb2.Submit:
         request = progress.request
         headers = [
@@ -260,7 +283,7 @@
         ]
         headers.append(link_pb2.Header(name=CALLER_HEADER, value=request.caller))
         return link_pb2.Submit(
-            attempt_id=attempt_id,
+            attempt_id=progress.attempt_id or 0,
             request_id=request.request_id,
             service=request.service,
             priority=request.priority,
@@ -272,8 +295,10 @@
             idempotency_key=request.idempotency_key,
             traceparent=self._tracing.traceparent(span) or request.traceparent,
             to_older_system=progress.to_older_system and progress.attempts == 1,
-            prefill_tokens=request.prefill_tokens,
+            prefill_tokens=work_tokens if request.is_model else 0,
             decode_tokens=progress.decode_tokens_left if request.is_model else 0,
+            prefill_only=progress.is_prefill_only,
+            cache=progress.cache,
         )
 
     def _tokens_came(self, work: _Work, event: link_pb2.Event) -> None:
@@ -282,8 +307,10 @@
             self._withdraw_attempt(work)
             self._attempt_failed(work, accepted.err_value)
             return
-        if work.progress.first_token_at is None:
-            work.progress.first_token_at = self._timers.now()
+        progress = work.progress
+        if progress.first_token_at is None:
+            progress.first_token_at = self._timers.now()
+            self._memory.note(progress.request, progress.target_id)
         work.reply.tokens(accepted.ok_value)
 
     def _finish_came(
@@ -295,6 +322,9 @@
             if target is not None:
                 target.succeeded()
             self._end_attempt(work)
+            if work.progress.is_prefill_only:
+                self._hand_over(work, finish.cache)
+                return
             self._close(work)
             work.reply.complete(finish, work.progress)
             return
@@ -304,6 +334,15 @@
         )
         self._attempt_failed(work, failure)
 
+    def _hand_over(self, work: _Work, cache: bytes) -> None:
+        """Go on with another engine, which is no retry."""
+        progress = work.progress
+        progress.cache = cache
+        progress.was_handed_over = True
+        progress.attempts -= 1
+        progress.is_prefill_only = False
+        self._attempt(work)
+
     def _attempt_failed(self, work: _Work, failure: Failure) -> None:
         progress = work.progress
         self._log.write(
--- a/pimentolink/entry.py
+++ b/pimentolink/entry.py
@@ -7,9 +7,11 @@
 from random import Random
 from typing import Any, NamedTuple, Protocol
 
+import msgspec
+
 from pimentolink import link_pb2
 from pimentolink.adoption import Adoption
-from pimentolink.configstore import CONFIGURATION_KEY
+from pimentolink.configstore import CONFIGURATION_KEY, Head
 from pimentolink.directory import TargetDirectory
 from pimentolink.dispatcher import Dispatcher
 from pimentolink.follower import KeyFollower
@@ -19,8 +21,9 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
 from pimentolink.plan import Group, group_of, groups_of
-from pimentolink.planner import FixedRoles, Planner
-from pimentolink.router import PredictedWork, Router
+from pimentolink.planner import Planner
+from pimentolink.roles import make_role_policy
+from pimentolink.router import PrefixMemory, Router, make_policy
 from pimentolink.settings import EntrySettings
 from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.tracing import Tracing
@@ -73,9 +76,13 @@
         self._follower = self._make_follower(
             CONFIGURATION_KEY, self._configuration_came
         )
+        self._head: Head | None = None
         self._plan_followers: dict[Group, KeyFollower] = {}
         self._revision_by_group: dict[Group, int] = {}
-        policy = PredictedWork(settings.routing, settings.data_centre, self._random)
+        memory = PrefixMemory(settings.routing.prefixes_kept)
+        policy = make_policy(
+            settings.routing, settings.data_centre, memory, self._random
+        )
         router = Router(policy)
         self.directory = TargetDirectory(self.adoption, router, self._timers)
         self.dispatcher = Dispatcher(
@@ -83,6 +90,7 @@
             self.adoption,
             self.directory,
             router,
+            memory,
             self._timers,
             self.tracing,
             self.log,
@@ -94,7 +102,7 @@
             ports.store,
             self.adoption,
             self.directory,
-            FixedRoles(),
+            make_role_policy(settings.planner, self._timers),
             self._timers,
             self.log,
         )
@@ -192,6 +200,8 @@
             self.directory.reported(link, message.load)
         elif kind == "document":
             self.adoption.offer(message.document.json)
+        elif kind == "document_wanted":
+            link.send(self._document())
 
     def link_down(self, link: EntryLink) -> None:
         """Take a sidecar's target out of routing."""
@@ -215,13 +225,26 @@
         )
 
     def _configuration_came(self, value: Value) -> None:
+        if value.data is None:
+            return
+        head = msgspec.json.decode(value.data, type=Head)
+        self._head = head
+        if not self.adoption.offer_patch(bytes(head.patch), head.version, head.digest):
+            whole = self._ports.store.get(head.document_key)
+            whole.addCallbacks(self._document_came, self._document_failed)
+
+    def _document_came(self, value: Value) -> None:
         if value.data is not None:
             self.adoption.offer(value.data)
 
+    def _document_failed(self, failure: object) -> None:
+        # The follower asks for the head again and again, so this is tried again too.
+        self._follower.forget()
+
     def _configuration_adopted(self) -> None:
-        document = self._document()
+        message = self._change()
         for link in self._hello_by_link:
-            link.send(document)
+            link.send(message)
         self._follow_plans()
 
     def _follow_plans(self) -> None:
@@ -263,6 +286,16 @@
         )
         return link_pb2.EntryMessage(document=document)
 
+    def _change(self) -> link_pb2.EntryMessage:
+        """Tell what changed, or all of it if that is not known here."""
+        head = self._head
+        if head is None or head.version != self.adoption.version:
+            return self._document()
+        document = link_pb2.Document(
+            version=head.version, patch=bytes(head.patch), digest=head.digest
+        )
+        return link_pb2.EntryMessage(document=document)
+
     def _read_list(self) -> None:
         self._ports.instances.read(SIDECAR).addCallbacks(
             self._list_came, self._list_failed
--- a/pimentolink/executor.py
+++ b/pimentolink/executor.py
@@ -31,6 +31,8 @@
 from pimentolink.timers import Timers
 from pimentolink.tracing import Tracing
 
+# Tokens of prompt work from which on a request weighs on others' answers.
+LONG_PREFILL = 1_024
 CALLER_HEADER = "pimentolink-caller"
 KEPT_HEADERS = frozenset({"content-type", "location", "retry-after"})
 
@@ -141,6 +143,7 @@
         self._idle_waiters: list[Deferred[None]] = []
         self.prefill_done = 0
         self.decode_done = 0
+        self.long_prefill_asked = 0
         self.is_draining = False
         self.is_held = False
         self.target_is_lost = False
@@ -169,6 +172,7 @@
             held=self.is_held or self.is_drained,
             prefill_done=self.prefill_done,
             decode_done=self.decode_done,
+            long_prefill_asked=self.long_prefill_asked,
         )
 
     def submit(self, link: SidecarLink, submit: link_pb2.Submit) -> None:
@@ -195,6 +199,8 @@
             submit.decode_tokens,
         )
         self._attempts_by_key[attempt.key] = attempt
+        if submit.prefill_tokens >= LONG_PREFILL:
+            self.long_prefill_asked += submit.prefill_tokens
         self._shed(self._queue.offer(waiting), attempt)
         self._start_next()
 
@@ -278,6 +284,7 @@
         )
         if attempt.offset == len(attempt.submit.resume_tokens):
             self.prefill_done += attempt.submit.prefill_tokens
+            self._queue.prefilled(attempt.key)
         attempt.offset += len(tokens)
         self.decode_done += len(tokens)
 
@@ -362,6 +369,8 @@
             priority=submit.priority,
             resume_tokens=list(submit.resume_tokens),
             is_repeatable=not submit.idempotency_key,
+            prefill_only=submit.prefill_only,
+            cache=submit.cache,
         )
 
     def _join(self, attempt: _Attempt) -> bool:
@@ -484,6 +493,9 @@
     def finished(self, answer: Answer, finish_reason: str) -> None:
         finish = _finish_of_answer(answer)
         finish.finish_reason = finish_reason
+        if self._attempt.submit.prefill_only:
+            finish.cache = finish.body
+            finish.body = b""
         self._executor.finish(self._attempt, finish)
 
     def failed(self, failure: Failure) -> None:
--- a/pimentolink/follower.py
+++ b/pimentolink/follower.py
@@ -56,6 +56,13 @@
         """Read the key, then watch it."""
         self._ask()
 
+    def forget(self) -> None:
+        """Read the key again soon, though it has not changed."""
+        self._index = 0
+        if self._pending is not None:
+            self._pending.cancel()
+        self._timers.call_later(self._backoff.next(), self._ask)
+
     def stop(self) -> None:
         """Watch no more."""
         self._is_stopped = True
--- a/pimentolink/planner.py
+++ b/pimentolink/planner.py
@@ -23,8 +23,7 @@
 
     :ivar is_linked: whether its sidecar answers.
     :ivar settled_number: of the plan's last change to it that it meets.
-    :ivar prefill_done: prompt tokens read since its sidecar started.
-    :ivar decode_done: tokens written since its sidecar started.
+    :ivar long_prefill_asked: work of long prompts since its sidecar started, tokens.
     """
 
     target_id: str
@@ -33,10 +32,7 @@
     settled_number: int
     running: int
     waiting: int
-    prefill_tokens: int
-    decode_tokens: int
-    prefill_done: int
-    decode_done: int
+    long_prefill_asked: int
 
 
 class FleetView(Protocol):
--- a/pimentolink/request.py
+++ b/pimentolink/request.py
@@ -21,7 +21,8 @@
     :ivar is_model: whether an engine answers it, token by token.
     :ivar prefill_tokens: predicted length of the prompt.
     :ivar decode_tokens: predicted length of the answer.
-    :ivar prefix: digest of the prompt's beginning, for cache affinity.
+    :ivar prefixes: digests of ever longer beginnings of the prompt; see
+        ``completions.PREFIX_TOKENS``.
     :ivar traceparent: W3C trace context, or empty.
     """
 
@@ -39,7 +40,7 @@
     is_model: bool
     prefill_tokens: int
     decode_tokens: int
-    prefix: int
+    prefixes: tuple[int, ...]
     traceparent: str
 
 
@@ -69,12 +70,22 @@
         self.is_over = False
         self.tried_target_ids: list[str] = []
         self.to_older_system = False
+        self.is_prefill_only = False
+        self.was_handed_over = False
+        self.cache = b""
 
     @property
     def decode_tokens_left(self) -> int:
         """Predicted tokens still to come."""
         return max(1, self.request.decode_tokens - len(self.tokens))
 
+    @property
+    def remaining(self) -> Request:
+        """What is still asked: without the prompt once its KV cache is at hand."""
+        if not self.cache:
+            return self.request
+        return self.request._replace(prefill_tokens=1, prefixes=())
+
     def begin(self, attempt_id: int, target_id: str) -> None:
         """
         Start an attempt; any earlier one no longer counts.
--- a/pimentolink/router.py
+++ b/pimentolink/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+from collections import OrderedDict
 from collections.abc import Iterator
 from random import Random
 from typing import Protocol
@@ -12,10 +13,15 @@
 
 from pimentolink import link_pb2
 from pimentolink.claims import call_digest, partition_of
+from pimentolink.completions import PREFIX_TOKENS
 from pimentolink.errors import NoTarget
 from pimentolink.request import Request
 from pimentolink.settings import RoutingSettings
 
+PREFILL = "prefill"
+DECODE = "decode"
+REMOTE_SAMPLE = 2
+
 
 class TargetState:
     """
@@ -36,7 +42,7 @@
         self.data_centre = data_centre
         self.load = link_pb2.Load(accepting=True)
         self.prefill_since_report = 0
-        self.decode_since_report = 0
+        self.sent_since_report = 0
         self.in_flight = 0
         self._failures = 0
         self._ejections = 0
@@ -50,13 +56,13 @@
         """Take a load report, which counts all that was sent before it."""
         self.load = load
         self.prefill_since_report = 0
-        self.decode_since_report = 0
+        self.sent_since_report = 0
 
-    def sent(self, prefill_tokens: int, decode_tokens: int) -> None:
+    def sent(self, prefill_tokens: int) -> None:
         """Count work that no report shows yet."""
         self.in_flight += 1
+        self.sent_since_report += 1
         self.prefill_since_report += prefill_tokens
-        self.decode_since_report += decode_tokens
 
     def ended(self) -> None:
         """Count one attempt less."""
@@ -82,15 +88,77 @@
         self._failures = 0
         return True
 
-    def backlog(self, settings: RoutingSettings) -> float:
+    def streams(self) -> int:
+        """Count answers under way or waiting there, with those sent since."""
+        return self.load.running + self.load.waiting + self.sent_since_report
+
+    def prefill_delay(self, settings: RoutingSettings, tokens: int) -> float:
         """
-        Predict the work before a new request.
+        Predict when a prompt would be read.
 
+        :param settings: rates by role.
+        :param tokens: work of the prompt.
         :returns: seconds.
         """
-        prefill = self.load.prefill_tokens + self.prefill_since_report
-        decode = self.load.decode_tokens + self.decode_since_report
-        return prefill / settings.prefill_rate + decode / settings.decode_rate
+        rate = settings.prefill_rate
+        if self.load.role == PREFILL:
+            rate = settings.prefill_role_rate
+        elif self.load.role == DECODE:
+            rate = settings.decode_role_rate
+        backlog = self.load.prefill_tokens + self.prefill_since_report
+        return (backlog + tokens) / rate
+
+
+class PrefixMemory:
+    """
+    Remembers which targets read which beginnings of prompts, bounded.
+
+    What an engine's cache still holds is only guessed from it.
+    """
+
+    def __init__(self, most: int) -> None:
+        """
+        Start empty.
+
+        :param most: beginnings kept.
+        """
+        self._most = most
+        self._targets_by_prefix: OrderedDict[int, set[str]] = OrderedDict()
+
+    def note(self, request: Request, target_id: str) -> None:
+        """Remember that a target read a request's prompt."""
+        for prefix in request.prefixes:
+            targets = self._targets_by_prefix.setdefault(prefix, set())
+            targets.add(target_id)
+            self._targets_by_prefix.move_to_end(prefix)
+        while len(self._targets_by_prefix) > self._most:
+            self._targets_by_prefix.popitem(last=False)
+
+    def forget(self, target_id: str) -> None:
+        """Take note that a target's cache is gone."""
+        for targets in self._targets_by_prefix.values():
+            targets.discard(target_id)
+
+    def expected_tokens(self, request: Request, target_id: str) -> int:
+        """
+        Guess how much of a prompt a target holds.
+
+        :returns: tokens.
+        """
+        held = 0
+        for prefix, tokens in zip(request.prefixes, PREFIX_TOKENS, strict=False):
+            if target_id not in self._targets_by_prefix.get(prefix, ()):
+                break
+            held = tokens
+        return held
+
+    def holders(self, request: Request) -> set[str]:
+        """Name the targets that read the longest known beginning of a prompt."""
+        for prefix in reversed(request.prefixes):
+            targets = self._targets_by_prefix.get(prefix)
+            if targets:
+                return targets
+        return set()
 
 
 class TargetPool:
@@ -193,25 +261,31 @@
 
 class PredictedWork:
     """
-    Prefers the target that would begin soonest.
+    Prefers the target whose first token is predicted soonest.
 
-    Counts the work before the request, as reported and as sent since; a target in
-    another data centre counts as later, one that has seen the prompt's beginning as
-    sooner.
+    Counts the prompts before the request, what the target's cache probably holds of
+    this one, the answers under way, the distance, and whether the target's role suits
+    the work.
     """
 
     def __init__(
-        self, settings: RoutingSettings, data_centre: str, random: Random
+        self,
+        settings: RoutingSettings,
+        data_centre: str,
+        memory: PrefixMemory,
+        random: Random,
     ) -> None:
         """
         Prepare.
 
         :param settings: rates and weights.
         :param data_centre: where this entry stands.
+        :param memory: which prompts were read where.
         :param random: seeded source for sampling.
         """
         self._settings = settings
         self._data_centre = data_centre
+        self._memory = memory
         self._random = random
 
     def choose(
@@ -220,49 +294,52 @@
         """Choose the target with the least predicted delay."""
         candidates = self._candidates(request, pool, now)
         fresh = [target for target in candidates if target.target_id not in avoid]
-        preferred = self._preferred(request, pool)
+        has_readers = any(target.load.role == PREFILL for target in fresh)
         return min(
             fresh or candidates,
-            key=lambda target: self._delay(request, target, preferred),
+            key=lambda target: self._delay(request, target, has_readers),
             default=None,
         )
 
     def _candidates(
         self, request: Request, pool: TargetPool, now: float
     ) -> list[TargetState]:
+        """Draw a bounded number of targets, with those that know the prompt."""
         count = self._settings.sample
         drawn = pool.sample(self._data_centre, count, self._random)
-        drawn += pool.sample_elsewhere(self._data_centre, 2, self._random)
-        preferred = self._preferred(request, pool)
-        if preferred is not None and preferred not in drawn:
-            drawn.append(preferred)
+        drawn += pool.sample_elsewhere(self._data_centre, REMOTE_SAMPLE, self._random)
+        drawn_ids = {target.target_id for target in drawn}
+        holders = self._memory.holders(request) - drawn_ids
+        drawn += [
+            pool.targets_by_id[target_id]
+            for target_id in sorted(holders)[:count]
+            if target_id in pool.targets_by_id
+        ]
         available = [target for target in drawn if target.is_available(now)]
         if available:
             return available
         everyone = pool.targets_by_id.values()
         return [target for target in everyone if target.is_available(now)]
 
-    def _preferred(self, request: Request, pool: TargetPool) -> TargetState | None:
-        if not request.prefix:
-            return None
-        return next(
-            (
-                target
-                for target in pool.in_order(request.prefix)
-                if target.data_centre == self._data_centre
-            ),
-            None,
-        )
-
-    def _delay(
-        self, request: Request, target: TargetState, preferred: TargetState | None
-    ) -> float:
-        delay = target.backlog(self._settings)
+    def _delay(self, request: Request, target: TargetState, has_readers: bool) -> float:
+        settings = self._settings
+        held = self._memory.expected_tokens(request, target.target_id)
+        work = max(1, request.prefill_tokens - held)
+        delay = target.prefill_delay(settings, work)
+        delay += settings.stream_cost * target.streams()
         if target.data_centre != self._data_centre:
-            delay += self._settings.remote_penalty
-        if target is preferred:
-            saved = request.prefill_tokens / self._settings.prefill_rate
-            delay -= min(saved, self._settings.affinity_bonus)
+            delay += settings.remote_penalty
+        is_long = work >= settings.split_from
+        is_reader = target.load.role == PREFILL
+        if is_reader and not (is_long and settings.split):
+            delay += settings.misplaced_cost
+        elif is_long and not is_reader:
+            # It slows the answers under way there.
+            delay += settings.interference * target.streams()
+            delay += settings.reader_preference * has_readers
+        elif not is_long:
+            # What is read there would slow this answer's tokens.
+            delay += target.prefill_delay(settings, 0)
         return delay
 
 
@@ -273,7 +350,7 @@
         self, request: Request, pool: TargetPool, avoid: list[str], now: float
     ) -> TargetState | None:
         """Choose the target with the fewest attempts in flight."""
-        available = _available(pool, avoid, now)
+        available = _suited(request, _available(pool, avoid, now))
         return min(available, key=lambda target: target.in_flight, default=None)
 
 
@@ -295,6 +372,24 @@
         return available[self._turn % len(available)]
 
 
+def make_policy(
+    settings: RoutingSettings, data_centre: str, memory: PrefixMemory, random: Random
+) -> RoutingPolicy:
+    """
+    Make the policy that the settings name.
+
+    :param settings: of routing.
+    :param data_centre: where the entry stands.
+    :param memory: which prompts were read where.
+    :param random: seeded source for sampling.
+    """
+    if settings.policy == "round_robin":
+        return RoundRobin()
+    if settings.policy == "least_in_flight":
+        return LeastInFlight()
+    return PredictedWork(settings, data_centre, memory, random)
+
+
 class Router:
     """Finds a target for each attempt."""
 
@@ -352,5 +447,12 @@
     return fresh or available
 
 
+def _suited(request: Request, targets: list[TargetState]) -> list[TargetState]:
+    """Keep engines in the role ``prefill`` for long prompts, and these for them."""
+    is_long = request.prefill_tokens >= PREFIX_TOKENS[2]
+    fits = [target for target in targets if (target.load.role == PREFILL) == is_long]
+    return fits or targets
+
+
 def _hash(text: str) -> int:
     return xxhash.xxh3_64_intdigest(text.encode())
--- a/pimentolink/settings.py
+++ b/pimentolink/settings.py
@@ -104,20 +104,41 @@
     """
     How a target is chosen.
 
-    :ivar prefill_rate: prompt tokens an engine is assumed to read in a second.
-    :ivar decode_rate: output tokens an engine is assumed to write in a second.
-    :ivar remote_penalty: seconds of work that another data centre counts for.
-    :ivar affinity_bonus: seconds saved that a cached prefix counts for at most.
+    :ivar policy: how a target is preferred.
+    :ivar split: whether engines in the role ``prefill`` read long prompts and hand
+        their KV cache on to engines that write the answer.
+    :ivar split_from: tokens of prompt work from which on that is done.
+    :ivar prefill_rate: prompt tokens a second of an engine in the role ``mixed``.
+    :ivar prefill_role_rate: the same in the role ``prefill``.
+    :ivar decode_role_rate: the same in the role ``decode``.
+    :ivar stream_cost: seconds that each answer under way counts for.
+    :ivar interference: seconds that each answer under way counts for against reading
+        a long prompt beside it.
+    :ivar reader_preference: seconds of delay accepted at an engine in the role
+        ``prefill`` before a long prompt is read elsewhere.
+    :ivar misplaced_cost: seconds that work in the wrong role counts for.
+    :ivar remote_penalty: seconds that another data centre counts for.
+    :ivar prefixes_kept: beginnings of prompts remembered, with where they were read.
     :ivar sample: targets compared for one request when there are many.
     :ivar ejection_failures: failures in a row that eject a target.
     :ivar ejection_time: seconds of the first ejection; it doubles.
     :ivar ejection_most: seconds of the longest ejection.
     """
 
-    prefill_rate: Count = 8_000
-    decode_rate: Count = 1_000
-    remote_penalty: Seconds = 0.5
-    affinity_bonus: Seconds = 0.3
+    policy: Literal["predicted_work", "least_in_flight", "round_robin"] = (
+        "predicted_work"
+    )
+    split: bool = True
+    split_from: Count = 1_024
+    prefill_rate: Count = 14_000
+    prefill_role_rate: Count = 19_000
+    decode_role_rate: Count = 4_500
+    stream_cost: Seconds = 0.01
+    interference: Seconds = 0.03
+    reader_preference: Seconds = 0.5
+    misplaced_cost: Seconds = 3.0
+    remote_penalty: Seconds = 0.005
+    prefixes_kept: Count = 20_000
     sample: Count = 8
     ejection_failures: Count = 3
     ejection_time: Seconds = 1.0
@@ -133,14 +154,25 @@
     :ivar most_changing: engines of a group that may be out of service for orders.
     :ivar lost_after: seconds without a link after which an engine under a change
         counts as lost and no longer holds up the others.
-    :ivar policy: ``fixed`` keeps the configured roles.
+    :ivar policy: ``fixed`` keeps the configured roles, ``mix`` follows the mix,
+        ``threshold`` follows it at once (a baseline).
+    :ivar engine_rate: tokens of long prompts that one engine in the role ``prefill``
+        is to read in a second, with room for bursts.
+    :ivar smoothing: seconds over which the demand is averaged.
+    :ivar horizon: seconds for which a peak of the demand is expected to come again.
+        This is the price of a change: the longer, the fewer changes.
+    :ivar margin: engines by which the demand must exceed what is there.
     """
 
-    interval: Seconds = 1.0
+    interval: Seconds = 0.5
     lease: Seconds = 10.0
     most_changing: Count = 1
     lost_after: Seconds = 60.0
-    policy: Literal["fixed"] = "fixed"
+    policy: Literal["fixed", "mix", "threshold"] = "fixed"
+    engine_rate: Count = 12_000
+    smoothing: Seconds = 1.0
+    horizon: Seconds = 300.0
+    margin: Ratio = 0.15
 
 
 class EntrySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/pimentolink/sidecar.py
+++ b/pimentolink/sidecar.py
@@ -171,7 +171,7 @@
             pause = message.pause
             self._executor.pause(link, pause.attempt_id, pause.paused)
         elif kind == "document":
-            self._adoption.offer(message.document.json)
+            self._take_document(link, message.document)
         elif kind == "plan_news":
             self._orders.tell(message.plan_news.revision)
 
@@ -180,6 +180,17 @@
         self._reports_by_link.pop(link, None)
         self._executor.link_down(link)
 
+    def _take_document(self, link: SidecarLink, document: link_pb2.Document) -> None:
+        if document.json:
+            self._adoption.offer(document.json)
+            return
+        is_in_force = self._adoption.offer_patch(
+            document.patch, document.version, document.digest
+        )
+        if not is_in_force:
+            wanted = link_pb2.DocumentWanted()
+            link.send(link_pb2.SidecarMessage(document_wanted=wanted))
+
     def _configuration_adopted(self) -> None:
         assert self._adoption.accepted is not None
         configuration = self._adoption.accepted.configuration
--- a/pimentolink/targetqueue.py
+++ b/pimentolink/targetqueue.py
@@ -103,6 +103,17 @@
         self._running_by_key[item.key] = item
         return item
 
+    def prefilled(self, key: Key) -> None:
+        """
+        Count a running request's prompt as read.
+
+        :param key: the request.
+        """
+        item = self._running_by_key.get(key)
+        if item is not None:
+            self.prefill_tokens -= item.prefill_tokens
+            self._running_by_key[key] = item._replace(prefill_tokens=0)
+
     def remove(self, key: Key) -> bool:
         """
         Forget a request, waiting or running.
--- a/pimentolink/targets.py
+++ b/pimentolink/targets.py
@@ -26,6 +26,9 @@
 REQUEST_ID_HEADER = "x-request-id"
 CONNECT_TIMEOUT = 2.0
 PROBE_PATH = "/health"
+EXPORT_PATH = "/cache/export"
+IMPORT_PATH = "/cache/import"
+IMPORT_PATIENCE = 2.0
 STREAM_PREFIX = b"data: "
 STREAM_END = b"[DONE]"
 
@@ -36,6 +39,9 @@
 
     :ivar attempt: unique for each call; the target's answer names it.
     :ivar resume_tokens: tokens of the answer that the caller has already.
+    :ivar prefill_only: whether to answer one token and export the KV cache; it comes
+        as the answer's body.
+    :ivar cache: KV cache to import first, or nothing.
     :ivar is_repeatable: whether doing it again does no harm.
     """
 
@@ -47,6 +53,8 @@
     priority: int
     resume_tokens: list[str]
     is_repeatable: bool
+    prefill_only: bool = False
+    cache: bytes = b""
 
 
 class CallListener(Protocol):
@@ -147,7 +155,10 @@
 class _HttpCall:
     """A call over HTTP; tells its listener the outcome once."""
 
-    def __init__(self, call: TargetCall, listener: CallListener) -> None:
+    def __init__(
+        self, target: HttpTarget, call: TargetCall, listener: CallListener
+    ) -> None:
+        self._target = target
         self._call = call
         self._listener: CallListener | None = listener
         self._reader: _StreamReader | None = None
@@ -197,10 +208,24 @@
             self._listener.tokens(tokens)
 
     def stream_ended(self, was_whole: bool) -> None:
-        if self._is_whole and was_whole:
-            self.finish(Answer(200, {}, b""))
-        else:
+        if not (self._is_whole and was_whole):
             self.fail(TargetFailed("the answer broke off"))
+        elif self._call.prefill_only:
+            self._reader = None
+            self.pending = Deferred.fromCoroutine(self._export())
+        else:
+            self.finish(Answer(200, {}, b""))
+
+    async def _export(self) -> None:
+        """Fetch the KV cache; without it the next engine reads the prompt again."""
+        try:
+            answer = await self._target.ask("POST", EXPORT_PATH, self._call.body)
+            cache = answer.body if answer.status == 200 else b""
+        except CancelledError:
+            return
+        except Exception:
+            cache = b""
+        self.finish(Answer(200, {}, cache))
 
     def finish(self, answer: Answer) -> None:
         echo = answer.headers.get(REQUEST_ID_HEADER, self._call.attempt)
@@ -239,17 +264,13 @@
 
     def start_stream(self, call: TargetCall, listener: CallListener) -> RunningCall:
         """Start a model's call."""
-        running = _HttpCall(call, listener)
-        body = _engine_body(call)
-        running.pending = self._client.open(
-            call.method, self._url(call.path), body, _headers(call)
-        )
-        Deferred.fromCoroutine(_follow_stream(running, running.pending))
+        running = _HttpCall(self, call, listener)
+        running.pending = Deferred.fromCoroutine(self._stream(running, call))
         return running
 
     def start_plain(self, call: TargetCall, listener: CallListener) -> RunningCall:
         """Start a plain service's call."""
-        running = _HttpCall(call, listener)
+        running = _HttpCall(self, call, listener)
         client = self._client if call.is_repeatable else self._single_client
         running.pending = client.request(
             call.method,
@@ -261,6 +282,23 @@
         Deferred.fromCoroutine(_follow_plain(running, running.pending))
         return running
 
+    async def _stream(self, running: _HttpCall, call: TargetCall) -> None:
+        if call.cache:
+            await self._import(call.cache)
+        body = _engine_body(call)
+        url = self._url(call.path)
+        pending = self._client.open(call.method, url, body, _headers(call))
+        await _follow_stream(running, pending)
+
+    async def _import(self, cache: bytes) -> None:
+        try:
+            await self.ask("POST", IMPORT_PATH, cache, IMPORT_PATIENCE)
+        except CancelledError:
+            raise
+        except Exception:
+            # The engine reads the prompt itself then: later, but as right.
+            return
+
     def probe(self, patience: float) -> Deferred[None]:
         """Find out whether the target answers at all."""
         return self.ask("GET", PROBE_PATH, patience=patience).addCallback(_ignore)
@@ -289,6 +327,7 @@
     except Exception as error:
         running.fail(_failure_of(error))
         return
+    running.pending = None
     if response.code != 200:
         running.fail(_failure_of_status(response.code))
         _deliver(response, _StreamReader(running))
@@ -345,4 +384,6 @@
     body["priority"] = call.priority
     if call.resume_tokens:
         body["resume_tokens"] = call.resume_tokens
+    if call.prefill_only:
+        body["max_tokens"] = len(call.resume_tokens) + 1
     return msgspec.json.encode(body)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,7 @@
 """A configuration is checked as a whole, every fault at once."""
 
+import msgspec
+
 from pimentolink import errors
 from pimentolink.adoption import Adoption
 from pimentolink.configuration import check, differences
@@ -57,8 +59,6 @@
 
 class TestAdoption:
     def accepted(self, version):
-        import msgspec
-
         return msgspec.json.encode(
             {
                 "version": version,
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -214,7 +214,7 @@
             is_model=is_model,
             prefill_tokens=2 if is_model else 0,
             decode_tokens=count if is_model else 0,
-            prefix=0,
+            prefixes=(),
             traceparent="",
         )
         self.network.entries[entry].dispatcher.submit(request, reply)
@@ -288,8 +288,7 @@
             pending.addCallback(lambda out, who=name: self.racers.update({who: out}))
 
     def _current_version(self) -> int:
-        key = "pimentolink/configuration"
-        stored = self.network.memory._read(key).data
+        stored = self.network.memory._read("pimentolink/configuration").data
         return json.loads(stored)["version"]
 
     def is_lost_race(self, name: str) -> bool:
--- /dev/null
+++ b/tools/experiment.py
@@ -0,0 +1,272 @@
+"""Runs policies against seeded traces on real processes and reports goodput."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from tools.fleet import Fleet, call, wait_until
+from tools.sites import site_configuration, start_targets
+from tools.traces import SITES, make_trace, save
+
+FIRST_TARGET = 1.0
+GAP_TARGET = 0.036
+POLICIES: dict[str, dict[str, Any]] = {
+    "round_robin": {"routing": {"policy": "round_robin"}},
+    "least_in_flight": {"routing": {"policy": "least_in_flight"}},
+    "threshold": {
+        "routing": {"policy": "least_in_flight", "split": True},
+        "planner": {"policy": "threshold"},
+    },
+    "fixed_roles": {"routing": {"policy": "predicted_work"}},
+    "current": {"planner": {"policy": "mix"}},
+    "foresight": {"planner": {"policy": "fixed"}},
+}
+FAULTS: dict[str, Callable[[Fleet], None]] = {
+    "engine_crash": lambda fleet: fleet.processes_by_name[first_engine(fleet)].kill(),
+    "entry_killed": lambda fleet: fleet.processes_by_name["entry-2"].kill(),
+    "outage": lambda fleet: _outage(fleet),
+    "drain": lambda fleet: _drain(fleet),
+}
+FAULT_AT = 9.0
+ORDER_SECONDS = 3.0
+FORESEEN_READERS = 2
+
+
+def first_engine(fleet: Fleet) -> str:
+    """Name an engine."""
+    names = (name for name in fleet.processes_by_name if name.endswith("-1"))
+    return next(name for name in names if not name.startswith(("entry", "sidecar")))
+
+
+def _outage(fleet: Fleet) -> None:
+    call(fleet.url("key_value", "/faults"), "PUT", {"down": True})
+
+
+def _drain(fleet: Fleet) -> None:
+    platform = str(fleet.folder / "platform.json")
+    fleet.command("target", "drain", first_engine(fleet), "--platform", platform)
+
+
+def run_once(
+    site: str, policy: str, seed: int, fault: str | None = None, lag: float = 1.0
+) -> dict[str, Any]:
+    """
+    Play one trace under one policy.
+
+    :param site: whose work.
+    :param policy: a key of ``POLICIES``.
+    :param seed: of the trace.
+    :param fault: a key of ``FAULTS``, or ``None``.
+    :param lag: seconds by which engines report late.
+    """
+    configuration = site_configuration(site)
+    model_only = _models_only(configuration)
+    if policy == "foresight":
+        # The roles that the trace's swings need, from the start: what could be done
+        # with the mix known in advance.
+        for name in list(model_only["targets"])[:FORESEEN_READERS]:
+            model_only["targets"][name]["role"] = "prefill"
+    with Fleet() as fleet:
+        fleet.start_platform()
+        targets = start_targets(
+            fleet, model_only, "--cache-blocks", "500", "--load-lag", str(lag)
+        )
+        data_centres = list(model_only["data_centres"])
+        entries = ["entry-1", "entry-2"]
+        for name, data_centre in zip(entries, data_centres, strict=False):
+            fleet.start_entry(name, data_centre, **POLICIES[policy])
+        fleet.apply(model_only)
+        for name in entries:
+            fleet.wait_ready(name, targets)
+        _wait_settled(fleet, targets)
+        if policy == "foresight":
+            _wait_foreseen(fleet, targets)
+        before = sum(_engine_facts(fleet, name)["changes"] for name in targets)
+        model = next(iter(model_only["models"]))
+        results = _play(fleet, site, seed, model, entries, fault)
+        engines = [_engine_facts(fleet, name) for name in targets]
+    report = judge(results)
+    changes = sum(facts["changes"] for facts in engines) - before
+    report["role_changes"] = changes
+    report["engine_seconds_lost"] = changes * ORDER_SECONDS
+    report["cut_off"] = sum(facts["cut_off"] for facts in engines)
+    return report
+
+
+def _models_only(configuration: dict[str, Any]) -> dict[str, Any]:
+    services = {
+        name: service
+        for name, service in configuration["services"].items()
+        if service["kind"] == "model"
+    }
+    names = [name for service in services.values() for name in service["targets"]]
+    targets = {name: configuration["targets"][name] for name in names}
+    models = {name: {"version": "1"} for name in configuration["models"]}
+    return {
+        **configuration,
+        "services": services,
+        "targets": targets,
+        "models": models,
+    }
+
+
+def _wait_settled(fleet: Fleet, targets: list[str]) -> None:
+    """Wait until no engine is under an order that only the start brought."""
+    time.sleep(1.5)
+    for name in targets:
+        while call(fleet.url(name, "/state")).json["ordering"] is not None:
+            time.sleep(0.1)
+
+
+def _wait_foreseen(fleet: Fleet, targets: list[str]) -> None:
+    """Wait until the foreseen roles are taken, before the trace begins."""
+
+    def is_taken() -> bool:
+        return all(
+            call(fleet.url(name, "/state")).json["role"] == "prefill"
+            for name in targets[:FORESEEN_READERS]
+        )
+
+    wait_until(is_taken, within=30.0, what="the foreseen roles")
+
+
+def _play(
+    fleet: Fleet, site: str, seed: int, model: str, entries: list[str], fault: Any
+) -> list[dict[str, Any]]:
+    trace = fleet.folder / "trace.json"
+    out = fleet.folder / "results.json"
+    trace.write_text(save(make_trace(site, seed)))
+    addresses = [fleet.address(name) for name in entries]
+    command = [sys.executable, "-m", "tools.openloop", str(trace), model, str(out)]
+    player = subprocess.Popen([*command, *addresses])
+    timer = threading.Timer(FAULT_AT, lambda: FAULTS[fault](fleet))
+    if fault is not None:
+        timer.start()
+    player.wait()
+    timer.cancel()
+    results: list[dict[str, Any]] = json.loads(out.read_text())
+    return results
+
+
+def _engine_facts(fleet: Fleet, name: str) -> dict[str, Any]:
+    if not fleet.processes_by_name[name].is_running:
+        return {"changes": 0, "cut_off": 0}
+    state = call(fleet.url(name, "/state")).json
+    return {"changes": len(state["orders_done"]), "cut_off": state["cut_off"]}
+
+
+def judge(results: list[dict[str, Any]]) -> dict[str, Any]:
+    """
+    Sum a run up.
+
+    :param results: of each request.
+    :returns: goodput by kind of work and where the lost answers went.
+    """
+    report: dict[str, Any] = {"requests": len(results), "work": {}}
+    for work in sorted({result["work"] for result in results}):
+        chosen = [result for result in results if result["work"] == work]
+        report["work"][work] = _judge_work(chosen)
+    report["fairness"] = _fairness(results)
+    return report
+
+
+def _judge_work(results: list[dict[str, Any]]) -> dict[str, Any]:
+    first = HdrHistogram(1, 60_000_000, 2)
+    gap = HdrHistogram(1, 60_000_000, 2)
+    counts = dict.fromkeys(
+        ("good", "refused", "broken", "late_first", "slow_tokens", "both"), 0
+    )
+    for result in results:
+        counts[_verdict(result)] += 1
+        if result["first"] is not None:
+            first.record_value(max(1, int(result["first"] * 1e6)))
+            gap.record_value(max(1, int(result["gap_p95"] * 1e6)))
+    return {
+        "requests": len(results),
+        "goodput": counts["good"] / len(results),
+        **counts,
+        "first_p50_ms": first.get_value_at_percentile(50) / 1000,
+        "first_p95_ms": first.get_value_at_percentile(95) / 1000,
+        "gap_p50_ms": gap.get_value_at_percentile(50) / 1000,
+        "gap_p95_ms": gap.get_value_at_percentile(95) / 1000,
+    }
+
+
+def _verdict(result: dict[str, Any]) -> str:
+    if result["status"] != 200:
+        return "refused"
+    if not result["is_whole"]:
+        return "broken"
+    is_late = result["first"] > FIRST_TARGET
+    is_slow = result["gap_p95"] > GAP_TARGET
+    if is_late and is_slow:
+        return "both"
+    if is_late:
+        return "late_first"
+    return "slow_tokens" if is_slow else "good"
+
+
+def _fairness(results: list[dict[str, Any]]) -> float:
+    """Compute Jain's index over the callers' shares of good answers."""
+    shares = []
+    for caller in {result["caller"] for result in results}:
+        own = [result for result in results if result["caller"] == caller]
+        shares.append(sum(_verdict(result) == "good" for result in own) / len(own))
+    squares = sum(share**2 for share in shares)
+    return sum(shares) ** 2 / (len(shares) * squares) if squares else 0.0
+
+
+def summarise(runs: list[dict[str, Any]], work: str) -> dict[str, Any]:
+    """Give mean and spread over seeds."""
+    goodput = [run["work"][work]["goodput"] for run in runs]
+    return {
+        "goodput_mean": round(statistics.mean(goodput), 4),
+        "goodput_each": [round(value, 4) for value in goodput],
+        "role_changes": [run["role_changes"] for run in runs],
+        "lost_to": {
+            name: sum(run["work"][work][name] for run in runs)
+            for name in ("refused", "broken", "late_first", "slow_tokens", "both")
+        },
+        "first_p95_ms": [round(run["work"][work]["first_p95_ms"]) for run in runs],
+        "gap_p95_ms": [round(run["work"][work]["gap_p95_ms"]) for run in runs],
+        "fairness": [round(run["fairness"], 3) for run in runs],
+    }
+
+
+def main() -> None:
+    """Run policies in turn, seed by seed, and print the summary as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--site", default="jentera-lindung", choices=SITES)
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--fault", choices=FAULTS, default=None)
+    parser.add_argument("--lag", type=float, default=1.0)
+    parser.add_argument("--out", default="")
+    options = parser.parse_args()
+    runs: dict[str, list[dict[str, Any]]] = {}
+    for seed in range(options.seeds):
+        for policy in options.policies.split(","):
+            found = run_once(options.site, policy, seed, options.fault, options.lag)
+            runs.setdefault(policy, []).append(found)
+            brief = {name: work["goodput"] for name, work in found["work"].items()}
+            print(seed, policy, brief, found["role_changes"], file=sys.stderr)
+    work = SITES[options.site].short_work
+    summary = {policy: summarise(found, work) for policy, found in runs.items()}
+    print(json.dumps(summary, indent=2))
+    if options.out:
+        Path(options.out).write_text(json.dumps({"summary": summary, "runs": runs}))
+
+
+if __name__ == "__main__":
+    main()
