--- a/pimentolink/daemon.py
+++ b/pimentolink/daemon.py
@@ -19,12 +19,9 @@
 from pimentolink.entry import Entry, EntryPorts
 from pimentolink.instances import HttpInstanceList
 from pimentolink.kvstore import HttpStore
-from pimentolink.links import (
-    EntryLinkListener,
-    LinkClient,
-    LinkServer,
-    SidecarLinkListener,
-)
+from pimentolink.linkclient import LinkClient
+from pimentolink.links import EntryLinkListener, SidecarLinkListener
+from pimentolink.linkserver import LinkServer
 from pimentolink.settings import EntrySettings, SidecarSettings, split_address
 from pimentolink.sidecar import Sidecar, SidecarPorts
 from pimentolink.targets import HttpTarget
--- a/pimentolink/directory.py
+++ b/pimentolink/directory.py
@@ -8,7 +8,8 @@
 from pimentolink.adoption import Adoption
 from pimentolink.links import EntryLink
 from pimentolink.planner import TargetView
-from pimentolink.router import Router, TargetPool, TargetState
+from pimentolink.router import Router
+from pimentolink.targetpool import TargetPool, TargetState
 from pimentolink.timers import Timers
 
 
--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -10,12 +10,12 @@
 
 from pimentolink import link_pb2
 from pimentolink.adoption import Adoption
-from pimentolink.claims import call_digest
+from pimentolink.attempt import CALLER_HEADER
+from pimentolink.claimtable import call_digest
 from pimentolink.directory import TargetDirectory
 from pimentolink.errors import (
     AlreadyRun,
     CallerTooSlow,
-    ClaimUnavailable,
     CrossedAnswer,
     Draining,
     Failure,
@@ -24,39 +24,20 @@
     LinkLost,
     NotRun,
     OutcomeUnknown,
-    Overloaded,
-    StillRunning,
     TargetFailed,
     TargetRejected,
 )
-from pimentolink.executor import CALLER_HEADER
 from pimentolink.logs import Log, LogEvent
+from pimentolink.outcomes import failure_of, final_failure
+from pimentolink.prefixes import PrefixMemory
 from pimentolink.request import Progress, Request
 from pimentolink.retry import RetryBudget
-from pimentolink.router import PREFILL, PrefixMemory, Router, TargetState
+from pimentolink.router import Router
 from pimentolink.settings import EntrySettings
+from pimentolink.targetpool import PREFILL, TargetState
 from pimentolink.timers import Timer, Timers
 from pimentolink.tracing import Tracing
 
-RETRY_AFTER = 1.0
-
-_FAILURE_BY_CODE: dict[str, type[Failure]] = {
-    failure.code: failure
-    for failure in (
-        AlreadyRun,
-        ClaimUnavailable,
-        CrossedAnswer,
-        Draining,
-        IdempotencyKeyReused,
-        NotRun,
-        OutcomeUnknown,
-        Overloaded,
-        StillRunning,
-        TargetFailed,
-        TargetRejected,
-    )
-}
-
 
 class Reply(Protocol):
     """Where a request's answer goes; exactly one of the last two is called, once."""
@@ -328,11 +309,7 @@
             self._close(work)
             work.reply.complete(finish, work.progress)
             return
-        failure_type = _FAILURE_BY_CODE.get(finish.error_code, TargetFailed)
-        failure = failure_type(
-            finish.body.decode(errors="replace"), finish.retry_after_ms / 1000 or None
-        )
-        self._attempt_failed(work, failure)
+        self._attempt_failed(work, failure_of(finish))
 
     def _hand_over(self, work: _Work, cache: bytes) -> None:
         """Go on with another engine, which is no retry."""
@@ -400,7 +377,7 @@
     def _give_up(self, work: _Work, failure: Failure) -> None:
         if work.progress.attempt_id is not None:
             work.progress.may_have_run = True
-        failure = _final(failure, work.progress)
+        failure = final_failure(failure, work.progress)
         self._withdraw_attempt(work)
         self._close(work)
         self._log.write(
@@ -449,20 +426,3 @@
         timer = work.timers.pop(name, None)
         if timer is not None:
             timer.cancel()
-
-
-def _final(failure: Failure, progress: Progress) -> Failure:
-    """
-    Turn the last failure into the request's final answer.
-
-    Only a request of which no attempt may have run is said not to have run.
-    """
-    if isinstance(failure, TargetRejected | IdempotencyKeyReused | AlreadyRun):
-        return failure
-    if progress.may_have_run and progress.request.idempotency_key:
-        return OutcomeUnknown(str(failure))
-    if progress.may_have_run and not failure.ran:
-        return TargetFailed(str(failure), retry_after=RETRY_AFTER)
-    if failure.retry_after is None:
-        failure.retry_after = RETRY_AFTER
-    return failure
--- a/pimentolink/entry.py
+++ b/pimentolink/entry.py
@@ -22,8 +22,9 @@
 from pimentolink.metrics import Metrics
 from pimentolink.plan import Group, group_of, groups_of
 from pimentolink.planner import Planner
+from pimentolink.prefixes import PrefixMemory
 from pimentolink.roles import make_role_policy
-from pimentolink.router import PrefixMemory, Router, make_policy
+from pimentolink.router import Router, make_policy
 from pimentolink.settings import EntrySettings
 from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.tracing import Tracing
--- a/pimentolink/executor.py
+++ b/pimentolink/executor.py
@@ -2,103 +2,24 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from collections.abc import Callable
-from typing import NamedTuple
-
-from opentelemetry import trace
 from result import Err, Result
 from twisted.internet.defer import Deferred
 
 from pimentolink import link_pb2
-from pimentolink.claims import ClaimPartition, ClaimState, call_digest, partition_of
-from pimentolink.errors import (
-    AlreadyRun,
-    Draining,
-    Failure,
-    IdempotencyKeyReused,
-    NotRun,
-    OutcomeUnknown,
-    Overloaded,
-    TargetFailed,
-    TargetRejected,
-)
+from pimentolink.attempt import Attempt, AttemptKey
+from pimentolink.claimedcalls import ClaimedCalls, ClaimedListener, ClaimSource
+from pimentolink.errors import Draining, Failure, NotRun, Overloaded, TargetFailed
 from pimentolink.httpclient import Answer
 from pimentolink.links import SidecarLink
+from pimentolink.outcomes import finish_of, finish_of_answer
 from pimentolink.settings import QueueSettings
 from pimentolink.targetqueue import LOWEST_PRIORITY, TargetQueue, Waiting
-from pimentolink.targets import RunningCall, Target, TargetCall
+from pimentolink.targets import Target, TargetCall
 from pimentolink.timers import Timers
 from pimentolink.tracing import Tracing
 
 # Tokens of prompt work from which on a request weighs on others' answers.
 LONG_PREFILL = 1_024
-CALLER_HEADER = "pimentolink-caller"
-KEPT_HEADERS = frozenset({"content-type", "location", "retry-after"})
-
-
-class AttemptKey(NamedTuple):
-    """Names an attempt among those of all links."""
-
-    link: int
-    attempt_id: int
-
-
-class _Attempt:
-    """One attempt between submission and its end."""
-
-    def __init__(
-        self, key: AttemptKey, link: SidecarLink, submit: link_pb2.Submit
-    ) -> None:
-        self.key = key
-        self.link = link
-        self.submit = submit
-        self.offset = len(submit.resume_tokens)
-        self.running: RunningCall | None = None
-        self.span: trace.Span = trace.INVALID_SPAN
-        self.call_span: trace.Span = trace.INVALID_SPAN
-
-
-class _ClaimedCall:
-    """A call under a claim; every attempt that asks for it gets its answer."""
-
-    def __init__(self, key: str, fingerprint: str, partition: ClaimPartition) -> None:
-        self.key = key
-        self.fingerprint = fingerprint
-        self.partition = partition
-        self.attempts: list[_Attempt] = []
-        self.is_made = False
-
-
-class ClaimSource:
-    """Finds the partition that commits a claim."""
-
-    def __init__(
-        self,
-        open_partition: Callable[[str, int], ClaimPartition],
-        partitions_of: Callable[[str], int],
-    ) -> None:
-        """
-        Prepare.
-
-        :param open_partition: makes the partition of a service with a number.
-        :param partitions_of: tells how many partitions a service has.
-        """
-        self._open = open_partition
-        self._partitions_of = partitions_of
-        self._partition_by_place: dict[tuple[str, int], ClaimPartition] = {}
-
-    def find(self, service: str, key: str) -> ClaimPartition:
-        """
-        Find a claim's partition.
-
-        :param service: the service's name.
-        :param key: digest of the call's key.
-        """
-        place = (service, partition_of(key, self._partitions_of(service)))
-        if place not in self._partition_by_place:
-            self._partition_by_place[place] = self._open(*place)
-        return self._partition_by_place[place]
 
 
 class Executor:
@@ -130,16 +51,19 @@
         :param answers_kept: answers kept for callers that ask again.
         """
         self._target = target
-        self._claims = claims
         self._timers = timers
         self._tracing = tracing
         self.older_system: Target | None = None
-        self._answers_kept = answers_kept
         self._slots = settings.slots
         self._queue: TargetQueue[AttemptKey] = TargetQueue(settings)
-        self._attempts_by_key: dict[AttemptKey, _Attempt] = {}
-        self._claimed_by_key: dict[str, _ClaimedCall] = {}
-        self._answers_by_key: OrderedDict[str, tuple[str, Answer]] = OrderedDict()
+        self._attempts_by_key: dict[AttemptKey, Attempt] = {}
+        self._claimed = ClaimedCalls(
+            claims,
+            answers_kept,
+            self._make_claimed,
+            self.finish,
+            lambda: self.target_is_lost,
+        )
         self._idle_waiters: list[Deferred[None]] = []
         self.prefill_done = 0
         self.decode_done = 0
@@ -158,7 +82,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether nothing is queued, running or under a claim."""
-        return not self._attempts_by_key and not self._claimed_by_key
+        return not self._attempts_by_key and self._claimed.is_empty
 
     def load(self) -> link_pb2.Load:
         """Report the load as of now."""
@@ -182,15 +106,17 @@
         :param link: whose it is.
         :param submit: what to do.
         """
-        attempt = _Attempt(AttemptKey(id(link), submit.attempt_id), link, submit)
+        attempt = Attempt(AttemptKey(id(link), submit.attempt_id), link, submit)
         attempt.span = self._tracing.start(
             "sidecar", submit.request_id, submit.traceparent
         )
         if not self.is_accepting:
             self._refuse(attempt, Draining("the target takes no new work"))
             return
-        if submit.idempotency_key and self._join(attempt):
-            return
+        if submit.idempotency_key:
+            self._attempts_by_key[attempt.key] = attempt
+            if self._claimed.join(attempt):
+                return
         waiting = Waiting(
             attempt.key,
             min(submit.priority, LOWEST_PRIORITY),
@@ -248,7 +174,7 @@
             if attempt.running is not None and not attempt.submit.idempotency_key:
                 attempt.running.cancel()
                 self.fail(attempt, TargetFailed("the target does not answer"))
-            elif attempt.running is None and not self._is_claimed(attempt):
+            elif attempt.running is None and not self._claimed.has(attempt):
                 self.fail(attempt, NotRun("the target does not answer"))
 
     def hold(self) -> Deferred[None]:
@@ -275,7 +201,7 @@
         self._tell_if_idle()
         return waiter
 
-    def tokens(self, attempt: _Attempt, tokens: list[str]) -> None:
+    def tokens(self, attempt: Attempt, tokens: list[str]) -> None:
         """Pass tokens of an answer on."""
         attempt.link.send_event(
             link_pb2.Event(
@@ -288,7 +214,7 @@
         attempt.offset += len(tokens)
         self.decode_done += len(tokens)
 
-    def finish(self, attempt: _Attempt, finish: link_pb2.Finish) -> None:
+    def finish(self, attempt: Attempt, finish: link_pb2.Finish) -> None:
         """End an attempt."""
         self._forget(attempt)
         self._end_span(attempt, finish)
@@ -299,18 +225,18 @@
         )
         self._start_next()
 
-    def fail(self, attempt: _Attempt, failure: Failure) -> None:
+    def fail(self, attempt: Attempt, failure: Failure) -> None:
         """End an attempt with a failure."""
-        self.finish(attempt, _finish_of(failure))
+        self.finish(attempt, finish_of(failure))
 
-    def _end_span(self, attempt: _Attempt, finish: link_pb2.Finish) -> None:
+    def _end_span(self, attempt: Attempt, finish: link_pb2.Finish) -> None:
         attempt.span.set_attribute("outcome", finish.error_code or "complete")
         attempt.call_span.end()
         attempt.span.end()
         finish.spans = self._tracing.take(attempt.submit.request_id)
 
     def _shed(
-        self, offered: Result[AttemptKey | None, Overloaded], attempt: _Attempt
+        self, offered: Result[AttemptKey | None, Overloaded], attempt: Attempt
     ) -> None:
         if isinstance(offered, Err):
             self.fail(attempt, offered.err_value)
@@ -318,8 +244,8 @@
             shed = self._attempts_by_key[offered.ok_value]
             self.fail(shed, Overloaded("more urgent work came"))
 
-    def _refuse(self, attempt: _Attempt, failure: Failure) -> None:
-        finish = _finish_of(failure)
+    def _refuse(self, attempt: Attempt, failure: Failure) -> None:
+        finish = finish_of(failure)
         self._end_span(attempt, finish)
         attempt.link.send_event(
             link_pb2.Event(
@@ -334,10 +260,14 @@
                 return
             self._start(self._attempts_by_key[item.key])
 
-    def _start(self, attempt: _Attempt) -> None:
+    def _start(self, attempt: Attempt) -> None:
         submit = attempt.submit
         if submit.idempotency_key:
-            self._start_claimed(attempt)
+            if self._claimed.join(attempt):
+                # A slot is only held while the attempt's own call runs.
+                self._queue.remove(attempt.key)
+            else:
+                self._claimed.start(attempt)
             return
         listener = _AttemptListener(self, attempt)
         place = self._place_of(submit)
@@ -346,12 +276,16 @@
         else:
             attempt.running = place.start_plain(self._call_of(attempt), listener)
 
+    def _make_claimed(self, attempt: Attempt, listener: ClaimedListener) -> None:
+        place = self._place_of(attempt.submit)
+        place.start_plain(self._call_of(attempt), listener)
+
     def _place_of(self, submit: link_pb2.Submit) -> Target:
         if submit.to_older_system and self.older_system is not None:
             return self.older_system
         return self._target
 
-    def _call_of(self, attempt: _Attempt) -> TargetCall:
+    def _call_of(self, attempt: Attempt) -> TargetCall:
         submit = attempt.submit
         headers = {header.name: header.value for header in submit.headers}
         attempt.call_span = self._tracing.start(
@@ -373,101 +307,17 @@
             cache=submit.cache,
         )
 
-    def _join(self, attempt: _Attempt) -> bool:
-        """Attach an attempt to a call under the same key, if there is one."""
-        key, fingerprint = _digests_of(attempt.submit)
-        call = self._claimed_by_key.get(key)
-        if call is not None:
-            if call.fingerprint != fingerprint:
-                self._refuse(attempt, IdempotencyKeyReused("another call is running"))
-                return True
-            self._attempts_by_key[attempt.key] = attempt
-            call.attempts.append(attempt)
-            return True
-        if key in self._answers_by_key:
-            self._answer_again(attempt, key, fingerprint)
-            return True
-        return False
-
-    def _answer_again(self, attempt: _Attempt, key: str, fingerprint: str) -> None:
-        known_fingerprint, answer = self._answers_by_key[key]
-        if known_fingerprint != fingerprint:
-            self._refuse(attempt, IdempotencyKeyReused("the key stands for another"))
-        else:
-            self.finish(attempt, _finish_of_answer(answer))
-
-    def _start_claimed(self, attempt: _Attempt) -> None:
-        if self._join(attempt):
-            # Its slot is only held while its own call runs.
-            self._queue.remove(attempt.key)
-            return
-        key, fingerprint = _digests_of(attempt.submit)
-        partition = self._claims.find(attempt.submit.service, key)
-        call = _ClaimedCall(key, fingerprint, partition)
-        call.attempts.append(attempt)
-        self._claimed_by_key[key] = call
-        granted = partition.claim(key, fingerprint)
-        granted.addCallback(lambda outcome: self._claim_decided(call, outcome))
-
-    def _claim_decided(
-        self, call: _ClaimedCall, outcome: Result[None, Failure]
-    ) -> None:
-        if isinstance(outcome, Err):
-            self._end_claimed(call, _finish_of(outcome.err_value))
-            return
-        if not call.attempts or self.target_is_lost:
-            self._give_back(call, NotRun("nobody waits for the call any more"))
-            return
-        call.is_made = True
-        first = call.attempts[0]
-        place = self._place_of(first.submit)
-        place.start_plain(self._call_of(first), _ClaimedListener(self, call))
-
-    def _give_back(self, call: _ClaimedCall, failure: Failure) -> None:
-        stored = call.partition.release(call.key)
-        finish = _finish_of(failure)
-        stored.addCallback(lambda _: self._end_claimed(call, finish))
-
-    def claimed_finished(self, call: _ClaimedCall, answer: Answer) -> None:
-        """Record a whole answer to a call under a claim and pass it on."""
-        call.partition.settle(call.key, ClaimState.DONE)
-        self._answers_by_key[call.key] = (call.fingerprint, answer)
-        if len(self._answers_by_key) > self._answers_kept:
-            self._answers_by_key.popitem(last=False)
-        self._end_claimed(call, _finish_of_answer(answer))
-
-    def claimed_failed(self, call: _ClaimedCall, failure: Failure) -> None:
-        """Record the failure of a call under a claim and pass it on."""
-        if not failure.ran:
-            self._give_back(call, failure)
-            return
-        call.partition.settle(call.key, ClaimState.UNKNOWN)
-        unknown = OutcomeUnknown(str(failure))
-        self._end_claimed(call, _finish_of(unknown))
-
-    def _end_claimed(self, call: _ClaimedCall, finish: link_pb2.Finish) -> None:
-        del self._claimed_by_key[call.key]
-        for attempt in call.attempts:
-            self.finish(attempt, finish)
-        self._tell_if_idle()
-
-    def _is_claimed(self, attempt: _Attempt) -> bool:
-        calls = self._claimed_by_key.values()
-        return any(attempt in call.attempts for call in calls)
-
-    def _abandon(self, attempt: _Attempt) -> None:
+    def _abandon(self, attempt: Attempt) -> None:
         if attempt.running is not None:
             attempt.running.cancel()
-        for call in self._claimed_by_key.values():
-            if attempt in call.attempts:
-                call.attempts.remove(attempt)
+        self._claimed.abandon(attempt)
         attempt.call_span.end()
         attempt.span.end()
         self._tracing.take(attempt.submit.request_id)
         self._forget(attempt)
         self._start_next()
 
-    def _forget(self, attempt: _Attempt) -> None:
+    def _forget(self, attempt: Attempt) -> None:
         self._attempts_by_key.pop(attempt.key, None)
         self._queue.remove(attempt.key)
         self._tell_if_idle()
@@ -483,7 +333,7 @@
 class _AttemptListener:
     """Ties a call that may be repeated to its attempt."""
 
-    def __init__(self, executor: Executor, attempt: _Attempt) -> None:
+    def __init__(self, executor: Executor, attempt: Attempt) -> None:
         self._executor = executor
         self._attempt = attempt
 
@@ -491,7 +341,7 @@
         self._executor.tokens(self._attempt, tokens)
 
     def finished(self, answer: Answer, finish_reason: str) -> None:
-        finish = _finish_of_answer(answer)
+        finish = finish_of_answer(answer)
         finish.finish_reason = finish_reason
         if self._attempt.submit.prefill_only:
             finish.cache = finish.body
@@ -500,54 +350,3 @@
 
     def failed(self, failure: Failure) -> None:
         self._executor.fail(self._attempt, failure)
-
-
-class _ClaimedListener:
-    """Ties a call under a claim to all attempts that wait for it."""
-
-    def __init__(self, executor: Executor, call: _ClaimedCall) -> None:
-        self._executor = executor
-        self._call = call
-
-    def tokens(self, tokens: list[str]) -> None:
-        """Take nothing: plain services send no tokens."""
-
-    def finished(self, answer: Answer, finish_reason: str) -> None:
-        self._executor.claimed_finished(self._call, answer)
-
-    def failed(self, failure: Failure) -> None:
-        self._executor.claimed_failed(self._call, failure)
-
-
-def _digests_of(submit: link_pb2.Submit) -> tuple[str, str]:
-    caller = next((h.value for h in submit.headers if h.name == CALLER_HEADER), "")
-    key = call_digest(caller, submit.service, submit.idempotency_key)
-    return key, call_digest(submit.method, submit.path, submit.body)
-
-
-def _finish_of_answer(answer: Answer) -> link_pb2.Finish:
-    return link_pb2.Finish(
-        outcome=link_pb2.COMPLETE,
-        status=answer.status,
-        headers=[
-            link_pb2.Header(name=name, value=value)
-            for name, value in answer.headers.items()
-            if name in KEPT_HEADERS
-        ],
-        body=answer.body,
-    )
-
-
-def _finish_of(failure: Failure) -> link_pb2.Finish:
-    if isinstance(failure, TargetRejected | IdempotencyKeyReused | AlreadyRun):
-        outcome = link_pb2.REJECTED
-    elif failure.ran:
-        outcome = link_pb2.UNKNOWN
-    else:
-        outcome = link_pb2.NOT_RUN
-    return link_pb2.Finish(
-        outcome=outcome,
-        error_code=failure.code,
-        retry_after_ms=int((failure.retry_after or 0) * 1000),
-        body=failure.detail.encode(),
-    )
--- a/pimentolink/links.py
+++ b/pimentolink/links.py
@@ -4,27 +4,20 @@
 
 import hashlib
 import hmac
-import secrets
 from typing import Any, Generic, Protocol, TypeVar
 
 from google.protobuf.message import DecodeError
-from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import ClientFactory, Factory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
-from twisted.python.failure import Failure as TwistedFailure
 from zope.interface import implementer
 
 from pimentolink import link_pb2
-from pimentolink.directwrite import connect, listen
-from pimentolink.logs import Log, LogEvent
-from pimentolink.settings import LinkSettings, split_address
-from pimentolink.timers import Repeater, Timer, Timers
+from pimentolink.settings import LinkSettings
+from pimentolink.timers import Repeater, Timers
 
 NONCE_BYTES = 16
 LONGEST_GREETING = 4_096
 LONGEST_MESSAGE = 16_000_000
-LISTEN_BACKLOG = 1024
 CHECKS_IN_SILENCE = 4
 
 
@@ -98,7 +91,7 @@
 
 
 @implementer(IPushProducer)
-class _Connection(Int32StringReceiver, Generic[Received]):
+class LinkConnection(Int32StringReceiver, Generic[Received]):
     """What both ends of a link share: frames, bounds and the check for silence."""
 
     MAX_LENGTH = LONGEST_GREETING
@@ -106,6 +99,12 @@
     received_type: type[Received]
 
     def __init__(self, settings: LinkSettings, timers: Timers) -> None:
+        """
+        Start unproved.
+
+        :param settings: bounds and patience.
+        :param timers: the timer service.
+        """
         self._settings = settings
         self._timers = timers
         self._last_heard = timers.now()
@@ -115,12 +114,14 @@
         self.is_up = False
 
     def connectionMade(self) -> None:  # noqa: N802
+        """Set the connection up."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
         interval = self._settings.silence / CHECKS_IN_SILENCE
         self._check = Repeater(self._timers, interval, self._check_silence)
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Take one message; one that cannot be read ends the link."""
         self._last_heard = self._timers.now()
         try:
             message = self.received_type.FromString(string)
@@ -133,15 +134,19 @@
             self.greeting_received(message)
 
     def message_received(self, message: Received) -> None:
+        """Handle a message of a peer that has proved itself."""
         raise NotImplementedError
 
     def greeting_received(self, message: Received) -> None:
+        """Handle a message of a peer that has not proved itself yet."""
         raise NotImplementedError
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """End the link of a peer that announces too long a message."""
         self.abort()
 
     def write(self, message: link_pb2.EntryMessage | link_pb2.SidecarMessage) -> None:
+        """Send a message; a peer that does not read ends its link at the bound."""
         data = message.SerializeToString()
         if self._is_held_back:
             self._pending += len(data)
@@ -151,21 +156,26 @@
         self.sendString(data)
 
     def rise(self) -> None:
+        """Trust the peer from now on."""
         self.MAX_LENGTH = LONGEST_MESSAGE
         self.is_up = True
 
     def abort(self) -> None:
+        """End the link at once."""
         self.transport.abortConnection()
 
     def end(self) -> None:
+        """Clean up after the connection."""
         if self._check is not None:
             self._check.cancel()
 
     def pauseProducing(self) -> None:  # noqa: N802
+        """Begin to count what the peer leaves unread."""
         self._is_held_back = True
         self._pending = 0
 
     def resumeProducing(self) -> None:  # noqa: N802
+        """Stop counting: the peer reads again."""
         self._is_held_back = False
 
     def stopProducing(self) -> None:  # noqa: N802
@@ -174,268 +184,3 @@
     def _check_silence(self) -> None:
         if self._timers.now() - self._last_heard > self._settings.silence:
             self.abort()
-
-
-class _EntryConnection(_Connection[link_pb2.SidecarMessage]):
-    """The entry's end of a connection."""
-
-    received_type = link_pb2.SidecarMessage
-
-    def __init__(self, client: LinkClient) -> None:
-        super().__init__(client.settings, client.timers)
-        self._client = client
-        self._nonce = secrets.token_bytes(NONCE_BYTES)
-        self._expected = b""
-
-    def greeting_received(self, message: link_pb2.SidecarMessage) -> None:
-        kind = message.WhichOneof("body")
-        if kind == "challenge":
-            self._answer(message.challenge.nonce)
-        elif kind == "hello" and self._is_proved(message.hello.proof):
-            self.rise()
-            self._client.connection_up(self, message.hello)
-        else:
-            self._client.refused()
-            self.abort()
-
-    def message_received(self, message: link_pb2.SidecarMessage) -> None:
-        self._client.listener.link_message(self._client, message)
-
-    def connectionLost(  # noqa: N802
-        self, reason: TwistedFailure = connectionDone
-    ) -> None:
-        self.end()
-        self._client.connection_down(self)
-
-    def _answer(self, nonce: bytes) -> None:
-        key = self._client.shared_key
-        hello = self._client.listener.greeting()
-        hello.nonce = self._nonce
-        hello.proof = prove(key, "entry", nonce, self._nonce)
-        self._expected = prove(key, "sidecar", nonce, self._nonce)
-        self.write(link_pb2.EntryMessage(hello=hello))
-
-    def _is_proved(self, proof: bytes) -> bool:
-        return bool(self._expected) and hmac.compare_digest(proof, self._expected)
-
-
-class LinkClient(ClientFactory):
-    """The entry's end of one link; attaches again whenever it is lost."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        reactor: Any,
-        address: str,
-        shared_key: str,
-        settings: LinkSettings,
-        listener: EntryLinkListener,
-        timers: Timers,
-        log: Log,
-    ) -> None:
-        """
-        Start attaching.
-
-        :param reactor: the loop.
-        :param address: the sidecar's address.
-        :param shared_key: proof that this process belongs to the system.
-        :param settings: heartbeats and patience.
-        :param listener: told of all that happens.
-        :param timers: the timer service.
-        :param log: where events go.
-        """
-        self._reactor = reactor
-        self.address = address
-        self.shared_key = shared_key
-        self.settings = settings
-        self.listener = listener
-        self.timers = timers
-        self._log = log
-        self._connection: _EntryConnection | None = None
-        self._connector: Any = None
-        self._again: Timer | None = None
-        self._is_closed = False
-        self._heartbeat = Repeater(timers, settings.heartbeat, self._beat)
-        self._connect()
-
-    def send(self, message: link_pb2.EntryMessage) -> None:
-        """Send a message; dropped if the link is down, which is told separately."""
-        if self._connection is not None:
-            self._connection.write(message)
-
-    def close(self) -> None:
-        """End the link for good."""
-        self._is_closed = True
-        self._heartbeat.cancel()
-        if self._again is not None:
-            self._again.cancel()
-        self._connector.disconnect()
-
-    def buildProtocol(self, addr: object) -> _EntryConnection:  # noqa: N802
-        """Make the protocol of a new connection."""
-        return _EntryConnection(self)
-
-    def clientConnectionFailed(  # noqa: N802
-        self, connector: Any, reason: TwistedFailure
-    ) -> None:
-        """Try again later."""
-        self._connect_later()
-
-    def connection_up(
-        self, connection: _EntryConnection, hello: link_pb2.SidecarHello
-    ) -> None:
-        """Take note that the sidecar has proved itself."""
-        self._connection = connection
-        self.listener.link_up(self, hello)
-
-    def connection_down(self, connection: _EntryConnection) -> None:
-        """Take note that a connection ended; try again later."""
-        if connection is self._connection:
-            self._connection = None
-            self.listener.link_down(self)
-        self._connect_later()
-
-    def refused(self) -> None:
-        """Tell that the peer could not prove itself."""
-        self._log.write(LogEvent.LINK_REFUSED, address=self.address)
-
-    def _connect(self) -> None:
-        host, port = split_address(self.address)
-        timeout = self.settings.silence
-        self._connector = connect(self._reactor, host, port, self, timeout)
-
-    def _connect_later(self) -> None:
-        if not self._is_closed:
-            pause = self.settings.reconnect
-            self._again = self.timers.call_later(pause, self._connect)
-
-    def _beat(self) -> None:
-        self.send(link_pb2.EntryMessage(heartbeat=link_pb2.Heartbeat()))
-
-
-class _SidecarConnection(_Connection[link_pb2.EntryMessage]):
-    """The sidecar's end of a connection."""
-
-    received_type = link_pb2.EntryMessage
-
-    def __init__(self, server: LinkServer) -> None:
-        super().__init__(server.settings, server.timers)
-        self._server = server
-        self._nonce = secrets.token_bytes(NONCE_BYTES)
-        self._events: list[link_pb2.Event] = []
-
-    def connectionMade(self) -> None:  # noqa: N802
-        super().connectionMade()
-        self._server.connections.add(self)
-        challenge = link_pb2.Challenge(nonce=self._nonce)
-        self.write(link_pb2.SidecarMessage(challenge=challenge))
-
-    def send(self, message: link_pb2.SidecarMessage) -> None:
-        # A control message must not overtake an earlier answer.
-        self.flush()
-        self.write(message)
-
-    def send_event(self, event: link_pb2.Event) -> None:
-        if not self._events:
-            self._server.timers.call_later(0, self.flush)
-        self._events.append(event)
-
-    def flush(self) -> None:
-        if not self._events:
-            return
-        events, self._events = self._events, []
-        load = self._server.listener.load_due(self)
-        step = link_pb2.Step(events=events, load=load)
-        self.write(link_pb2.SidecarMessage(step=step))
-
-    def greeting_received(self, message: link_pb2.EntryMessage) -> None:
-        hello = message.hello
-        key = self._server.shared_key
-        expected = prove(key, "entry", self._nonce, hello.nonce)
-        if not hmac.compare_digest(hello.proof, expected):
-            self._server.refused(self)
-            self.abort()
-            return
-        answer = self._server.listener.greeting()
-        answer.proof = prove(key, "sidecar", self._nonce, hello.nonce)
-        self.write(link_pb2.SidecarMessage(hello=answer))
-        self.rise()
-        self._server.listener.link_up(self, hello)
-
-    def message_received(self, message: link_pb2.EntryMessage) -> None:
-        if message.WhichOneof("body") != "heartbeat":
-            self._server.listener.link_message(self, message)
-
-    def connectionLost(  # noqa: N802
-        self, reason: TwistedFailure = connectionDone
-    ) -> None:
-        self.end()
-        self._server.connections.discard(self)
-        if self.is_up:
-            self._server.listener.link_down(self)
-
-
-class LinkServer(Factory):
-    """Takes the links of all entries."""
-
-    noisy = False
-
-    def __init__(
-        self,
-        reactor: Any,
-        shared_key: str,
-        settings: LinkSettings,
-        listener: SidecarLinkListener,
-        timers: Timers,
-        log: Log,
-    ) -> None:
-        """
-        Prepare; nothing listens yet.
-
-        :param reactor: the loop.
-        :param shared_key: what entries prove themselves with.
-        :param settings: bounds and patience.
-        :param listener: told of all that happens.
-        :param timers: the timer service.
-        :param log: where events go.
-        """
-        self._reactor = reactor
-        self.shared_key = shared_key
-        self.settings = settings
-        self.listener = listener
-        self.timers = timers
-        self._log = log
-        self._port: Any = None
-        self.connections: set[_SidecarConnection] = set()
-
-    def start(self, address: str) -> bool:
-        """
-        Listen; holding the port holds the target's one slot.
-
-        :param address: where.
-        :returns: whether the slot was free.
-        """
-        host, port = split_address(address)
-        try:
-            self._port = listen(self._reactor, host, port, self, LISTEN_BACKLOG)
-        except CannotListenError:
-            return False
-        return True
-
-    def stop(self) -> None:
-        """End every link once what is queued for it has gone out."""
-        self._port.stopListening()
-        for connection in list(self.connections):
-            connection.flush()
-            connection.transport.unregisterProducer()
-            connection.transport.loseConnection()
-
-    def buildProtocol(self, addr: object) -> _SidecarConnection:  # noqa: N802
-        """Make the protocol of a new connection."""
-        return _SidecarConnection(self)
-
-    def refused(self, connection: _SidecarConnection) -> None:
-        """Tell that a peer could not prove itself."""
-        peer = connection.transport.getPeer()
-        self._log.write(LogEvent.LINK_REFUSED, peer=str(peer))
--- a/pimentolink/sidecar.py
+++ b/pimentolink/sidecar.py
@@ -10,8 +10,9 @@
 
 from pimentolink import link_pb2
 from pimentolink.adoption import Adoption
+from pimentolink.claimedcalls import ClaimSource
 from pimentolink.claims import ClaimPartition
-from pimentolink.executor import ClaimSource, Executor
+from pimentolink.executor import Executor
 from pimentolink.instances import SIDECAR, Instance, InstanceList
 from pimentolink.kvstore import KeyValueStore
 from pimentolink.links import SidecarLink, SidecarLinkListener
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -7,7 +7,9 @@
 from twisted.internet.defer import succeed
 
 from pimentolink import dispatcher, executor
-from pimentolink.claims import ClaimPartition, ClaimTable
+from pimentolink.claimedcalls import ClaimedCalls
+from pimentolink.claims import ClaimPartition
+from pimentolink.claimtable import ClaimTable
 from pimentolink.entry import Entry
 from pimentolink.errors import NotRun
 from pimentolink.orders import OrderKeeper
@@ -82,7 +84,7 @@
     ),
     "joining a call under way": (
         "call_under_way_is_joined",
-        patch(executor.Executor, "_join", no_joining),
+        patch(ClaimedCalls, "join", no_joining),
     ),
     "reading claims at take-over": (
         "call_survives_no_sidecar_twice",
@@ -106,7 +108,7 @@
     ),
     "remembering that it may have run": (
         "target_dies_under_a_call",
-        patch(dispatcher, "_final", not_run_always),
+        patch(dispatcher, "final_failure", not_run_always),
     ),
     "refusing work while leaving": (
         "leaving_target_gets_nothing",
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -22,10 +22,12 @@
 from pimentolink.logs import Log
 from pimentolink.plan import NO_PLAN, Group, Plan, wanted_of
 from pimentolink.planner import TargetView
+from pimentolink.prefixes import PrefixMemory
 from pimentolink.request import Request
 from pimentolink.roles import MixRoles
-from pimentolink.router import PredictedWork, PrefixMemory, TargetPool, TargetState
+from pimentolink.router import PredictedWork
 from pimentolink.settings import PlannerSettings, RoutingSettings
+from pimentolink.targetpool import TargetPool, TargetState
 from pimentolink.timers import ManualTimers
 from tools.bench import (
     configuration,
--- a/tools/fakeentries.py
+++ b/tools/fakeentries.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor as default_reactor
 
 from pimentolink import link_pb2
-from pimentolink.links import LinkClient
+from pimentolink.linkclient import LinkClient
 from pimentolink.logs import Log
 from pimentolink.settings import LinkSettings
 from pimentolink.timers import ReactorTimers
