Move stalled answers on, keep control within its budget, bound what nobody bounded

Reading the code for the key-value budget: entries without the planner's duty asked for it twice a second and group, 2,640 writes/s at the size to come; claims were written up to 100 times a second and partition, and a full partition took over a megabyte. The setting retry.progress did nothing.

Ruled out: a heartbeat so long that it no longer tells a lost peer in time.

Change: heartbeat 3 s, silence 8 s; an entry attaches to at most most_links sidecars, near ones first; an answer without a token for retry.progress seconds moves on by itself; entries without the duty ask every 30 s, with jitter; claims commit at most 10 times a second, 5,000 to a partition with short identities. Tests of every bound and of the planner; the older system's share stepped up and back. Engines of the experiment's own policy are configured in the role decode.

Full test run passes.

--- a/pimentolink/claimtable.py
+++ b/pimentolink/claimtable.py
@@ -46,6 +46,10 @@
     return xxhash.xxh3_64_intdigest(key.encode()) % partitions
 
 
+# Enough of an incarnation to tell claims apart, in a value that is written often.
+IDENTITY_DIGITS = 12
+
+
 class ClaimState(enum.StrEnum):
     """What is known of a claimed call."""
 
@@ -98,7 +102,7 @@
         :param incarnation: begins the identity of each claim made here.
         """
         self._settings = settings
-        self._incarnation = incarnation
+        self._incarnation = incarnation[:IDENTITY_DIGITS]
         self._made = 0
         self._settled_by_id: OrderedDict[str, ClaimState | None] = OrderedDict()
         self.claims_by_key: OrderedDict[str, Claim] = OrderedDict()
--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -192,6 +192,23 @@
             if event.HasField("finish") and not work.progress.is_over:
                 self._finish_came(work, event.attempt_id, event.finish)
 
+    def move_stalled(self) -> None:
+        """Move each answer on whose target has sent no token for too long."""
+        now = self._timers.now()
+        limit = self._settings.retry.progress
+        stalled = [
+            work
+            for work in self._work_by_request_id.values()
+            if work.progress.attempt_id is not None
+            and work.progress.first_token_at is not None
+            and "stall" not in work.timers
+            and now - work.progress.last_token_at > limit
+        ]
+        for work in stalled:
+            failure = TargetFailed(f"no token for {limit:g} s")
+            self._withdraw_attempt(work)
+            self._attempt_failed(work, failure)
+
     def _work_of(self, attempt_id: int) -> _Work | None:
         request_id = self._request_id_by_attempt.get(attempt_id)
         if request_id is None:
@@ -215,6 +232,7 @@
         target = chosen.ok_value
         self._last_attempt_id += 1
         progress.begin(self._last_attempt_id, target.target_id)
+        progress.last_token_at = self._timers.now()
         self._request_id_by_attempt[self._last_attempt_id] = request.request_id
         work_tokens = self._prefill_work(progress, target)
         target.sent(work_tokens)
@@ -289,8 +307,9 @@
             self._attempt_failed(work, accepted.err_value)
             return
         progress = work.progress
+        progress.last_token_at = self._timers.now()
         if progress.first_token_at is None:
-            progress.first_token_at = self._timers.now()
+            progress.first_token_at = progress.last_token_at
             self._memory.note(progress.request, progress.target_id)
         work.reply.tokens(accepted.ok_value)
 
--- a/pimentolink/entry.py
+++ b/pimentolink/entry.py
@@ -26,10 +26,12 @@
 from pimentolink.roles import make_role_policy
 from pimentolink.router import Router, make_policy
 from pimentolink.settings import EntrySettings
+from pimentolink.targetpool import ring_hash
 from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.tracing import Tracing
 
 IDLE_POLL = 0.05
+SWEEP_INTERVAL = 1.0
 
 
 class OpenLink(EntryLink, Protocol):
@@ -105,6 +107,7 @@
             self.directory,
             make_role_policy(settings.planner, self._timers),
             self._timers,
+            self._random,
             self.log,
         )
         self.adoption.subscribe(self._configuration_adopted)
@@ -112,6 +115,7 @@
         self._hello_by_link: dict[EntryLink, link_pb2.SidecarHello] = {}
         self._list_is_lost = False
         self._poll: Repeater | None = None
+        self._sweep: Repeater | None = None
         self.is_stopping = False
         self._publish_gauges()
 
@@ -122,6 +126,9 @@
         self._read_list()
         interval = self._settings.platform.list_interval
         self._poll = Repeater(self._timers, interval, self._read_list)
+        self._sweep = Repeater(
+            self._timers, SWEEP_INTERVAL, self.dispatcher.move_stalled
+        )
         self._register(is_leaving=False)
         self.log.write(LogEvent.STARTED, address=self._settings.listen)
 
@@ -136,8 +143,9 @@
     async def finish(self) -> None:
         """Finish what is in work, then end all links."""
         await self._finish_work()
-        if self._poll is not None:
-            self._poll.cancel()
+        for repeater in (self._poll, self._sweep):
+            if repeater is not None:
+                repeater.cancel()
         for follower in (self._follower, *self._plan_followers.values()):
             follower.stop()
         for link in self._link_by_sidecar.values():
@@ -304,7 +312,7 @@
 
     def _list_came(self, instances: list[Instance]) -> None:
         self._list_is_lost = False
-        wanted = {instance.name: instance for instance in instances}
+        wanted = {instance.name: instance for instance in self._chosen(instances)}
         for name in self._link_by_sidecar.keys() - wanted:
             self._link_by_sidecar.pop(name).close()
         for name, instance in wanted.items():
@@ -316,6 +324,18 @@
                 opened = self._ports.open_link(instance.address, self)
                 self._link_by_sidecar[name] = opened
 
+    def _chosen(self, instances: list[Instance]) -> list[Instance]:
+        """Choose the sidecars to attach to: the same each time, near ones first."""
+        most = self._settings.links.most_links
+        if len(instances) <= most:
+            return instances
+
+        def order(instance: Instance) -> tuple[bool, int]:
+            is_far = instance.data_centre != self._settings.data_centre
+            return is_far, ring_hash(f"{self._settings.instance}/{instance.name}")
+
+        return sorted(instances, key=order)[:most]
+
     def _list_failed(self, failure: object) -> None:
         if not self._list_is_lost:
             self._list_is_lost = True
--- a/pimentolink/planner.py
+++ b/pimentolink/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import NamedTuple, Protocol
 
 import msgspec
@@ -90,6 +91,7 @@
         fleet: FleetView,
         policy: RolePolicy,
         timers: Timers,
+        random: Random,
         log: Log,
     ) -> None:
         """
@@ -103,9 +105,11 @@
         :param fleet: what is known of engines.
         :param policy: chooses roles.
         :param timers: the timer service.
+        :param random: seeded source for jitter.
         :param log: where events go.
         """
         self._settings = settings
+        self._random = random
         self._incarnation = incarnation
         self._data_centre = data_centre
         self._store = store
@@ -118,6 +122,7 @@
         self._is_busy = False
         self._is_stopped = False
         self._held_until_by_group: dict[Group, float] = {}
+        self._ask_at_by_group: dict[Group, float] = {}
         self._plan_by_group: dict[Group, tuple[Plan, int]] = {}
         self._seen_by_id: dict[str, tuple[int, float]] = {}
         self._started_at = timers.now()
@@ -179,12 +184,18 @@
         now = self._timers.now()
         if now < self._held_until_by_group.get(group, 0.0):
             return True
+        if now < self._ask_at_by_group.get(group, 0.0):
+            return False
         lease = self._settings.lease
         is_held = await self._store.hold_lease(
             group.planner_key, self._incarnation, lease
         )
         if is_held:
             self._held_until_by_group[group] = now + lease / 3
+        else:
+            # Asking is a write; the many entries without the duty ask seldom.
+            spread = self._random.uniform(0.5, 1.5)
+            self._ask_at_by_group[group] = now + spread * self._settings.ask_again
         return is_held
 
     def _allowed(
--- a/pimentolink/request.py
+++ b/pimentolink/request.py
@@ -62,6 +62,7 @@
         self.request = request
         self.started_at = started_at
         self.first_token_at: float | None = None
+        self.last_token_at = started_at
         self.tokens: list[str] = []
         self.attempts = 0
         self.attempt_id: int | None = None
--- a/pimentolink/settings.py
+++ b/pimentolink/settings.py
@@ -49,16 +49,19 @@
 
     :ivar heartbeat: seconds between load reports of an idle sidecar.
     :ivar load_interval: seconds between load reports of a busy one.
+    :ivar most_links: sidecars that an entry attaches to, those of its data centre
+        first; beyond it each entry takes its own choice of them.
     :ivar silence: seconds without a message after which a link counts as lost.
     :ivar reconnect: seconds between attempts to attach.
     :ivar most_pending: bytes kept for a slow peer before its link is dropped.
     """
 
-    heartbeat: Seconds = 1.0
+    heartbeat: Seconds = 3.0
     load_interval: Seconds = 0.25
-    silence: Seconds = 4.0
+    silence: Seconds = 8.0
     reconnect: Seconds = 0.5
     most_pending: Count = 16_000_000
+    most_links: Count = 512
 
 
 class CallerLimits(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -151,6 +154,7 @@
 
     :ivar interval: seconds between two looks at the groups of the region.
     :ivar lease: seconds that the duty for a group lasts unless renewed.
+    :ivar ask_again: seconds, about, until an entry without the duty asks for it again.
     :ivar most_changing: engines of a group that may be out of service for orders.
     :ivar lost_after: seconds without a link after which an engine under a change
         counts as lost and no longer holds up the others.
@@ -166,6 +170,7 @@
 
     interval: Seconds = 0.5
     lease: Seconds = 10.0
+    ask_again: Seconds = 30.0
     most_changing: Count = 1
     lost_after: Seconds = 60.0
     policy: Literal["fixed", "mix", "threshold"] = "fixed"
@@ -227,9 +232,9 @@
     :ivar answers: answers kept in memory for callers that ask again.
     """
 
-    commit_interval: Seconds = 0.01
+    commit_interval: Seconds = 0.1
     retention: Seconds = 86_400.0
-    most: Count = 10_000
+    most: Count = 5_000
     answers: Count = 1_000
 
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -69,6 +69,12 @@
     monkeypatch.setattr(dispatcher.Dispatcher, "_submission", submission)
 
 
+def no_noticing(monkeypatch):
+    """Neither the entry nor the sidecar notices an engine that stands still."""
+    monkeypatch.setattr(dispatcher.Dispatcher, "move_stalled", lambda self: None)
+    monkeypatch.setattr(executor.Executor, "lose_target", lambda self: None)
+
+
 def patch(owner, name, value):
     return lambda monkeypatch: monkeypatch.setattr(owner, name, value)
 
@@ -102,6 +108,10 @@
         "engine_crashes_mid_answer",
         resume_from_nothing,
     ),
+    "moving stalled answers on": (
+        "engine_paused_mid_answer",
+        no_noticing,
+    ),
     "finishing before the end": (
         "entry_stops_whole",
         patch(Entry, "_finish_work", no_finishing),
--- /dev/null
+++ b/tests/test_older_system.py
@@ -0,0 +1,90 @@
+"""Moving a site over: a share of requests goes to the older system, and back."""
+
+import pytest
+
+from standins.engine import whole_answer
+from tests.builders import TARGETS, configuration
+from tools.fleet import SHARED_KEY, Fleet, call, wait_until
+
+
+@pytest.fixture(scope="module")
+def site():
+    with Fleet() as fleet:
+        fleet.start_platform()
+        fleet.start("older", "standins.older_system")
+        for target, data_centre in (("engine-1", "north"), ("engine-2", "south")):
+            fleet.start(target, "standins.engine")
+            fleet.start_sidecar(target, data_centre)
+        for target, data_centre in (("dispatch-1", "north"), ("dispatch-2", "south")):
+            fleet.start(target, "standins.plain_service")
+            fleet.start_sidecar(target, data_centre)
+        fleet.start_entry("entry", "north")
+        yield fleet
+
+
+def step_to(fleet, share):
+    """Put a share into force and wait for the entry and every sidecar."""
+    document = configuration(older_system=fleet.address("older"))
+    for service in document["services"].values():
+        service["older_share"] = share
+    for target in document["targets"].values():
+        target["orders_from"] = "older_system"
+    fleet.apply(document)
+    headers = {"authorization": f"Bearer {SHARED_KEY}"}
+    platform = str(fleet.folder / "platform.json")
+    shown = fleet.command("config", "show", "--platform", platform).stdout
+    version = __import__("json").loads(shown)["version"]
+
+    def is_in_force():
+        told = call(fleet.url("entry", "/pimentolink/status"), headers=headers).json
+        logs = [
+            process.log_path.read_text()
+            for name, process in fleet.processes_by_name.items()
+            if name.startswith("sidecar")
+        ]
+        adopted = f'"version": {version}, "event": "configuration_adopted"'
+        return told["configuration_version"] == version and all(
+            adopted in log for log in logs
+        )
+
+    wait_until(is_in_force, what="the step")
+    fleet.wait_ready("entry", TARGETS)
+
+
+def dispatch(fleet, key):
+    url = fleet.url("entry", "/services/dispatch/send")
+    return call(url, "POST", key.encode(), {"idempotency-key": key})
+
+
+def runs(fleet, key):
+    ours = sum(
+        call(fleet.url(name, "/runs")).json.get(key, 0)
+        for name in ("dispatch-1", "dispatch-2")
+    )
+    return ours, call(fleet.url("older", "/asked")).json.get(key, 0)
+
+
+def test_share_is_stepped_up_and_back_and_no_call_runs_twice(site):
+    step_to(site, 1.0)
+    body = {"model": "claims", "prompt": "older", "max_tokens": 6}
+    reply = call(site.url("entry", "/v1/completions"), "POST", body)
+    assert reply.json["choices"][0]["text"] == whole_answer("older", 6)
+    assert call(site.url("older", "/asked")).json["completions"] == 1
+    assert dispatch(site, "early").json == {"older": True}
+
+    step_to(site, 0.0)
+    assert dispatch(site, "late").status == 200
+    dispatch(site, "early")
+    assert runs(site, "early") == (0, 1)
+    assert runs(site, "late") == (1, 0)
+    reply = call(site.url("entry", "/v1/completions"), "POST", body)
+    assert call(site.url("older", "/asked")).json["completions"] == 1
+
+
+def test_engines_of_the_older_system_get_no_orders(site):
+    for name in ("engine-1", "engine-2"):
+        assert call(site.url(name, "/state")).json["orders_done"] == []
+
+
+def test_no_process_had_a_fault_of_its_own(site):
+    assert site.faults() == []
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,199 @@
+"""Planning: few engines at a time, authority by compare-and-swap, roles by peaks."""
+
+from random import Random
+
+import msgspec
+import pytest
+
+from pimentolink.adoption import Adoption
+from pimentolink.kvstore import MemoryStore
+from pimentolink.logs import Log
+from pimentolink.plan import Group, decode_plan
+from pimentolink.planner import FixedRoles, Planner, TargetView
+from pimentolink.roles import MixRoles, ThresholdRoles
+from pimentolink.settings import PlannerSettings
+from pimentolink.timers import ManualTimers
+from tests.builders import configuration
+
+GROUP = Group("claims", "east")
+ENGINES = ("engine-1", "engine-2")
+
+
+class Fleet:
+    """What the planner is told of engines."""
+
+    def __init__(self):
+        self.linked = set(ENGINES)
+        self.settled = dict.fromkeys(ENGINES, 0)
+
+    def view(self, names):
+        return [
+            TargetView(name, name in self.linked, "mixed", self.settled[name], 0, 0, 0)
+            for name in names
+        ]
+
+
+class Site:
+    def __init__(self):
+        self.timers = ManualTimers()
+        self.store = MemoryStore()
+        self.fleet = Fleet()
+        self.version = 0
+
+    def planner(self, name, role="mixed"):
+        adoption = Adoption(Log())
+        self.offer(adoption, role)
+        return Planner(
+            PlannerSettings(),
+            name,
+            "north",
+            self.store,
+            adoption,
+            self.fleet,
+            FixedRoles(),
+            self.timers,
+            Random(1),
+            Log(),
+        )
+
+    def offer(self, adoption, role):
+        self.version += 1
+        document = configuration()
+        for name in ENGINES:
+            document["targets"][name]["role"] = role
+        accepted = {
+            "version": self.version,
+            "change_id": "x",
+            "author": "a",
+            "applied_at": "",
+            "configuration": document,
+        }
+        adoption.offer(msgspec.json.encode(accepted))
+
+    @property
+    def plan(self):
+        return decode_plan(self.store._read(GROUP.plan_key).data)
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+class TestFewAtATime:
+    def test_second_engine_waits_for_the_first(self, site):
+        planner = site.planner("one")
+        planner.look()
+        assert list(site.plan.wanted_by_target) == ["engine-1"]
+        planner.look()
+        assert list(site.plan.wanted_by_target) == ["engine-1"]
+        site.fleet.settled["engine-1"] = site.plan.number
+        planner.look()
+        assert set(site.plan.wanted_by_target) == set(ENGINES)
+
+    def test_engine_that_is_not_linked_is_not_planned(self, site):
+        site.fleet.linked = {"engine-2"}
+        site.planner("one").look()
+        assert list(site.plan.wanted_by_target) == ["engine-2"]
+
+    def test_engine_lost_under_a_change_holds_up_others_for_a_while_only(self, site):
+        planner = site.planner("one")
+        planner.look()
+        site.fleet.linked = {"engine-2"}
+        planner.look()
+        assert list(site.plan.wanted_by_target) == ["engine-1"]
+        site.timers.advance(61.0)
+        planner.look()
+        assert set(site.plan.wanted_by_target) == set(ENGINES)
+
+
+class TestAuthority:
+    def test_planner_that_believes_in_a_lapsed_lease_changes_nothing(self, site):
+        old = site.planner("old", role="prefill")
+        old.look()
+        site.store.lapse("old")
+        site.fleet.settled["engine-1"] = site.plan.number
+        new = site.planner("new", role="decode")
+        new.look()
+        newest = site.plan
+        assert newest.wanted_by_target["engine-1"].role == "decode"
+        old.look()
+        assert site.plan == newest
+
+    def test_without_compare_and_swap_it_would(self, site):
+        swap = site.store.compare_and_swap
+
+        def overwrite(key, data, revision):
+            return swap(key, data, site.store._read(key).revision)
+
+        site.store.compare_and_swap = overwrite
+        old = site.planner("old", role="prefill")
+        old.look()
+        site.store.lapse("old")
+        site.fleet.settled["engine-1"] = site.plan.number
+        site.planner("new", role="decode").look()
+        newest = site.plan
+        old.look()
+        assert site.plan != newest
+
+    def test_entry_without_the_duty_asks_seldom(self, site):
+        site.planner("one").look()
+        other = site.planner("two")
+        before = site.store.calls
+        for _ in range(100):
+            other.look()
+            site.timers.advance(1.0)
+        assert site.store.calls - before <= 8
+
+    def test_answer_of_the_service_lost_is_no_harm(self, site):
+        planner = site.planner("one")
+        site.store.answers_to_lose = 1
+        planner.look()
+        first = site.plan
+        planner.look()
+        assert site.plan == first
+
+
+class TestRoles:
+    settings = PlannerSettings(
+        engine_rate=1_000, smoothing=1.0, horizon=100.0, margin=0.15
+    )
+    names = [f"e{number}" for number in range(6)]
+
+    def drive(self, policy, timers, rates):
+        """Return how often an engine's role changed over seconds of demand."""
+        roles = dict.fromkeys(self.names, "mixed")
+        changes = asked = 0
+        for rate in rates:
+            timers.advance(1.0)
+            asked += rate
+            views = [
+                TargetView(
+                    name, True, roles[name], 0, 0, 0, asked if name == "e0" else 0
+                )
+                for name in self.names
+            ]
+            new = policy.choose(GROUP, dict.fromkeys(self.names, "mixed"), views)
+            changes += sum(new[name] != roles[name] for name in self.names)
+            roles = new
+        return changes, list(roles.values()).count("prefill")
+
+    def test_a_swing_changes_engines_once_and_its_return_none(self):
+        swings = ([100] * 20 + [1_800] * 20) * 3
+        timers = ManualTimers()
+        mixed, readers = self.drive(MixRoles(self.settings, timers), timers, swings)
+        timers = ManualTimers()
+        threshold, _ = self.drive(ThresholdRoles(self.settings, timers), timers, swings)
+        assert (mixed, readers) == (2, 2)
+        assert threshold >= 8
+
+    def test_readers_go_back_once_the_horizon_has_passed(self):
+        timers = ManualTimers()
+        rates = [1_800] * 20 + [0] * 130
+        changes, readers = self.drive(MixRoles(self.settings, timers), timers, rates)
+        assert (changes, readers) == (4, 0)
+
+    def test_at_most_half_of_a_group_reads(self):
+        timers = ManualTimers()
+        _, readers = self.drive(MixRoles(self.settings, timers), timers, [90_000] * 9)
+        assert readers == 3
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -85,7 +85,8 @@
             sources, names = start_sources(fleet, count)
             fleet.apply(configuration(names, []))
             start = time.monotonic()
-            entry = fleet.start_entry("entry", "d")
+            links = {"most_links": max(TARGETS)}
+            entry = fleet.start_entry("entry", "d", links=links)
             fleet.wait_ready("entry", names)
             ready.append((count, time.monotonic() - start))
             time.sleep(1.0)
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -32,6 +32,8 @@
     "current": {"planner": {"policy": "mix"}},
     "foresight": {"planner": {"policy": "fixed"}},
 }
+# What operators configure under each policy; engines start in that role.
+ROLE_BY_POLICY = {"current": "decode", "foresight": "decode"}
 FAULTS: dict[str, Callable[[Fleet], None]] = {
     "engine_crash": lambda fleet: fleet.processes_by_name[first_engine(fleet)].kill(),
     "entry_killed": lambda fleet: fleet.processes_by_name["entry-2"].kill(),
@@ -72,6 +74,9 @@
     """
     configuration = site_configuration(site)
     model_only = _models_only(configuration)
+    role = ROLE_BY_POLICY.get(policy, "mixed")
+    for target in model_only["targets"].values():
+        target["role"] = role
     if policy == "foresight":
         # The roles that the trace's swings need, from the start: what could be done
         # with the mix known in advance.
@@ -80,7 +85,9 @@
     with Fleet() as fleet:
         fleet.start_platform()
         targets = start_targets(
-            fleet, model_only, "--cache-blocks", "500", "--load-lag", str(lag)
+            fleet,
+            model_only,
+            *("--cache-blocks", "500", "--load-lag", str(lag), "--role", role),
         )
         data_centres = list(model_only["data_centres"])
         entries = ["entry-1", "entry-2"]
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -210,7 +210,7 @@
             "target_address": self.address(target),
             "shared_key": SHARED_KEY,
             "platform": self.platform_settings(),
-            "links": {"reconnect": 0.1},
+            "links": {"reconnect": 0.1, "heartbeat": 1.0, "silence": 4.0},
             **extra,
         }
         path = self.write(name, settings)
@@ -227,7 +227,7 @@
             "listen": address,
             "shared_key": SHARED_KEY,
             "platform": self.platform_settings(),
-            "links": {"reconnect": 0.1},
+            "links": {"reconnect": 0.1, "heartbeat": 1.0, "silence": 4.0},
             "leave_delay": 0.2,
             **extra,
         }
