Break the circuit to the key-value service, lose no end of an answer

Cause, found by reading: (1) an answer whose last token had come but whose end was lost with its link was resumed, and the engine went on past the caller's limit: one token too many; (2) during an outage each call under a claim waited for up to four time-outs before it was refused; (3) every sidecar of a group read the plan on each change of it, and all at once after a restart of the fleet: 11,000 reads where 2,000 a second are allowed; (4) the test of crossed answers could not fail, since the stand-in crossed only the name.

Ruled out: refusing at the first failure of the service (one sidecar alone may be cut off from it; a second is asked).

Change: a request at its limit is complete; a breaker with growing pauses before the service in entries and sidecars; contended claims are told from unavailable ones; entries tell only sidecars whose target's plan is news; sidecars that start together read over 10 s; the stand-in crosses tokens too. Versions of what tests and tools install are pinned in constraints.txt.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 
 environment: .venv/installed
 
-.venv/installed: pyproject.toml
+.venv/installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv .venv
-	$(BIN)/pip install --quiet --editable '.[dev]'
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
 	touch $@
 
 test: environment
--- a/pimentolink/callers.py
+++ b/pimentolink/callers.py
@@ -232,6 +232,7 @@
             is_model=False,
             prefill_tokens=0,
             decode_tokens=0,
+            token_limit=0,
             prefixes=(),
             traceparent=headers.get("traceparent", ""),
         )
--- a/pimentolink/claims.py
+++ b/pimentolink/claims.py
@@ -10,6 +10,7 @@
 
 from pimentolink.claimtable import Claim, ClaimDocument, ClaimState, ClaimTable
 from pimentolink.errors import (
+    ClaimContended,
     ClaimUnavailable,
     Failure,
     KeyValueUnavailable,
@@ -102,7 +103,7 @@
         while self._is_busy:
             await pause(self._timers, self._settings.commit_interval)
         if not self.is_owned:
-            return Err(ClaimUnavailable("the partition was taken over"))
+            return Err(ClaimContended("the partition was taken over"))
         self._is_busy = True
         try:
             is_stored = await self._commit()
@@ -111,7 +112,11 @@
         finally:
             self._is_busy = False
             self._start()
-        return Ok(None) if is_stored else Err(ClaimUnavailable("taken over"))
+        return (
+            Ok(None)
+            if is_stored
+            else Err(ClaimContended("the partition was taken over"))
+        )
 
     def _mark_dirty(self) -> None:
         if not self._is_dirty:
@@ -139,7 +144,7 @@
                 self._refuse_waiting(ClaimUnavailable(str(error), retry_after=1.0))
                 return
         if not self.is_owned:
-            self._refuse_waiting(ClaimUnavailable("contended", retry_after=0.1))
+            self._refuse_waiting(ClaimContended("taken over by another sidecar"))
             return
         pending = self._admit_waiting()
         if not pending and not self._is_dirty:
@@ -168,7 +173,7 @@
             if await self._commit():
                 outcome = Ok(None)
             else:
-                outcome = Err(ClaimUnavailable("the partition was taken over"))
+                outcome = Err(ClaimContended("the partition was taken over"))
         except KeyValueUnavailable as error:
             outcome = Err(ClaimUnavailable(str(error), retry_after=1.0))
         if isinstance(outcome, Err):
--- a/pimentolink/completions.py
+++ b/pimentolink/completions.py
@@ -116,6 +116,7 @@
         is_model=True,
         prefill_tokens=1 + len(prompt) // CHARACTERS_PER_TOKEN,
         decode_tokens=asked.max_tokens or DEFAULT_DECODE_TOKENS,
+        token_limit=asked.max_tokens or 0,
         prefixes=_prefixes_of(prompt),
         traceparent=headers.get("traceparent", ""),
     )
--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -16,6 +16,7 @@
 from pimentolink.errors import (
     AlreadyRun,
     CallerTooSlow,
+    ClaimUnavailable,
     CrossedAnswer,
     Draining,
     Failure,
@@ -190,7 +191,7 @@
             if event.tokens:
                 self._tokens_came(work, event)
             if event.HasField("finish") and not work.progress.is_over:
-                self._finish_came(work, event.attempt_id, event.finish)
+                self._finish_came(work, event.finish)
 
     def move_stalled(self) -> None:
         """Move each answer on whose target has sent no token for too long."""
@@ -219,6 +220,10 @@
     def _attempt(self, work: _Work) -> None:
         progress = work.progress
         request = progress.request
+        if progress.is_at_limit:
+            # Only the end of the answer was lost; an engine would go on past it.
+            self._complete(work, link_pb2.Finish(finish_reason="length"))
+            return
         chosen = self._router.choose(
             progress.remaining,
             self._adoption.claim_partitions(request.service),
@@ -259,7 +264,7 @@
             routing.split
             and target.load.role == PREFILL
             and request.prefill_tokens >= routing.split_from
-            and request.decode_tokens > 1
+            and progress.decode_tokens_left > 1
             and not progress.was_handed_over
             and not progress.to_older_system
         )
@@ -313,23 +318,24 @@
             self._memory.note(progress.request, progress.target_id)
         work.reply.tokens(accepted.ok_value)
 
-    def _finish_came(
-        self, work: _Work, attempt_id: int, finish: link_pb2.Finish
-    ) -> None:
+    def _finish_came(self, work: _Work, finish: link_pb2.Finish) -> None:
         self._tracing.put(work.progress.request.request_id, finish.spans)
         target = self._directory.target(work.progress.target_id)
         if finish.outcome == link_pb2.COMPLETE:
             if target is not None:
                 target.succeeded()
             self._end_attempt(work)
-            if work.progress.is_prefill_only:
+            if work.progress.is_prefill_only and finish.finish_reason != "stop":
                 self._hand_over(work, finish.cache)
-                return
-            self._close(work)
-            work.reply.complete(finish, work.progress)
+            else:
+                self._complete(work, finish)
             return
         self._attempt_failed(work, failure_of(finish))
 
+    def _complete(self, work: _Work, finish: link_pb2.Finish) -> None:
+        self._close(work)
+        work.reply.complete(finish, work.progress)
+
     def _hand_over(self, work: _Work, cache: bytes) -> None:
         """Go on with another engine, which is no retry."""
         progress = work.progress
@@ -352,9 +358,13 @@
         self._blame_target(work, failure)
         progress.may_have_run |= failure.ran
         self._end_attempt(work)
-        if isinstance(
+        # A second sidecar is asked, in case the first alone is cut off from the
+        # key-value service; more would only keep the caller waiting.
+        is_down = isinstance(failure, ClaimUnavailable) and progress.attempts >= 2
+        is_final = isinstance(
             failure, TargetRejected | IdempotencyKeyReused | AlreadyRun | OutcomeUnknown
-        ):
+        )
+        if is_final or is_down:
             self._give_up(work, failure)
         else:
             self._retry_later(work, failure)
--- a/pimentolink/entry.py
+++ b/pimentolink/entry.py
@@ -11,6 +11,7 @@
 
 from pimentolink import link_pb2
 from pimentolink.adoption import Adoption
+from pimentolink.breaker import BreakerStore
 from pimentolink.configstore import CONFIGURATION_KEY, Head
 from pimentolink.directory import TargetDirectory
 from pimentolink.dispatcher import Dispatcher
@@ -20,7 +21,7 @@
 from pimentolink.links import EntryLink, EntryLinkListener
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
-from pimentolink.plan import Group, group_of, groups_of
+from pimentolink.plan import Group, Plan, decode_plan, group_of, groups_of
 from pimentolink.planner import Planner
 from pimentolink.prefixes import PrefixMemory
 from pimentolink.roles import make_role_policy
@@ -72,6 +73,9 @@
         self._ports = ports
         self._random = Random(ports.incarnation)
         self._timers = ports.timers
+        self._store = BreakerStore(
+            ports.store, settings.platform, self._timers, self._random
+        )
         self.log = Log(instance=settings.instance, role="entry")
         self.metrics = Metrics()
         self.tracing = Tracing(settings.instance, settings.trace_ratio, self.log)
@@ -81,7 +85,7 @@
         )
         self._head: Head | None = None
         self._plan_followers: dict[Group, KeyFollower] = {}
-        self._revision_by_group: dict[Group, int] = {}
+        self._plan_by_group: dict[Group, tuple[Plan, int]] = {}
         memory = PrefixMemory(settings.routing.prefixes_kept)
         policy = make_policy(
             settings.routing, settings.data_centre, memory, self._random
@@ -102,7 +106,7 @@
             settings.planner,
             ports.incarnation,
             settings.data_centre,
-            ports.store,
+            self._store,
             self.adoption,
             self.directory,
             make_role_policy(settings.planner, self._timers),
@@ -225,7 +229,7 @@
     ) -> KeyFollower:
         return KeyFollower(
             key,
-            self._ports.store,
+            self._store,
             self._settings.platform,
             self._timers,
             self._random,
@@ -239,7 +243,7 @@
         head = msgspec.json.decode(value.data, type=Head)
         self._head = head
         if not self.adoption.offer_patch(bytes(head.patch), head.version, head.digest):
-            whole = self._ports.store.get(head.document_key)
+            whole = self._store.get(head.document_key)
             whole.addCallbacks(self._document_came, self._document_failed)
 
     def _document_came(self, value: Value) -> None:
@@ -272,22 +276,27 @@
             follower.start()
 
     def _plan_came(self, group: Group, value: Value) -> None:
-        self._revision_by_group[group] = value.revision
+        self._plan_by_group[group] = (decode_plan(value.data), value.revision)
         for link, hello in self._hello_by_link.items():
             self._tell_plan(link, hello.target_id)
 
     def _tell_plan(self, link: EntryLink, target_id: str) -> None:
+        """Tell a sidecar of a plan that wants something new of its target."""
         if self.adoption.accepted is None:
             return
         group = group_of(self.adoption.accepted.configuration, target_id)
-        if group is None or group not in self._revision_by_group:
+        if group is None or group not in self._plan_by_group:
             return
-        news = link_pb2.PlanNews(
-            service=group.service,
-            region=group.region,
-            revision=self._revision_by_group[group],
-        )
-        link.send(link_pb2.EntryMessage(plan_news=news))
+        plan, revision = self._plan_by_group[group]
+        wanted = plan.wanted_by_target.get(target_id)
+        target = self.directory.target(target_id)
+        if wanted is None or target is None:
+            return
+        if target.load.settled_number < wanted.number:
+            news = link_pb2.PlanNews(
+                service=group.service, region=group.region, revision=revision
+            )
+            link.send(link_pb2.EntryMessage(plan_news=news))
 
     def _document(self) -> link_pb2.EntryMessage:
         document = link_pb2.Document(
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -131,11 +131,17 @@
 
 
 class ClaimUnavailable(NotRun):
-    """The claim on the key could not be written, so the call was not made."""
+    """The key-value service does not take claims, so the call was not made."""
 
     code = "claim_unavailable"
 
 
+class ClaimContended(NotRun):
+    """Another sidecar commits the key's partition, so the call was not made here."""
+
+    code = "claim_contended"
+
+
 class Draining(NotRun):
     """This process takes no new work since it is stopping."""
 
--- a/pimentolink/executor.py
+++ b/pimentolink/executor.py
@@ -111,7 +111,8 @@
             "sidecar", submit.request_id, submit.traceparent
         )
         if not self.is_accepting:
-            self._refuse(attempt, Draining("the target takes no new work"))
+            failure = Draining("the target takes no new work")
+            self._send_end(attempt, finish_of(failure))
             return
         if submit.idempotency_key:
             self._attempts_by_key[attempt.key] = attempt
@@ -217,23 +218,23 @@
     def finish(self, attempt: Attempt, finish: link_pb2.Finish) -> None:
         """End an attempt."""
         self._forget(attempt)
-        self._end_span(attempt, finish)
-        attempt.link.send_event(
-            link_pb2.Event(
-                attempt_id=attempt.key.attempt_id, offset=attempt.offset, finish=finish
-            )
-        )
+        self._send_end(attempt, finish)
         self._start_next()
 
     def fail(self, attempt: Attempt, failure: Failure) -> None:
         """End an attempt with a failure."""
         self.finish(attempt, finish_of(failure))
 
-    def _end_span(self, attempt: Attempt, finish: link_pb2.Finish) -> None:
+    def _send_end(self, attempt: Attempt, finish: link_pb2.Finish) -> None:
         attempt.span.set_attribute("outcome", finish.error_code or "complete")
         attempt.call_span.end()
         attempt.span.end()
         finish.spans = self._tracing.take(attempt.submit.request_id)
+        attempt.link.send_event(
+            link_pb2.Event(
+                attempt_id=attempt.key.attempt_id, offset=attempt.offset, finish=finish
+            )
+        )
 
     def _shed(
         self, offered: Result[AttemptKey | None, Overloaded], attempt: Attempt
@@ -244,15 +245,6 @@
             shed = self._attempts_by_key[offered.ok_value]
             self.fail(shed, Overloaded("more urgent work came"))
 
-    def _refuse(self, attempt: Attempt, failure: Failure) -> None:
-        finish = finish_of(failure)
-        self._end_span(attempt, finish)
-        attempt.link.send_event(
-            link_pb2.Event(
-                attempt_id=attempt.key.attempt_id, offset=attempt.offset, finish=finish
-            )
-        )
-
     def _start_next(self) -> None:
         while not self.target_is_lost:
             item = self._queue.take(self._timers.now())
--- a/pimentolink/orders.py
+++ b/pimentolink/orders.py
@@ -102,7 +102,9 @@
         self._timers = timers
         self._backoff = Backoff(0.1, 5.0, random)
         self._log = log
-        self._quiet_until = timers.now() + settings.quiet
+        # A fleet that restarts must not ask the key-value service all at once.
+        spread = random.uniform(0.0, settings.spread)
+        self._quiet_until = timers.now() + settings.quiet + spread
         self._group: Group | None = None
         self._known_revision = 0
         self._is_busy = False
--- a/pimentolink/outcomes.py
+++ b/pimentolink/outcomes.py
@@ -5,6 +5,7 @@
 from pimentolink import link_pb2
 from pimentolink.errors import (
     AlreadyRun,
+    ClaimContended,
     ClaimUnavailable,
     CrossedAnswer,
     Draining,
@@ -27,6 +28,7 @@
     failure.code: failure
     for failure in (
         AlreadyRun,
+        ClaimContended,
         ClaimUnavailable,
         CrossedAnswer,
         Draining,
--- a/pimentolink/request.py
+++ b/pimentolink/request.py
@@ -21,6 +21,7 @@
     :ivar is_model: whether an engine answers it, token by token.
     :ivar prefill_tokens: predicted length of the prompt.
     :ivar decode_tokens: predicted length of the answer.
+    :ivar token_limit: most tokens that the caller takes; 0 if it gave no limit.
     :ivar prefixes: digests of ever longer beginnings of the prompt; see
         ``completions.PREFIX_TOKENS``.
     :ivar traceparent: W3C trace context, or empty.
@@ -40,6 +41,7 @@
     is_model: bool
     prefill_tokens: int
     decode_tokens: int
+    token_limit: int
     prefixes: tuple[int, ...]
     traceparent: str
 
@@ -87,6 +89,12 @@
             return self.request
         return self.request._replace(prefill_tokens=1, prefixes=())
 
+    @property
+    def is_at_limit(self) -> bool:
+        """Whether the caller has all tokens, though no end of the answer came."""
+        limit = self.request.token_limit
+        return 0 < limit <= len(self.tokens)
+
     def begin(self, attempt_id: int, target_id: str) -> None:
         """
         Start an attempt; any earlier one no longer counts.
--- a/pimentolink/settings.py
+++ b/pimentolink/settings.py
@@ -31,6 +31,8 @@
     :ivar watch_wait: seconds that one waiting watch lasts.
     :ivar backoff_first: seconds of the first pause after a failed call.
     :ivar backoff_most: seconds of the longest pause.
+    :ivar breaker_failures: calls unanswered in a row after which the key-value
+        service is not asked for a while.
     :ivar list_interval: seconds between two readings of the list.
     """
 
@@ -40,6 +42,7 @@
     watch_wait: Seconds = 30.0
     backoff_first: Seconds = 0.1
     backoff_most: Seconds = 2.0
+    breaker_failures: Count = 3
     list_interval: Seconds = 1.0
 
 
@@ -243,11 +246,13 @@
     Carrying out the plan.
 
     :ivar timeout: seconds after which an order counts as lost.
+    :ivar spread: seconds over which sidecars that start together read the plan.
     :ivar quiet: seconds a new sidecar waits for its predecessor's orders to land.
     """
 
     timeout: Seconds = 60.0
     quiet: Seconds = 1.0
+    spread: Seconds = 10.0
 
 
 class SidecarSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/pimentolink/sidecar.py
+++ b/pimentolink/sidecar.py
@@ -10,6 +10,7 @@
 
 from pimentolink import link_pb2
 from pimentolink.adoption import Adoption
+from pimentolink.breaker import BreakerStore
 from pimentolink.claimedcalls import ClaimSource
 from pimentolink.claims import ClaimPartition
 from pimentolink.executor import Executor
@@ -71,6 +72,9 @@
         self._older_address: str | None = None
         self._random = Random(ports.incarnation)
         self._timers = ports.timers
+        self._store = BreakerStore(
+            ports.store, settings.platform, self._timers, self._random
+        )
         self.log = Log(
             instance=settings.instance, role="sidecar", target=settings.target
         )
@@ -87,7 +91,7 @@
         self._orders = OrderKeeper(
             settings.orders,
             settings.target,
-            ports.store,
+            self._store,
             ports.engine,
             self._executor,
             self._timers,
@@ -214,7 +218,7 @@
         return ClaimPartition(
             f"pimentolink/claims/{service}/{number}",
             self._ports.incarnation,
-            self._ports.store,
+            self._store,
             self._timers,
             self._settings.claims,
         )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -236,7 +236,9 @@
         limit = self.faults["crash_after_tokens"]
         if limit and self.emitted >= limit:
             self._crash()
-        token = token_at(sequence.prompt, sequence.emitted)
+        is_crossed = self.faults["cross_answers"]
+        prompt = "another" if is_crossed else sequence.prompt
+        token = token_at(prompt, sequence.emitted)
         sequence.emitted += 1
         is_last = sequence.emitted >= sequence.wanted
         choice: dict[str, Any] = {"index": 0}
@@ -245,7 +247,7 @@
             choice["delta"] = {"content": token}
         else:
             choice["text"] = token
-        name = "another" if self.faults["cross_answers"] else sequence.name
+        name = "another" if is_crossed else sequence.name
         event = {"request_id": name, "choices": [choice]}
         data = b"data: " + json.dumps(event).encode() + b"\n\n"
         if is_last:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -18,6 +18,7 @@
     | "heal" NAME "with" NAME                       -> heal
     | "outage"                                      -> outage
     | "recovery"                                    -> recovery
+    | "delay" NUMBER                                -> delay
     | "lose" INT "answers"                          -> lose
     | "set" NAME "role" NAME                        -> set_role
     | "drain" NAME                                  -> drain
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -122,3 +122,16 @@
     services = ("dispatch-1", "dispatch-2")
     counts = [call(fleet.url(name, "/runs")).json for name in services]
     return sum(count.get(call_body, 0) for count in counts)
+
+
+class TestCrossedAnswers:
+    def test_answer_to_another_request_is_dropped_and_asked_again(self, small_fleet):
+        faults = small_fleet.url("engine-1", "/faults")
+        call(faults, "PUT", {"cross_answers": True})
+        try:
+            for number in range(4):
+                prompt = f"own {number}"
+                reply = complete(small_fleet, prompt=prompt, max_tokens=6)
+                assert reply.json["choices"][0]["text"] == whole_answer(prompt, 6)
+        finally:
+            call(faults, "PUT", {"cross_answers": False})
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -13,7 +13,12 @@
 from pimentolink.instances import MemoryInstanceList
 from pimentolink.kvstore import MemoryStore
 from pimentolink.orders import EngineState
-from pimentolink.settings import EntrySettings, PlatformSettings, SidecarSettings
+from pimentolink.settings import (
+    EntrySettings,
+    OrderSettings,
+    PlatformSettings,
+    SidecarSettings,
+)
 from pimentolink.sidecar import Sidecar, SidecarPorts
 from pimentolink.targets import TargetCall
 from pimentolink.timers import ManualTimers
@@ -322,6 +327,9 @@
         self._prompt = body["prompt"]
         self._wanted = body["max_tokens"]
         self._emitted = len(call.resume_tokens)
+        self._cache = b"cache" if call.prefill_only else b""
+        if call.prefill_only:
+            self._wanted = self._emitted + 1
         self._is_over = False
         engine.started.append(engine.process.now())
         engine.process.world.streams.append(self)
@@ -356,7 +364,7 @@
     def _arrived(self, tokens: list[str], is_last: bool) -> None:
         self._listener.tokens(tokens)
         if is_last:
-            self._listener.finished(Answer(200, {}, b""), "length")
+            self._listener.finished(Answer(200, {}, self._cache), "length")
 
 
 class VirtualPlain(VirtualEngine):
@@ -499,6 +507,7 @@
             target_address="127.0.0.1:4",
             shared_key=KEY,
             platform=PLATFORM,
+            orders=OrderSettings(spread=0.1),
         )
         self.sidecars[name] = Sidecar(settings, ports)
         return self.sidecars[name].start()
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -212,8 +212,9 @@
             body=json.dumps(body).encode() if is_model else (key or name).encode(),
             idempotency_key=key or "",
             is_model=is_model,
-            prefill_tokens=2 if is_model else 0,
+            prefill_tokens=max(2, len(name) // 4) if is_model else 0,
             decode_tokens=count if is_model else 0,
+            token_limit=count if is_model else 0,
             prefixes=(),
             traceparent="",
         )
@@ -396,6 +397,9 @@
     def lose(self, count: int) -> None:
         self._fault({"lose_answers": count})
 
+    def delay(self, seconds: float) -> None:
+        self._fault({"delay": seconds})
+
     def _fault(self, fault: dict[str, Any]) -> None:
         call(self.fleet.url("key_value", "/faults"), "PUT", fault)
 
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -218,7 +218,7 @@
 def main() -> None:
     """Print all measurements as JSON."""
     print(json.dumps({"latency": latency()}, indent=2))
-    for targets, streams in ((8, 400), (8, 1200), (96, 1200)):
+    for targets, streams in ((8, 400), (8, 1200), (96, 1200), (355, 1200)):
         found = {"targets": targets, **relay(targets, streams, 290)}
         print(json.dumps({"relay": found}, indent=2), flush=True)
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Callable
+from datetime import datetime
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -35,7 +36,7 @@
     resident_megabytes,
     start_sources,
 )
-from tools.fleet import SHARED_KEY, Fleet, call
+from tools.fleet import SHARED_KEY, Fleet, call, wait_until
 
 TARGETS = (16, 64, 256, 1024)
 ENTRIES = (4, 16, 64, 256)
@@ -200,6 +201,44 @@
     ]
 
 
+def propagation() -> list[Slope]:
+    """Time a configuration change from the first process in force to the last."""
+    points = []
+    for count in (4, 16, 32):
+        with Fleet() as fleet:
+            fleet.start_platform()
+            names = [f"target-{number}" for number in range(count)]
+            for name in names:
+                fleet.start(name, "standins.plain_service")
+                fleet.start_sidecar(name, "d")
+            for name in ("entry-1", "entry-2"):
+                fleet.start_entry(name, "d")
+            document = configuration(["engine"], names)
+            del document["services"]["m"], document["targets"]["engine"]
+            document["models"] = {}
+            fleet.apply(document)
+            for name in ("entry-1", "entry-2"):
+                fleet.wait_ready(name, names)
+            document["work"]["w"]["priority"] = 1
+            fleet.apply(document)
+            wanted = count + 2
+            wait_until(lambda fleet=fleet, n=wanted: len(_adoptions(fleet)) == n)
+            adopted = _adoptions(fleet)
+            points.append((wanted, max(adopted) - min(adopted)))
+    return [fit("configuration change: first to last process", "s", points)]
+
+
+def _adoptions(fleet: Fleet) -> list[float]:
+    """Read from the logs when each process put version 2 into force."""
+    moments = []
+    for process in fleet.processes_by_name.values():
+        for line in process.log_path.read_text().splitlines():
+            if '"version": 2, "event": "configuration_adopted"' in line:
+                stamp = json.loads(line)["timestamp"]
+                moments.append(datetime.fromisoformat(stamp).timestamp())
+    return moments
+
+
 def message_bytes() -> dict[str, int]:
     """Size the messages of idle links, with frame and TCP/IP headers."""
     load = link_pb2.Load(
@@ -270,6 +309,7 @@
         is_model=True,
         prefill_tokens=500,
         decode_tokens=100,
+        token_limit=100,
         prefixes=(1, 2),
         traceparent="",
     )
@@ -302,6 +342,7 @@
         routing,
         planning,
         adopting,
+        propagation,
         service_calls,
         sidecar_against_entries,
         entry_against_targets,
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -208,6 +208,7 @@
             "listen": address,
             "target": target,
             "target_address": self.address(target),
+            "orders": {"spread": 0.1},
             "shared_key": SHARED_KEY,
             "platform": self.platform_settings(),
             "links": {"reconnect": 0.1, "heartbeat": 1.0, "silence": 4.0},
