--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,89 @@
+"""The command line: exit codes and what it prints."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from tests.builders import configuration
+from tools.fleet import Fleet, call
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+@pytest.fixture(scope="module")
+def platform():
+    with Fleet() as fleet:
+        fleet.start_platform()
+        fleet.settle()
+        yield fleet
+
+
+def path_of(fleet, name, document):
+    return str(fleet.write(name, document))
+
+
+def run(fleet, *words):
+    return fleet.command(*words, "--platform", str(fleet.folder / "platform.json"))
+
+
+@pytest.mark.parametrize("site", ["jentera-lindung", "gorski-varuhi"])
+def test_example_of_each_site_is_sound(platform, site):
+    overlay = str(EXAMPLES / f"{site}.json")
+    done = platform.command("config", "check", str(EXAMPLES / "base.json"), overlay)
+    assert (done.returncode, done.stdout) == (0, "ok\n")
+
+
+def test_faults_are_all_listed_and_nothing_is_written(platform):
+    document = configuration(colour="red")
+    document["work"]["triage"]["priority"] = 12
+    before = call(platform.url("key_value", "/calls")).json
+    done = run(platform, "config", "apply", path_of(platform, "bad", document))
+    assert done.returncode == 2
+    assert sorted(line.split(": ")[1] for line in done.stderr.splitlines()) == [
+        "key_unknown",
+        "value_out_of_range",
+    ]
+    assert call(platform.url("key_value", "/calls")).json == before
+
+
+def test_apply_show_diff_history_and_a_lost_race(platform):
+    first = path_of(platform, "first", configuration())
+    changed = configuration()
+    changed["targets"]["engine-1"]["drained"] = True
+    second = path_of(platform, "second", changed)
+    assert run(platform, "config", "apply", first).returncode == 0
+    assert (
+        run(platform, "config", "diff", second).stdout
+        == "/targets/engine-1/drained: absent -> true\n"
+    )
+    assert run(platform, "config", "apply", second).returncode == 0
+    lost = run(platform, "config", "apply", first, "--against", "1")
+    assert lost.returncode == 4
+    assert lost.stderr.startswith("configuration_conflict: version 2 by ")
+    shown = json.loads(run(platform, "config", "show").stdout)
+    assert shown["version"] == 2
+    listed = json.loads(run(platform, "config", "history", "--json").stdout)
+    assert [item["version"] for item in listed] == [2, 1]
+
+
+def test_unknown_target_is_a_typed_error(platform):
+    run(platform, "config", "apply", path_of(platform, "first", configuration()))
+    done = run(platform, "target", "drain", "nobody")
+    assert done.returncode == 1
+    assert done.stderr == "/targets/nobody: reference_unknown: no target nobody\n"
+
+
+def test_missing_file_and_missing_platform(platform):
+    assert platform.command("config", "check", "/nowhere.json").returncode == 2
+    assert platform.command("entry", "/nowhere.json").returncode == 2
+
+
+def test_service_that_does_not_answer_is_said(platform):
+    call(platform.url("key_value", "/faults"), "PUT", {"down": True})
+    try:
+        done = run(platform, "config", "show")
+        assert done.returncode == 1
+        assert done.stderr.startswith("key_value_unavailable")
+    finally:
+        call(platform.url("key_value", "/faults"), "PUT", {"down": False})
