Plan only engines that serve, and keep the readers that the plan has

The crashed engine's sidecar answers, so the engine counted as one to plan and, being empty, was chosen as a reader; and the choice went by the role that engines tell, which is the old one while an order is under way, so readers were chosen and taken back in turn.

Ruled out: a longer horizon (the demand was not what moved).

Change: an engine serves if it takes work or is held for an order; only such engines are planned or chosen; the choice keeps what the plan has. The three test modules that start the small site share one builder.

The new test fails with either half of the change taken out.

--- a/pimentolink/directory.py
+++ b/pimentolink/directory.py
@@ -122,7 +122,7 @@
         load = target.load if target is not None else link_pb2.Load()
         return TargetView(
             target_id=target_id,
-            is_linked=target is not None,
+            is_serving=load.accepting or load.held,
             role=load.role,
             settled_number=load.settled_number,
             running=load.running,
--- a/pimentolink/planner.py
+++ b/pimentolink/planner.py
@@ -22,13 +22,13 @@
     """
     What a planner knows of an engine.
 
-    :ivar is_linked: whether its sidecar answers.
+    :ivar is_serving: whether its sidecar answers and tells that the engine does.
     :ivar settled_number: of the plan's last change to it that it meets.
     :ivar long_prefill_asked: work of long prompts since its sidecar started, tokens.
     """
 
     target_id: str
-    is_linked: bool
+    is_serving: bool
     role: str
     settled_number: int
     running: int
@@ -51,13 +51,19 @@
     """How the roles of a group are chosen."""
 
     def choose(
-        self, group: Group, configured: dict[str, Role], views: list[TargetView]
+        self,
+        group: Group,
+        configured: dict[str, Role],
+        planned: dict[str, Role],
+        views: list[TargetView],
     ) -> dict[str, Role]:
         """
         Choose the role of each engine.
 
         :param group: the engines' group.
         :param configured: roles as operators wrote them, by name.
+        :param planned: roles that the plan in force wants, by name; an engine may
+            still be on its way there.
         :param views: what is known of the engines.
         """
 
@@ -66,7 +72,11 @@
     """Keeps the roles that operators configured."""
 
     def choose(
-        self, group: Group, configured: dict[str, Role], views: list[TargetView]
+        self,
+        group: Group,
+        configured: dict[str, Role],
+        planned: dict[str, Role],
+        views: list[TargetView],
     ) -> dict[str, Role]:
         """Choose the configured roles."""
         return configured
@@ -169,7 +179,8 @@
         views = self._fleet.view(target_ids)
         self._remember(views)
         configured = {name: configuration.targets[name].role for name in target_ids}
-        roles = self._policy.choose(group, configured, views)
+        planned = {name: wanted.role for name, wanted in plan.wanted_by_target.items()}
+        roles = self._policy.choose(group, configured, planned, views)
         wanted = {
             name: wanted_of(configuration, group.service, roles[name])
             for name in target_ids
@@ -221,8 +232,8 @@
         for name, new in wanted.items():
             before = before_by_id.get(name)
             is_same = before is not None and _is_same(before, new)
-            # Nothing is known of an engine that is not linked: its plan stands.
-            if is_same or not view_by_id[name].is_linked:
+            # An engine that does not serve takes no order: its plan stands.
+            if is_same or not view_by_id[name].is_serving:
                 continue
             if name in changing or len(changing) < self._settings.most_changing:
                 allowed[name] = new
@@ -232,17 +243,17 @@
     def _remember(self, views: list[TargetView]) -> None:
         now = self._timers.now()
         for view in views:
-            if view.is_linked:
+            if view.is_serving:
                 self._seen_by_id[view.target_id] = (view.settled_number, now)
 
     def _is_settled(self, before: Wanted, view: TargetView) -> bool:
         """
         Tell whether an engine has reached what the plan wants.
 
-        One that is not linked may be under an order that others see; it counts as
+        One that does not serve may be under an order that others see; it counts as
         changing for a while, then as lost, so that it does not block the others.
         """
-        if view.is_linked:
+        if view.is_serving:
             return view.settled_number >= before.number
         settled_number, seen_at = self._seen_by_id.get(
             view.target_id, (0, self._started_at)
--- a/pimentolink/roles.py
+++ b/pimentolink/roles.py
@@ -42,7 +42,7 @@
         took = now - self._seen_at
         if took <= 0:
             return
-        asked = sum(self._increase(view) for view in views if view.is_linked)
+        asked = sum(self._increase(view) for view in views if view.is_serving)
         weight = 1 - math.exp(-took / self._settings.smoothing)
         self.rate += weight * (asked / took - self.rate)
         self._seen_at = now
@@ -94,15 +94,19 @@
         self._demand_by_group: dict[Group, Demand] = {}
 
     def choose(
-        self, group: Group, configured: dict[str, Role], views: list[TargetView]
+        self,
+        group: Group,
+        configured: dict[str, Role],
+        planned: dict[str, Role],
+        views: list[TargetView],
     ) -> dict[str, Role]:
         """Choose the readers; all others have the configured role."""
         now = self._timers.now()
         demand = self._demand_by_group.setdefault(group, Demand(self._settings, now))
         demand.observe(views, now)
-        linked = [view for view in views if view.is_linked]
-        wanted = self._readers_for(demand, len(linked))
-        readers = _keep_readers(linked, wanted)
+        serving = [view for view in views if view.is_serving]
+        wanted = self._readers_for(demand, len(serving))
+        readers = _keep_readers(serving, planned, wanted)
         return {
             name: "prefill" if name in readers else role
             for name, role in configured.items()
@@ -122,12 +126,19 @@
         return max(0, min(count, engines // 2))
 
 
-def _keep_readers(views: list[TargetView], wanted: int) -> set[str]:
-    """Choose readers, first those that are, then the least busy."""
+def _keep_readers(
+    views: list[TargetView], planned: dict[str, Role], wanted: int
+) -> set[str]:
+    """
+    Choose readers, first those that the plan has already, then the least busy.
+
+    The plan counts, not the role told: an engine on its way to be a reader tells its
+    old role until it is there.
+    """
 
     def order(view: TargetView) -> tuple[bool, int, str]:
         busy = view.running + view.waiting
-        return view.role != "prefill", busy, view.target_id
+        return planned.get(view.target_id) != "prefill", busy, view.target_id
 
     return {view.target_id for view in sorted(views, key=order)[:wanted]}
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,8 @@
 import copy
 from typing import Any
 
+from tools.fleet import Fleet
+
 SMALL: dict[str, Any] = {
     "site": "small",
     "data_centres": {"north": {"region": "east"}, "south": {"region": "east"}},
@@ -37,5 +39,16 @@
 TARGETS = list(SMALL["targets"])
 
 
+def start_targets(fleet: Fleet, *engine_options: str) -> None:
+    """Start the platform and every target of the small site with its sidecar."""
+    fleet.start_platform()
+    for name, target in SMALL["targets"].items():
+        if name.startswith("engine"):
+            fleet.start(name, "standins.engine", *engine_options)
+        else:
+            fleet.start(name, "standins.plain_service")
+        fleet.start_sidecar(name, target["data_centre"])
+
+
 def configuration(**changes: Any) -> dict[str, Any]:
     return {**copy.deepcopy(SMALL), **changes}
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,20 +6,14 @@
 
 import pytest
 
-from tests.builders import TARGETS, configuration
+from tests.builders import TARGETS, configuration, start_targets
 from tools.fleet import Fleet, call, wait_until
 
 
 @pytest.fixture(scope="module")
 def fleet():
     with Fleet() as running:
-        running.start_platform()
-        for target, data_centre in (("engine-1", "north"), ("engine-2", "south")):
-            running.start(target, "standins.engine", "--step-base", "0.001")
-            running.start_sidecar(target, data_centre)
-        for target, data_centre in (("dispatch-1", "north"), ("dispatch-2", "south")):
-            running.start(target, "standins.plain_service")
-            running.start_sidecar(target, data_centre)
+        start_targets(running, "--step-base", "0.001")
         running.start_entry(
             "entry", "north", limits={"request_head": 1.0, "stall": 1.5}
         )
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -5,20 +5,14 @@
 import pytest
 
 from standins.engine import whole_answer
-from tests.builders import TARGETS, configuration
+from tests.builders import TARGETS, configuration, start_targets
 from tools.fleet import Fleet, call
 
 
 @pytest.fixture(scope="module")
 def small_fleet():
     with Fleet() as fleet:
-        fleet.start_platform()
-        for target, data_centre in (("engine-1", "north"), ("engine-2", "south")):
-            fleet.start(target, "standins.engine")
-            fleet.start_sidecar(target, data_centre)
-        for target, data_centre in (("dispatch-1", "north"), ("dispatch-2", "south")):
-            fleet.start(target, "standins.plain_service")
-            fleet.start_sidecar(target, data_centre)
+        start_targets(fleet)
         fleet.start_entry("entry", "north")
         fleet.apply(configuration())
         fleet.wait_ready("entry", TARGETS)
--- a/tests/test_older_system.py
+++ b/tests/test_older_system.py
@@ -1,23 +1,19 @@
 """Moving a site over: a share of requests goes to the older system, and back."""
 
+import json
+
 import pytest
 
 from standins.engine import whole_answer
-from tests.builders import TARGETS, configuration
+from tests.builders import TARGETS, configuration, start_targets
 from tools.fleet import SHARED_KEY, Fleet, call, wait_until
 
 
 @pytest.fixture(scope="module")
 def site():
     with Fleet() as fleet:
-        fleet.start_platform()
+        start_targets(fleet)
         fleet.start("older", "standins.older_system")
-        for target, data_centre in (("engine-1", "north"), ("engine-2", "south")):
-            fleet.start(target, "standins.engine")
-            fleet.start_sidecar(target, data_centre)
-        for target, data_centre in (("dispatch-1", "north"), ("dispatch-2", "south")):
-            fleet.start(target, "standins.plain_service")
-            fleet.start_sidecar(target, data_centre)
         fleet.start_entry("entry", "north")
         yield fleet
 
@@ -33,7 +29,7 @@
     headers = {"authorization": f"Bearer {SHARED_KEY}"}
     platform = str(fleet.folder / "platform.json")
     shown = fleet.command("config", "show", "--platform", platform).stdout
-    version = __import__("json").loads(shown)["version"]
+    version = json.loads(shown)["version"]
 
     def is_in_force():
         told = call(fleet.url("entry", "/pimentolink/status"), headers=headers).json
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -23,12 +23,12 @@
     """What the planner is told of engines."""
 
     def __init__(self):
-        self.linked = set(ENGINES)
+        self.serving = set(ENGINES)
         self.settled = dict.fromkeys(ENGINES, 0)
 
     def view(self, names):
         return [
-            TargetView(name, name in self.linked, "mixed", self.settled[name], 0, 0, 0)
+            TargetView(name, name in self.serving, "mixed", self.settled[name], 0, 0, 0)
             for name in names
         ]
 
@@ -91,15 +91,15 @@
         planner.look()
         assert set(site.plan.wanted_by_target) == set(ENGINES)
 
-    def test_engine_that_is_not_linked_is_not_planned(self, site):
-        site.fleet.linked = {"engine-2"}
+    def test_engine_that_does_not_serve_is_not_planned(self, site):
+        site.fleet.serving = {"engine-2"}
         site.planner("one").look()
         assert list(site.plan.wanted_by_target) == ["engine-2"]
 
     def test_engine_lost_under_a_change_holds_up_others_for_a_while_only(self, site):
         planner = site.planner("one")
         planner.look()
-        site.fleet.linked = {"engine-2"}
+        site.fleet.serving = {"engine-2"}
         planner.look()
         assert list(site.plan.wanted_by_target) == ["engine-1"]
         site.timers.advance(61.0)
@@ -173,7 +173,8 @@
                 )
                 for name in self.names
             ]
-            new = policy.choose(GROUP, dict.fromkeys(self.names, "mixed"), views)
+            configured = dict.fromkeys(self.names, "mixed")
+            new = policy.choose(GROUP, configured, roles, views)
             changes += sum(new[name] != roles[name] for name in self.names)
             roles = new
         return changes, list(roles.values()).count("prefill")
@@ -193,6 +194,29 @@
         changes, readers = self.drive(MixRoles(self.settings, timers), timers, rates)
         assert (changes, readers) == (4, 0)
 
+    def view(self, name, is_serving=True, running=5, asked=0):
+        return TargetView(name, is_serving, "mixed", 0, running, 0, asked)
+
+    def test_engine_on_its_way_stays_chosen_and_a_crashed_one_is_not(self):
+        timers = ManualTimers()
+        policy = MixRoles(self.settings, timers)
+        configured = dict.fromkeys(self.names, "mixed")
+        planned = dict(configured)
+        for second in range(30):
+            timers.advance(1.0)
+            is_chosen = planned["e1"] == "prefill"
+            # Another one is less busy once e1 is chosen, which tells its old role.
+            views = [self.view(name, running=0) for name in self.names[2:]]
+            views.append(self.view("e0", is_serving=False, running=0))
+            running = 5 if is_chosen else 0
+            views.append(self.view("e1", running=running, asked=second * 900))
+            roles = policy.choose(GROUP, configured, planned, views)
+            assert roles["e0"] == "mixed"
+            if second > 3:
+                readers = [name for name, role in roles.items() if role == "prefill"]
+                assert readers == ["e1"]
+                planned = roles
+
     def test_at_most_half_of_a_group_reads(self):
         timers = ManualTimers()
         _, readers = self.drive(MixRoles(self.settings, timers), timers, [90_000] * 9)
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -1,5 +1,6 @@
 """Entries and sidecars in virtual time: small fakes at their ports."""
 
+import json
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -323,7 +324,7 @@
         self._engine = engine
         self._sidecar = engine.sidecar
         self._listener = listener
-        body = __import__("json").loads(call.body)
+        body = json.loads(call.body)
         self._prompt = body["prompt"]
         self._wanted = body["max_tokens"]
         self._emitted = len(call.resume_tokens)
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from result import Err
+from twisted.internet.defer import Deferred
 
 from pimentolink import link_pb2, porcelain
 from pimentolink.configuration import Configuration, check
@@ -86,8 +87,6 @@
         accepted = check(document).ok_value
         self.document = document
         applied: list[Any] = []
-        from twisted.internet.defer import Deferred
-
         pending = Deferred.fromCoroutine(
             porcelain.apply_configuration(self.network.memory, accepted, "test")
         )
@@ -126,8 +125,6 @@
             self.start_entry(name, data_centre)
 
     def stop(self, name: str) -> None:
-        from twisted.internet.defer import Deferred
-
         node = self.network.sidecars.get(name) or self.network.entries[name]
         ended = self._stop_entry(node) if name in self.network.entries else node.stop()
         self.stopped[name] = False
@@ -274,8 +271,6 @@
 
     def race(self, target: str, role: str, other: str) -> None:
         """Two operators change the configuration from the same version."""
-        from twisted.internet.defer import Deferred
-
         base = self._current_version()
         for name, document in (("first", role), ("second", other)):
             changed = json.loads(json.dumps(self.document))
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -19,7 +19,7 @@
 
 from pimentolink import link_pb2
 from pimentolink.adoption import Adoption
-from pimentolink.configuration import AcceptedConfiguration, Configuration, check
+from pimentolink.configuration import AcceptedConfiguration, Configuration, Role, check
 from pimentolink.logs import Log
 from pimentolink.plan import NO_PLAN, Group, Plan, wanted_of
 from pimentolink.planner import TargetView
@@ -269,7 +269,8 @@
     accepted: Configuration,
 ) -> Plan:
     """Do what a planner does at one look at one group."""
-    roles = policy.choose(Group("m", "r"), dict.fromkeys(names, "mixed"), views)
+    configured: dict[str, Role] = dict.fromkeys(names, "mixed")
+    roles = policy.choose(Group("m", "r"), configured, configured, views)
     wanted = {name: wanted_of(accepted, "m", roles[name]) for name in names}
     return NO_PLAN.changed("me", 1, wanted)
 
