--- a/pimentolink/linkserver.py
+++ b/pimentolink/linkserver.py
@@ -129,6 +129,11 @@
             return False
         return True
 
+    @property
+    def open_links(self) -> int:
+        """Links that have not ended yet."""
+        return len(self.connections)
+
     def stop(self) -> None:
         """End every link once what is queued for it has gone out."""
         self._port.stopListening()
--- a/pimentolink/sidecar.py
+++ b/pimentolink/sidecar.py
@@ -25,6 +25,8 @@
 from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.tracing import Tracing
 
+CLOSE_POLL = 0.02
+
 
 class LinkListening(Protocol):
     """Takes links of entries on one address."""
@@ -32,6 +34,10 @@
     def start(self, address: str) -> bool:
         """Listen; tell whether the target's slot was free."""
 
+    @property
+    def open_links(self) -> int:
+        """Links that have not ended yet."""
+
     def stop(self) -> None:
         """End every link once what is queued for it has gone out."""
 
@@ -143,7 +149,9 @@
             lambda _: None
         )
         self._server.stop()
-        await pause(self._timers, self._settings.stop_grace)
+        end = self._timers.now() + self._settings.stop_grace
+        while self._server.open_links and self._timers.now() < end:
+            await pause(self._timers, CLOSE_POLL)
         self.log.write(LogEvent.STOPPED)
 
     def greeting(self) -> link_pb2.SidecarHello:
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -184,6 +184,7 @@
         self.process = process
         self.listener: Any = None
         self.address = ""
+        self.open_links = 0
 
     def __call__(self, listener: Any) -> "VirtualListening":
         self.listener = listener
