Let the examples use what the experiment speaks for

Cause: the examples had mixed engines and fixed roles, which the experiment shows to lose a third of triage answers in swings; PROOFS was behind the tests.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -27,7 +27,7 @@
     targets = start_targets(fleet, configuration)
     data_centres = list(configuration["data_centres"])
     for name, data_centre in zip(("entry-1", "entry-2"), data_centres, strict=False):
-        fleet.start_entry(name, data_centre, trace_ratio=1.0)
+        fleet.start_entry(name, data_centre, trace_ratio=1.0, planner={"policy": "mix"})
     fleet.apply(configuration)
     for entry in ("entry-1", "entry-2"):
         fleet.wait_ready(entry, targets)
--- a/tools/sites.py
+++ b/tools/sites.py
@@ -28,7 +28,9 @@
         for name in service["targets"]:
             target = configuration["targets"][name]
             if service["kind"] == "model":
-                options = ["--models", json.dumps(models), *engine_options]
+                role = target.get("role", "mixed")
+                options = ["--models", json.dumps(models), "--role", role]
+                options += engine_options
                 if target.get("checks_fencing"):
                     options.append("--checks-fencing")
                 fleet.start(name, "standins.engine", *options)
