Make the specifications' protocol in one place

Ruled out: a base class for states; they share nothing but being named tuples.

Change: specs/protocol.py; the invariants of each stand as a constant.

--- a/specs/authority.py
+++ b/specs/authority.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from typing import NamedTuple
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
 
 from minicheck import Protocol
 
+from specs.protocol import make_protocol
+
 LAST_PLAN = 3
 LAST_LIFE = 2
 MOST_FLIGHTS = 2
@@ -217,22 +219,16 @@
     return (value, pair[1]) if number == 0 else (pair[0], value)
 
 
+INVARIANTS: dict[str, Callable[[dict[str, Any]], bool]] = {
+    "no older order after a newer": lambda values: not values["went_back"],
+    "one order at a time": lambda values: not values["overlapped"],
+}
+
+
 def specification(guards: frozenset[str] = GUARDS) -> Protocol:
     """
     Make the protocol for the model checker.
 
     :param guards: mechanisms that are in place.
     """
-    return Protocol(
-        name="authority",
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(INITIAL),
-        transitions=lambda state: [
-            (label, tuple(new)) for label, new in steps(State(*state), guards)
-        ],
-        invariants={
-            "no older order after a newer": lambda values: not values["went_back"],
-            "one order at a time": lambda values: not values["overlapped"],
-        },
-    )
+    return make_protocol("authority", INITIAL, steps, guards, INVARIANTS)
--- a/specs/claims.py
+++ b/specs/claims.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from typing import NamedTuple
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
 
 from minicheck import Protocol
 
+from specs.protocol import make_protocol
+
 GUARDS = frozenset({"cas", "load", "claim_first", "own_write"})
 LAST_WRITE = 5
 LAST_ATTEMPT = 3
@@ -197,24 +199,16 @@
     return (sidecar, pair[1]) if number == 0 else (pair[0], sidecar)
 
 
+INVARIANTS: dict[str, Callable[[dict[str, Any]], bool]] = {
+    "runs at most once": lambda values: values["runs"] <= 1,
+    "refused did not run": lambda values: not (values["refused"] & values["ran"]),
+}
+
+
 def specification(guards: frozenset[str] = GUARDS) -> Protocol:
     """
     Make the protocol for the model checker.
 
     :param guards: mechanisms that are in place.
     """
-    return Protocol(
-        name="claims",
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(INITIAL),
-        transitions=lambda state: [
-            (label, tuple(new)) for label, new in steps(State(*state), guards)
-        ],
-        invariants={
-            "runs at most once": lambda values: values["runs"] <= 1,
-            "refused did not run": lambda values: (
-                not (values["refused"] & values["ran"])
-            ),
-        },
-    )
+    return make_protocol("claims", INITIAL, steps, guards, INVARIANTS)
