End measuring processes also when their set-up fails

Cause: three stepping targets of an early bench were still running an hour later: the bench had failed while it waited for the entry, before the block that ends them began.

Change: that block begins right after they are started, in bench and capacity.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -121,10 +121,10 @@
         fleet.start_platform()
         fleet.settle()
         sources, names = start_sources(fleet, targets)
-        entry = fleet.start_entry("entry", "d")
-        fleet.apply(configuration(names, []))
-        fleet.wait_ready("entry", names)
         try:
+            entry = fleet.start_entry("entry", "d")
+            fleet.apply(configuration(names, []))
+            fleet.wait_ready("entry", names)
             return _measure_relay(entry, streams, tokens)
         finally:
             for source in sources:
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -84,16 +84,18 @@
             fleet.start_platform()
             fleet.settle()
             sources, names = start_sources(fleet, count)
-            fleet.apply(configuration(names, []))
-            start = time.monotonic()
-            links = {"most_links": max(TARGETS)}
-            entry = fleet.start_entry("entry", "d", links=links)
-            fleet.wait_ready("entry", names)
-            ready.append((count, time.monotonic() - start))
-            time.sleep(1.0)
-            cores.append((count, _core_share(entry.popen.pid) * 100))
-            memory.append((count, resident_megabytes(entry.popen.pid)))
-            _end(sources)
+            try:
+                fleet.apply(configuration(names, []))
+                start = time.monotonic()
+                links = {"most_links": max(TARGETS)}
+                entry = fleet.start_entry("entry", "d", links=links)
+                fleet.wait_ready("entry", names)
+                ready.append((count, time.monotonic() - start))
+                time.sleep(1.0)
+                cores.append((count, _core_share(entry.popen.pid) * 100))
+                memory.append((count, resident_megabytes(entry.popen.pid)))
+            finally:
+                _end(sources)
     return [
         fit("entry: processor, idle links", "% of a core", cores),
         fit("entry: resident memory", "MB", memory),
