Tell plans without sorting the whole configuration for each link

Cause, by reading the whole change again: an entry that learned of a plan sorted every target of the configuration into groups once for each of its links, work that grows with links x targets, though the plan itself names its targets. The failures that no further attempt can mend stood in three places; StillRunning and PrefixMemory.forget were never used.

Ruled out: a cache of groups (the plan holds what is asked).

Change: the targets that a plan names are looked up in it; plans of groups that are no longer followed are dropped; REJECTIONS stands once, in errors; dead code out. Behaviour stays.

The time saved was not measured.

--- a/pimentolink/claims.py
+++ b/pimentolink/claims.py
@@ -112,11 +112,9 @@
         finally:
             self._is_busy = False
             self._start()
-        return (
-            Ok(None)
-            if is_stored
-            else Err(ClaimContended("the partition was taken over"))
-        )
+        if not is_stored:
+            return Err(ClaimContended("the partition was taken over"))
+        return Ok(None)
 
     def _mark_dirty(self) -> None:
         if not self._is_dirty:
--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -14,19 +14,17 @@
 from pimentolink.claimtable import call_digest
 from pimentolink.directory import TargetDirectory
 from pimentolink.errors import (
-    AlreadyRun,
+    REJECTIONS,
     CallerTooSlow,
     ClaimUnavailable,
     CrossedAnswer,
     Draining,
     Failure,
-    IdempotencyKeyReused,
     LateAnswer,
     LinkLost,
     NotRun,
     OutcomeUnknown,
     TargetFailed,
-    TargetRejected,
 )
 from pimentolink.logs import Log, LogEvent
 from pimentolink.outcomes import failure_of, final_failure
@@ -361,9 +359,7 @@
         # A second sidecar is asked, in case the first alone is cut off from the
         # key-value service; more would only keep the caller waiting.
         is_down = isinstance(failure, ClaimUnavailable) and progress.attempts >= 2
-        is_final = isinstance(
-            failure, TargetRejected | IdempotencyKeyReused | AlreadyRun | OutcomeUnknown
-        )
+        is_final = isinstance(failure, (*REJECTIONS, OutcomeUnknown))
         if is_final or is_down:
             self._give_up(work, failure)
         else:
--- a/pimentolink/entry.py
+++ b/pimentolink/entry.py
@@ -21,7 +21,7 @@
 from pimentolink.links import EntryLink, EntryLinkListener
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
-from pimentolink.plan import Group, Plan, decode_plan, group_of, groups_of
+from pimentolink.plan import Group, Plan, decode_plan, groups_of
 from pimentolink.planner import Planner
 from pimentolink.prefixes import PrefixMemory
 from pimentolink.roles import make_role_policy
@@ -268,6 +268,7 @@
         wanted = {group for group in groups_of(configuration) if group.region == region}
         for group in self._plan_followers.keys() - wanted:
             self._plan_followers.pop(group).stop()
+            self._plan_by_group.pop(group, None)
         for group in wanted - self._plan_followers.keys():
             follower = self._make_follower(
                 group.plan_key, partial(self._plan_came, group)
@@ -282,17 +283,13 @@
 
     def _tell_plan(self, link: EntryLink, target_id: str) -> None:
         """Tell a sidecar of a plan that wants something new of its target."""
-        if self.adoption.accepted is None:
-            return
-        group = group_of(self.adoption.accepted.configuration, target_id)
-        if group is None or group not in self._plan_by_group:
-            return
-        plan, revision = self._plan_by_group[group]
-        wanted = plan.wanted_by_target.get(target_id)
         target = self.directory.target(target_id)
-        if wanted is None or target is None:
+        if target is None:
             return
-        if target.load.settled_number < wanted.number:
+        for group, (plan, revision) in self._plan_by_group.items():
+            wanted = plan.wanted_by_target.get(target_id)
+            if wanted is None or target.load.settled_number >= wanted.number:
+                continue
             news = link_pb2.PlanNews(
                 service=group.service, region=group.region, revision=revision
             )
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -88,14 +88,6 @@
     ran = True
 
 
-class StillRunning(Failure):
-    """The call under this key is running now."""
-
-    code = "still_running"
-    status = 409
-    ran = True
-
-
 class OutcomeUnknown(Failure):
     """The call may have run; it is never run again under its key."""
 
@@ -171,6 +163,10 @@
     status = 400
 
 
+# What another attempt would only be told again: the request itself is at fault.
+REJECTIONS = (TargetRejected, IdempotencyKeyReused, AlreadyRun)
+
+
 class CallerTooSlow(Failure):
     """The caller left its answer unread until the buffer was full."""
 
--- a/pimentolink/outcomes.py
+++ b/pimentolink/outcomes.py
@@ -4,6 +4,7 @@
 
 from pimentolink import link_pb2
 from pimentolink.errors import (
+    REJECTIONS,
     AlreadyRun,
     ClaimContended,
     ClaimUnavailable,
@@ -14,7 +15,6 @@
     NotRun,
     OutcomeUnknown,
     Overloaded,
-    StillRunning,
     TargetFailed,
     TargetRejected,
 )
@@ -36,7 +36,6 @@
         NotRun,
         OutcomeUnknown,
         Overloaded,
-        StillRunning,
         TargetFailed,
         TargetRejected,
     )
@@ -67,7 +66,7 @@
 
     :param failure: why it failed.
     """
-    if isinstance(failure, TargetRejected | IdempotencyKeyReused | AlreadyRun):
+    if isinstance(failure, REJECTIONS):
         outcome = link_pb2.REJECTED
     elif failure.ran:
         outcome = link_pb2.UNKNOWN
@@ -98,7 +97,7 @@
 
     Only a request of which no attempt may have run is said not to have run.
     """
-    if isinstance(failure, TargetRejected | IdempotencyKeyReused | AlreadyRun):
+    if isinstance(failure, REJECTIONS):
         return failure
     if progress.may_have_run and progress.request.idempotency_key:
         return OutcomeUnknown(str(failure))
--- a/pimentolink/prefixes.py
+++ b/pimentolink/prefixes.py
@@ -33,11 +33,6 @@
         while len(self._targets_by_prefix) > self._most:
             self._targets_by_prefix.popitem(last=False)
 
-    def forget(self, target_id: str) -> None:
-        """Take note that a target's cache is gone."""
-        for targets in self._targets_by_prefix.values():
-            targets.discard(target_id)
-
     def expected_tokens(self, request: Request, target_id: str) -> int:
         """
         Guess how much of a prompt a target holds.
