--- /dev/null
+++ b/pimentolink/calls.py
@@ -0,0 +1,207 @@
+"""Makes one call to one target and keeps the books on it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pimentolink.dialect import CallerRequest, Dialect, Sending, Verdict
+from pimentolink.errors import Failure, OtherInstance, RejectedUnrun, TargetFailed
+from pimentolink.fleet import Fleet, TargetBelief
+from pimentolink.gatewaysettings import ConnectionSettings
+from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
+from pimentolink.logs import Log, LogEvent
+from pimentolink.metrics import Metrics
+from pimentolink.targethttp import ConnectionPool, TargetConnection
+from pimentolink.timers import Timers
+
+MOST_ANSWER_BYTES = 8_000_000
+
+
+class Call:
+    """One exchange with a target, from sending to its last byte."""
+
+    def __init__(
+        self, belief: TargetBelief, pool: ConnectionPool, connection: TargetConnection
+    ) -> None:
+        """
+        Begin.
+
+        :param belief: what is known of the target.
+        :param pool: where the connection goes back to.
+        :param connection: that carries the exchange.
+        """
+        self.belief = belief
+        self._pool = pool
+        self._connection = connection
+        self._is_over = False
+        self.head: ReplyHead | None = None
+
+    async def read(self) -> bytes | None:
+        """Read the answer's next bytes; ``None`` at its end."""
+        piece = await self._connection.read()
+        if piece is None:
+            self.close()
+        return piece
+
+    async def read_all(self) -> HttpReply:
+        """Read the whole answer."""
+        assert self.head is not None
+        body = await self._connection.read_all(MOST_ANSWER_BYTES)
+        self.close()
+        return HttpReply(self.head, body)
+
+    def pause(self, is_paused: bool) -> None:
+        """Stop reading from the target for a while, or go on."""
+        transport: Any = self._connection.transport
+        if self._is_over or transport is None:
+            return
+        if is_paused:
+            transport.pauseProducing()
+        else:
+            transport.resumeProducing()
+
+    def close(self) -> None:
+        """End it; a target that is still at work is cut off."""
+        if self._is_over:
+            return
+        self._is_over = True
+        self.belief.in_flight -= 1
+        self._pool.release(self._connection)
+
+
+class Caller:
+    """Makes calls over pooled connections to targets."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: ConnectionSettings,
+        fleet: Fleet,
+        dialect: Dialect,
+        timers: Timers,
+        log: Log,
+        metrics: Metrics,
+    ) -> None:
+        """
+        Prepare; connections are opened when needed.
+
+        :param reactor: the loop.
+        :param settings: of connections.
+        :param fleet: learns of failures.
+        :param dialect: writes requests and reads answers.
+        :param timers: the timer service.
+        :param log: where events go.
+        :param metrics: where figures go.
+        """
+        self._reactor = reactor
+        self._settings = settings
+        self._fleet = fleet
+        self._dialect = dialect
+        self._timers = timers
+        self._log = log
+        self._metrics = metrics
+        self._pools_by_target: dict[str, ConnectionPool] = {}
+        self.most_connections = settings.most
+
+    def forget(self, target_id: str) -> None:
+        """Close the idle connections of a target that is gone."""
+        pool = self._pools_by_target.pop(target_id, None)
+        if pool is not None:
+            pool.close()
+
+    def pool(self, belief: TargetBelief) -> ConnectionPool:
+        """Find the connections to a target."""
+        target = belief.target
+        pool = self._pools_by_target.get(target.target_id)
+        if pool is None:
+            pool = ConnectionPool(
+                self._reactor, target.address, self._settings, self._timers
+            )
+            self._pools_by_target[target.target_id] = pool
+        pool.most = self.most_connections
+        return pool
+
+    async def begin(
+        self,
+        request: CallerRequest,
+        belief: TargetBelief,
+        sending: Sending,
+        is_once: bool = False,
+    ) -> Call:
+        """
+        Send a request and wait for the head of its answer.
+
+        :param is_once: whether the request may not be repeated.
+        :returns: the call, with an answer of the target to read.
+        :raises Failure: if there is none; its ``ran`` tells whether the request may
+            have run.
+        """
+        message = self._dialect.sending(request, sending)
+        return await self.send(request, belief, message, is_once)
+
+    async def send(
+        self,
+        request: CallerRequest,
+        belief: TargetBelief,
+        message: HttpRequest,
+        is_once: bool = False,
+    ) -> Call:
+        """Send a message that the dialect wrote; see :meth:`begin`."""
+        pool = self.pool(belief)
+        belief.in_flight += 1
+        try:
+            idle = self._settings.idle_once if is_once else None
+            connection = await pool.acquire(idle)
+        except BaseException as error:
+            belief.in_flight -= 1
+            if isinstance(error, Failure):
+                self.blame(request, belief, error)
+            raise
+        call = Call(belief, pool, connection)
+        try:
+            call.head = await connection.send(
+                message, lambda head: self._dialect.belongs(request, head)
+            )
+            await self._check(call, call.head)
+        except BaseException as error:
+            call.close()
+            if isinstance(error, Failure):
+                self.blame(request, belief, error)
+            raise
+        return call
+
+    async def _check(self, call: Call, head: ReplyHead) -> None:
+        """Raise what the head says against the answer."""
+        verdict = self._dialect.verdict(head)
+        if verdict is Verdict.NOT_RUN:
+            await call.read_all()
+            raise RejectedUnrun(f"status {head.status}")
+        if verdict is Verdict.OTHER_INSTANCE:
+            await call.read_all()
+            raise OtherInstance(f"another target has {call.belief.target.address}")
+
+    def blame(
+        self, request: CallerRequest, belief: TargetBelief, failure: Failure
+    ) -> None:
+        """Count a failed attempt against its target."""
+        target = belief.target
+        self._metrics.count("attempts_failed", failure.code)
+        self._log.write(
+            LogEvent.ATTEMPT_FAILED,
+            request=request.request_id,
+            target=target.target_id,
+            code=failure.code,
+            detail=failure.detail,
+        )
+        if isinstance(failure, OtherInstance):
+            # Whoever has the address now, this target is gone.
+            belief.missing_since = self._timers.now()
+            return
+        belief.outcome(is_good=False)
+        is_sick = not isinstance(failure, RejectedUnrun | TargetFailed)
+        if is_sick and self._fleet.failed(belief, self._timers.now()):
+            self._log.write(LogEvent.TARGET_EJECTED, target=target.target_id)
+
+    def failed(self, request: CallerRequest, call: Call, status: int) -> None:
+        """Count a target's own failure, told by the status of its answer."""
+        self.blame(request, call.belief, TargetFailed(f"status {status}"))
--- a/pimentolink/daemon.py
+++ b/pimentolink/daemon.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 from uuid import uuid4
 
 from twisted.internet import asyncioreactor
-from twisted.internet.defer import Deferred
-from twisted.python.failure import Failure as TwistedFailure
 
 from pimentolink import logs
 from pimentolink.callers import CallerInterface, make_site
@@ -22,24 +19,13 @@
 from pimentolink.linkclient import LinkClient
 from pimentolink.links import EntryLinkListener, SidecarLinkListener
 from pimentolink.linkserver import LinkServer
+from pimentolink.process import Process, Service
 from pimentolink.settings import EntrySettings, SidecarSettings, split_address
 from pimentolink.sidecar import Sidecar, SidecarPorts
 from pimentolink.targets import HttpTarget
 from pimentolink.timers import ReactorTimers
 
 LISTEN_BACKLOG = 1024
-EXIT_SLOT_TAKEN = 3
-EXIT_FAILED = 1
-
-
-class Service(Protocol):
-    """What a daemon runs."""
-
-    async def start(self) -> bool | None:
-        """Begin; ``False`` says that it cannot."""
-
-    async def stop(self) -> None:
-        """End gracefully."""
 
 
 class EntryDaemon:
@@ -164,44 +150,7 @@
     reactor: Any = installed_reactor
     logs.configure()
     logs.catch_unhandled(logs.Log())
-    process = _Process(reactor, make_service)
+    process = Process(reactor, make_service)
     reactor.callWhenRunning(process.start)
     reactor.run(installSignalHandlers=False)
     return process.exit_code
-
-
-class _Process:
-    """One service between its start and its stop."""
-
-    def __init__(self, reactor: Any, make_service: Callable[[Any], Service]) -> None:
-        self._reactor = reactor
-        self._make_service = make_service
-        self._is_stopping = False
-        self.exit_code = 0
-
-    def start(self) -> None:
-        loop = asyncio.get_event_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
-        self._service = self._make_service(self._reactor)
-        started = Deferred.fromCoroutine(self._service.start())
-        started.addCallbacks(self._started, self._broke)
-
-    def stop(self) -> None:
-        if self._is_stopping:
-            return
-        self._is_stopping = True
-        stopped = Deferred.fromCoroutine(self._service.stop())
-        stopped.addErrback(self._broke)
-        stopped.addBoth(lambda _: self._reactor.stop())
-
-    def _started(self, is_running: bool | None) -> None:
-        if is_running is False:
-            self.exit_code = EXIT_SLOT_TAKEN
-            self._reactor.stop()
-
-    def _broke(self, failure: TwistedFailure) -> None:
-        failure.printTraceback()
-        self.exit_code = EXIT_FAILED
-        if not self._is_stopping:
-            self._reactor.stop()
--- /dev/null
+++ b/pimentolink/dialect.py
@@ -0,0 +1,120 @@
+"""What a deployment's wire format must tell the system, apart from its names."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple, Protocol
+
+from result import Result
+
+from pimentolink.errors import InvalidRequest, ReplyInvalid
+from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
+
+
+class PromptPart(NamedTuple):
+    """A part of a prompt, which other prompts may share."""
+
+    part_id: int
+    tokens: int
+
+
+class CallerRequest(NamedTuple):
+    """
+    A caller's request.
+
+    :ivar request_id: of this attempt of the caller.
+    :ivar http: as it came.
+    :ivar host: that the caller named, without a port.
+    :ivar path: with the query.
+    :ivar arrived_at: seconds of the timer service.
+    :ivar patience: seconds that the caller waits; ``None`` if it did not say.
+    :ivar parts: of the prompt, in order; the last is the request's own.
+    :ivar prompt_tokens: of the whole prompt.
+    :ivar output_tokens: most that the caller takes.
+    :ivar last_event: id of the last event that the caller has, if it resumes.
+    """
+
+    request_id: str
+    http: HttpRequest
+    host: str
+    path: str
+    arrived_at: float
+    patience: float | None
+    parts: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    last_event: bytes | None = None
+
+
+class Sending(NamedTuple):
+    """
+    One request to one target.
+
+    :ivar time_left: seconds that the target may take.
+    :ivar priority: 0 is the most urgent; ``None`` leaves it to the target.
+    :ivar is_reading: only the prompt is to be read, for another engine.
+    :ivar cache_source: a read prompt to fetch, as the dialect names it.
+    :ivar copy_from: address of an engine that probably holds parts of the prompt.
+    :ivar last_event: the answer is to go on after this event.
+    """
+
+    target_id: str
+    time_left: float | None
+    priority: int | None = None
+    is_reading: bool = False
+    cache_source: str = ""
+    copy_from: str = ""
+    last_event: bytes | None = None
+
+
+class ReadPrompt(NamedTuple):
+    """
+    A prompt whose KV cache waits at the engine that read it.
+
+    :ivar handle: names it there.
+    """
+
+    handle: str
+    tokens: int
+
+
+class Verdict(enum.Enum):
+    """What an answer says of the request."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    NOT_RUN = "not_run"
+    OTHER_INSTANCE = "other_instance"
+
+
+class Dialect(Protocol):
+    """Reads and writes a deployment's headers and bodies."""
+
+    def request_id(self, request: HttpRequest) -> str:
+        """Read the id of a caller's request; empty if it has none."""
+
+    def read_request(
+        self, request: HttpRequest, now: float
+    ) -> Result[CallerRequest, InvalidRequest]:
+        """Read what the system needs to know of a caller's request."""
+
+    def sending(self, request: CallerRequest, sending: Sending) -> HttpRequest:
+        """Write a request for a target."""
+
+    def belongs(self, request: CallerRequest, head: ReplyHead) -> bool:
+        """Tell whether an answer belongs to a request."""
+
+    def verdict(self, head: ReplyHead) -> Verdict:
+        """Tell what an answer says of the request."""
+
+    def is_signed(self, head: ReplyHead) -> bool:
+        """Tell whether a target vouches for an answer."""
+
+    def read_prompt(self, reply: HttpReply) -> Result[ReadPrompt, ReplyInvalid]:
+        """Read the answer to a reading."""
+
+    def cache_source(self, address: str, prompt: ReadPrompt) -> str:
+        """Name a KV cache for the engine that is to fetch it."""
+
+    def drop_cache(self, address: str, prompt: ReadPrompt) -> HttpRequest:
+        """Write the request that frees a KV cache which nobody will fetch."""
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -45,6 +45,20 @@
     status = 413
 
 
+class HeadTooLarge(Failure):
+    """The head of the caller's request is over the limit."""
+
+    code = "head_too_large"
+    status = 431
+
+
+class RouteUnknown(Failure):
+    """No route matches the request."""
+
+    code = "route_unknown"
+    status = 404
+
+
 class ModelUnknown(Failure):
     """No service runs the model."""
 
@@ -134,6 +148,36 @@
     code = "claim_contended"
 
 
+class CannotBeInTime(NotRun):
+    """The request could not be answered within the time it has left."""
+
+    code = "cannot_be_in_time"
+
+
+class NotConnected(NotRun):
+    """No connection to a target could be opened, so nothing was sent."""
+
+    code = "not_connected"
+
+
+class ConnectionsExhausted(NotRun):
+    """All connections that a target takes are in use, so nothing was sent."""
+
+    code = "connections_exhausted"
+
+
+class RejectedUnrun(NotRun):
+    """A target said that it did not run the request."""
+
+    code = "rejected_unrun"
+
+
+class OtherInstance(NotRun):
+    """Another target has the address now and did not run the request."""
+
+    code = "other_instance"
+
+
 class Draining(NotRun):
     """This process takes no new work since it is stopping."""
 
@@ -167,6 +211,57 @@
 REJECTIONS = (TargetRejected, IdempotencyKeyReused, AlreadyRun)
 
 
+class ConnectionBroken(Failure):
+    """A connection to a target broke during an exchange."""
+
+    code = "connection_broken"
+    status = 502
+    ran = True
+
+
+class ReplyInvalid(Failure):
+    """What a target sent is no answer to the request."""
+
+    code = "reply_invalid"
+    status = 502
+    ran = True
+
+
+class StreamBroken(Failure):
+    """A stream broke and cannot go on at another target."""
+
+    code = "stream_broken"
+    status = 502
+    ran = True
+
+
+class RetryBudgetSpent(NotRun):
+    """The budget of repeated attempts is used up, so none was made."""
+
+    code = "retry_budget_spent"
+
+
+class HistoryLost(Failure):
+    """The store no longer has the changes since a revision."""
+
+    code = "history_lost"
+    status = 410
+
+
+class LeaseLost(Failure):
+    """A lease has ended."""
+
+    code = "lease_lost"
+    status = 409
+
+
+class RequestTooSlow(Failure):
+    """The caller did not send its whole request in time."""
+
+    code = "request_too_slow"
+    status = 408
+
+
 class CallerTooSlow(Failure):
     """The caller left its answer unread until the buffer was full."""
 
@@ -254,6 +349,13 @@
         self.change_id = change_id
 
 
+class DocumentInvalid(Failure):
+    """A document of the store cannot be read; what was known before stays."""
+
+    code = "document_invalid"
+    status = 400
+
+
 class SettingsInvalid(Failure):
     """A process's settings cannot be used."""
 
--- /dev/null
+++ b/pimentolink/gateway.py
@@ -0,0 +1,301 @@
+"""A gateway: an entry that passes callers' requests straight to targets."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any
+from uuid import uuid4
+
+import msgspec
+
+from pimentolink.callerhttp import CallerConnection, CallerFactory
+from pimentolink.calls import Caller
+from pimentolink.dialect import Dialect
+from pimentolink.fleet import Fleet
+from pimentolink.forwarder import Forwarder
+from pimentolink.gatewaysettings import GatewaySettings
+from pimentolink.generation import Generations
+from pimentolink.httptypes import Headers, HttpRequest
+from pimentolink.keyspace import Keyspace
+from pimentolink.keyspacefollower import KeyspaceFollower
+from pimentolink.logs import Log, LogEvent
+from pimentolink.membership import Membership
+from pimentolink.metrics import Metrics
+from pimentolink.peers import InFlight, PeerBook, PeerProtocol
+from pimentolink.placement import Placer, ReadingQueue
+from pimentolink.plaincalls import PlainCalls
+from pimentolink.readings import Readings
+from pimentolink.registration import Registration
+from pimentolink.retry import SharedBudgets
+from pimentolink.routes import CallerBounds, RoutingTables
+from pimentolink.settings import split_address
+from pimentolink.timers import Repeater, Timers, pause
+
+# Seconds between two looks for a freeze, and how far off a look may be before it
+# counts as one.
+FREEZE_LOOK = 0.1
+FREEZE = 0.5
+# Seconds between two tellings of requests under way to the other gateways.
+TELL_INTERVAL = 0.2
+# Seconds after a stop's begin until idle connections are closed: the balancer takes
+# this long to notice that the gateway is not ready.
+LEAVE_TIME = 2.5
+# Seconds before the bound on a stop at which work that is left is cut off.
+CUT_BEFORE = 0.5
+
+
+class Gateway:
+    """All parts of a gateway, put together."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: GatewaySettings,
+        keyspace: Keyspace,
+        dialect: Dialect,
+        documents: Any,
+        timers: Timers,
+    ) -> None:
+        """
+        Open nothing yet.
+
+        :param reactor: the loop.
+        :param settings: of the gateway.
+        :param keyspace: the store.
+        :param dialect: the deployment's headers and bodies.
+        :param documents: reads the store's documents.
+        :param timers: the timer service.
+        """
+        self._reactor = reactor
+        self._settings = settings
+        self._timers = timers
+        self._keyspace = keyspace
+        self._life = uuid4().hex[:8]
+        self.log = Log(instance=settings.instance, life=self._life)
+        self.metrics = Metrics()
+        self._random = Random(self._life)
+        self.tables = RoutingTables()
+        self.fleet = Fleet(settings.placement, settings.ejection)
+        self.budgets = SharedBudgets(settings.budget, timers)
+        self._caller = Caller(
+            reactor,
+            settings.connections,
+            self.fleet,
+            dialect,
+            timers,
+            self.log,
+            self.metrics,
+        )
+        self._dialect = dialect
+        self._book = PeerBook(self.fleet)
+        self._peers = PeerProtocol(
+            self._book, self._news, timers.now, self.log, self.metrics
+        )
+        placer = Placer(settings.placement, self.fleet, settings.data_centre)
+        self.readings = Readings(
+            ReadingQueue(settings.placement, placer),
+            self.fleet,
+            self._peers,
+            timers,
+            self.log,
+            self._life,
+        )
+        self.forwarder = self._make_forwarder(placer)
+        self.membership = Membership(
+            self.tables, self.fleet, documents, settings.store, timers, self.log
+        )
+        self.membership.on_changed = self._fleet_changed
+        self.membership.on_gone = self._caller.forget
+        self._follower = KeyspaceFollower(
+            "",
+            keyspace,
+            self.membership,
+            settings.store,
+            timers,
+            self._random,
+            self.log,
+        )
+        self.readings.belief_age = self._follower.age
+        self._registration = Registration(
+            settings, self._life, keyspace, timers, self._random, self.log
+        )
+        self._factory = CallerFactory(
+            self.forwarder,
+            self._bounds,
+            self._request_id,
+            timers,
+            self.log,
+            self.metrics,
+        )
+        self._ports: list[Any] = []
+        self._repeaters: list[Repeater] = []
+        self._looked_at = (timers.now(), _boot_clock())
+        self.is_stopping = False
+
+    def _make_forwarder(self, placer: Placer) -> Forwarder:
+        settings, timers = self._settings, self._timers
+        generations = Generations(
+            self._caller,
+            self._dialect,
+            self.fleet,
+            self.readings,
+            placer,
+            self.budgets,
+            timers,
+            self.log,
+        )
+        calls = PlainCalls(
+            self._caller,
+            self._dialect,
+            self.fleet,
+            self.budgets,
+            settings.placement,
+            settings.data_centre,
+            timers,
+        )
+        return Forwarder(
+            self.tables,
+            self._dialect,
+            generations,
+            calls,
+            timers,
+            self._random,
+            self.log,
+            self.metrics,
+        )
+
+    async def start(self) -> None:
+        """Listen and begin."""
+        for address, factory in (
+            (self._settings.listen, self._factory),
+            (self._settings.readiness, self._factory_of(self._ready)),
+            (self._settings.metrics, self._factory_of(self._metrics_page)),
+        ):
+            host, port = split_address(address)
+            self._ports.append(
+                self._reactor.listenTCP(port, factory, backlog=512, interface=host)
+            )
+        host, port = split_address(self._settings.peers)
+        self._ports.append(self._reactor.listenUDP(port, self._peers, interface=host))
+        self._follower.start()
+        self._registration.start()
+        self._repeaters = [
+            Repeater(self._timers, FREEZE_LOOK, self._look_for_freeze),
+            Repeater(self._timers, TELL_INTERVAL, self._tell_in_flight),
+        ]
+        self.log.write(LogEvent.STARTED, settings=msgspec.to_builtins(self._settings))
+
+    async def stop(self) -> None:
+        """Take no more work, finish what is under way."""
+        self.is_stopping = True
+        began_at = self._timers.now()
+        self.log.write(LogEvent.STOPPING, in_work=self.forwarder.in_work)
+        self._factory.announce_close()
+        self._registration.stop()
+        await pause(self._timers, LEAVE_TIME)
+        self._factory.close_idle()
+        bound = began_at + self._settings.stop_within - CUT_BEFORE
+        while self._factory.connections and self._timers.now() < bound:
+            await pause(self._timers, 0.05)
+        if self._factory.connections:
+            self.log.write(LogEvent.STOP_TIMEOUT, in_work=self.forwarder.in_work)
+        self._follower.stop()
+        for repeater in self._repeaters:
+            repeater.cancel()
+        self.log.write(LogEvent.STOPPED)
+
+    def reload(self) -> None:
+        """Read everything again; the settings file may have changed."""
+        self.log.write(LogEvent.RELOADED)
+
+    def _bounds(self) -> CallerBounds:
+        table = self.tables.table
+        if table is not None and table.bounds is not None:
+            return table.bounds
+        callers = self._settings.callers
+        return CallerBounds(
+            callers.head_bytes, callers.body_bytes, callers.head_time, callers.idle_time
+        )
+
+    def _request_id(self, headers: Headers) -> str:
+        return self._dialect.request_id(HttpRequest(b"", b"", headers))
+
+    def _fleet_changed(self) -> None:
+        gateways = self.membership.gateways_by_name
+        self._peers.addresses_by_gateway = {
+            name: address
+            for name, address in gateways.items()
+            if name != self._settings.instance
+        }
+        self.budgets.gateways = max(1, len(gateways))
+        self.readings.look()
+
+    def _news(self) -> None:
+        self.readings.look()
+
+    def _tell_in_flight(self) -> None:
+        counts = {
+            belief.target.target_id: belief.in_flight
+            for belief in self.fleet.targets_by_id.values()
+            if belief.in_flight
+        }
+        if counts or self._told_any:
+            self._peers.tell(InFlight(self._settings.instance, counts))
+        self._told_any = bool(counts)
+
+    _told_any = False
+
+    def _look_for_freeze(self) -> None:
+        """Notice that the process stood still, and read the store again."""
+        now, boot = self._timers.now(), _boot_clock()
+        before, boot_before = self._looked_at
+        self._looked_at = (now, boot)
+        stood = max(now - before, boot - boot_before) - FREEZE_LOOK
+        if stood < FREEZE:
+            return
+        self.log.write(LogEvent.FROZEN, seconds=round(stood, 3))
+        self._follower.restart()
+        self._registration.check()
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return (
+            not self.is_stopping
+            and self.tables.table is not None
+            and self.membership.is_known
+        )
+
+    def _factory_of(self, page: Callable[[], tuple[int, bytes]]) -> CallerFactory:
+        handler = _Page(page)
+        return CallerFactory(
+            handler,
+            self._bounds,
+            self._request_id,
+            self._timers,
+            self.log,
+            self.metrics,
+        )
+
+    def _ready(self) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self.is_ready() else (503, b"not ready\n")
+
+    def _metrics_page(self) -> tuple[int, bytes]:
+        return 200, self.metrics.text()
+
+
+class _Page:
+    """Answers every request with one page."""
+
+    def __init__(self, page: Callable[[], tuple[int, bytes]]) -> None:
+        self._page = page
+
+    async def handle(self, http: HttpRequest, responder: CallerConnection) -> None:
+        status, body = self._page()
+        responder.answer(status, ((b"Content-Type", b"text/plain"),), body)
+
+
+def _boot_clock() -> float:
+    """Read the clock that goes on while the instance is suspended, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/pimentolink/gatewaysettings.py
@@ -0,0 +1,167 @@
+"""Settings of a gateway: an entry that passes requests straight to targets."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct, field
+
+from pimentolink.settings import Address, Count, Ratio, Seconds
+
+
+class ConnectionSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    Connections that a gateway opens.
+
+    :ivar connect: seconds until a connection that is not made counts as failed; an
+        instance behind a partition does not answer at all.
+    :ivar idle: seconds that a connection is kept unused at most.
+    :ivar idle_once: the same before a request that may not be repeated, which a
+        connection that closes under it would lose.
+    :ivar most: connections to one target at once.
+    :ivar probe_after: seconds of silence before a keep-alive probe.
+    :ivar probe_interval: seconds between probes.
+    :ivar probes: probes missed after which a connection counts as lost.
+    :ivar unacknowledged: seconds that sent bytes may stay without acknowledgement.
+    """
+
+    connect: Seconds = 0.6
+    idle: Seconds = 4.0
+    idle_once: Seconds = 1.0
+    most: Count = 64
+    probe_after: Count = 1
+    probe_interval: Count = 1
+    probes: Count = 2
+    unacknowledged: Seconds = 2.0
+
+
+class StoreSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    The store that holds the configuration and the list of targets.
+
+    :ivar address: where it answers.
+    :ivar timeout: seconds until a call counts as unanswered.
+    :ivar watch_wait: seconds that one waiting watch lasts; each costs a call.
+    :ivar backoff_first: seconds of the first pause after a failed call.
+    :ivar backoff_most: seconds of the longest pause.
+    :ivar return_time: seconds after an outage within which targets that live are
+        listed again; those still missing then are gone.
+    :ivar lease: seconds that this process's entry outlives it.
+    """
+
+    address: Address
+    timeout: Seconds = 1.0
+    watch_wait: Seconds = 20.0
+    backoff_first: Seconds = 0.1
+    backoff_most: Seconds = 1.0
+    return_time: Seconds = 2.0
+    lease: Seconds = 10.0
+
+
+class CallerSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    Bounds on callers until the configuration states its own.
+
+    :ivar head_bytes: largest head of a request.
+    :ivar body_bytes: largest body.
+    :ivar head_time: seconds that a request's head may take.
+    :ivar idle_time: seconds that a connection may stay unused.
+    :ivar buffered_bytes: bytes of an answer kept for a caller that reads slowly,
+        before reading from the target is paused.
+    """
+
+    head_bytes: Count = 16_384
+    body_bytes: Count = 4_194_304
+    head_time: Seconds = 3.0
+    idle_time: Seconds = 15.0
+    buffered_bytes: Count = 65_536
+
+
+class PlacementSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    How prompts wait and where they are read.
+
+    :ivar first_rate: prompt tokens a second that an engine is taken to read until
+        readings have been timed.
+    :ivar decode_rate: share of that rate at an engine that also writes answers.
+    :ivar overhead: seconds of a reading besides its tokens.
+    :ivar depth: seconds of reading sent to an engine ahead of need; more is kept
+        here, where it can still be reordered.
+    :ivar duplicate_cost: weight of the engine time that a placement takes, against
+        the seconds until it is done; keeps prompts with the engine that holds them.
+    :ivar late_factor: multiple of the latency target beyond which a prediction
+        turns a request away while it can still go elsewhere.
+    :ivar remote_cost: seconds added for a target in another data centre.
+    """
+
+    first_rate: Count = 30_000
+    decode_rate: Ratio = 0.5
+    overhead: Seconds = 0.03
+    depth: Seconds = 0.25
+    duplicate_cost: Annotated[float, Meta(ge=0)] = 0.6
+    late_factor: Annotated[float, Meta(gt=0)] = 1.6
+    remote_cost: Annotated[float, Meta(ge=0)] = 0.004
+
+
+class EjectionSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    When a target gets no work for a while.
+
+    :ivar failures: failures in a row that eject it.
+    :ivar first: seconds of the first ejection; each further one doubles it.
+    :ivar most: seconds of the longest.
+    :ivar most_share: share of a service's targets that may be ejected at once, so
+        that bad news about all of them does not stop the service.
+    """
+
+    failures: Count = 2
+    first: Seconds = 1.0
+    most: Seconds = 8.0
+    most_share: Ratio = 0.5
+
+
+class BudgetSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    Bounds on repeated attempts, over all gateways together.
+
+    :ivar ratio: repeated attempts to a service for each request to it.
+    :ivar slack: repeated attempts more, in each window, shared by all gateways.
+    :ivar window: seconds over which they are counted.
+    """
+
+    ratio: Ratio = 0.2
+    slack: Annotated[float, Meta(ge=0)] = 50.0
+    window: Seconds = 10.0
+
+
+class GatewaySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    Settings of a gateway.
+
+    :ivar instance: name of this instance.
+    :ivar data_centre: where it stands.
+    :ivar listen: address for callers.
+    :ivar readiness: address where the balancer asks whether to send callers here.
+    :ivar peers: address for datagrams of other gateways.
+    :ivar metrics: address of the metrics.
+    :ivar order_lease_ms: milliseconds within which two processes may not both give
+        orders.
+    :ivar thaw: seconds after a freeze in which nothing rests on older belief.
+    :ivar stop_within: seconds that a graceful stop may take.
+    """
+
+    instance: str
+    data_centre: str
+    listen: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+    store: StoreSettings
+    connections: ConnectionSettings = field(default_factory=ConnectionSettings)
+    callers: CallerSettings = field(default_factory=CallerSettings)
+    placement: PlacementSettings = field(default_factory=PlacementSettings)
+    ejection: EjectionSettings = field(default_factory=EjectionSettings)
+    budget: BudgetSettings = field(default_factory=BudgetSettings)
+    order_lease_ms: Count = 3000
+    thaw: Seconds = 0.3
+    stop_within: Seconds = 8.0
--- /dev/null
+++ b/pimentolink/generation.py
@@ -0,0 +1,327 @@
+"""Serves requests to model engines: reading, writing, relaying, resuming."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from pimentolink.calls import Call, Caller
+from pimentolink.dialect import Dialect, ReadPrompt, Sending, Verdict
+from pimentolink.errors import (
+    ConnectionBroken,
+    Failure,
+    NoTarget,
+    ReplyInvalid,
+    StreamBroken,
+)
+from pimentolink.eventstream import EventSplitter, is_after
+from pimentolink.fleet import Fleet, TargetBelief
+from pimentolink.forwarder import Work, pass_on, passed_on
+from pimentolink.httptypes import HttpReply
+from pimentolink.logs import Log, LogEvent
+from pimentolink.placement import Placer, SizeScale, WaitingPrompt
+from pimentolink.readings import Readings, Ticket
+from pimentolink.retry import SharedBudgets
+from pimentolink.routes import Repeatability
+from pimentolink.timers import Timers, with_timeout
+
+# A reading that takes this many times what was predicted, and this many seconds more,
+# is given up and begun elsewhere: its engine crashed, hangs or has turned slow.
+READING_PATIENCE = 3.0
+READING_GRACE = 0.6
+# Priorities of engines go from 0 to 9.
+LEAST_URGENT = 9
+
+
+class _Prepared(NamedTuple):
+    """
+    A prompt that was read.
+
+    :ivar reader: the engine that holds its KV cache.
+    """
+
+    prompt: ReadPrompt
+    reader: TargetBelief
+
+
+class Generations:
+    """
+    Requests that a model's engine answers.
+
+    The prompt waits for an engine with room. If that engine only reads, another one
+    fetches the KV cache and writes the answer.
+    """
+
+    def __init__(
+        self,
+        caller: Caller,
+        dialect: Dialect,
+        fleet: Fleet,
+        readings: Readings,
+        placer: Placer,
+        budgets: SharedBudgets,
+        timers: Timers,
+        log: Log,
+    ) -> None:
+        """
+        Prepare.
+
+        :param caller: makes calls.
+        :param dialect: reads answers.
+        :param fleet: the engines.
+        :param readings: where prompts wait.
+        :param placer: chooses engines that write.
+        :param budgets: bound repeated attempts.
+        :param timers: the timer service.
+        :param log: where events go.
+        """
+        self._caller = caller
+        self._dialect = dialect
+        self._fleet = fleet
+        self._readings = readings
+        self._placer = placer
+        self._budgets = budgets
+        self._timers = timers
+        self._log = log
+        self._sizes = SizeScale()
+
+    async def serve(self, work: Work) -> None:
+        """Answer a request."""
+        self._budgets.earn(work.service)
+        relay = _Relay(work, self._timers)
+        last: Failure | None = None
+        tries = 0
+        while True:
+            if tries and not self._may_go_on(work):
+                break
+            tries += 1
+            try:
+                await self._try(work, relay)
+            except Failure as failure:
+                last = failure
+                if relay.has_begun:
+                    self._tell_broken(work, relay, failure)
+                if isinstance(failure, NoTarget) or failure.retry_after is not None:
+                    break
+                continue
+            return
+        assert last is not None
+        if relay.has_begun:
+            raise StreamBroken(str(last))
+        raise last
+
+    def _may_go_on(self, work: Work) -> bool:
+        return (
+            work.attempts.may_repeat()
+            and work.time_left(self._timers.now()) > 0
+            and self._budgets.spend(work.service)
+        )
+
+    def _tell_broken(self, work: Work, relay: _Relay, failure: Failure) -> None:
+        self._log.write(
+            LogEvent.STREAM_RESUMED,
+            request=work.request.request_id,
+            after=(relay.last_event or b"").decode("latin-1"),
+            code=failure.code,
+            may=work.attempts.may_repeat(),
+        )
+
+    async def _try(self, work: Work, relay: _Relay) -> None:
+        """Read the prompt, have the answer written and relay it."""
+        ticket = await self._readings.wait(self._waiting(work))
+        if ticket.placement.is_reading_only:
+            prepared = await self._read(work, ticket)
+            call = await self._write(work, prepared, relay)
+            await self._relay(work, call, relay)
+            return
+        call = await self._read_and_write(work, ticket, relay)
+        await self._relay(work, call, relay)
+
+    def _waiting(self, work: Work) -> WaitingPrompt:
+        request, route = work.request, work.route
+        return WaitingPrompt(
+            request_id=request.request_id,
+            service=work.service,
+            parts=request.parts,
+            prompt_tokens=max(1, request.prompt_tokens),
+            priority=min(LEAST_URGENT, route.priority),
+            size=self._sizes.worth(
+                route.name, request.prompt_tokens, request.output_tokens
+            ),
+            arrived_at=request.arrived_at,
+            on_time_until=request.arrived_at + route.latency_target,
+            due_at=work.due_at,
+        )
+
+    def _sending(self, work: Work, belief: TargetBelief, relay: _Relay) -> Sending:
+        return Sending(
+            target_id=belief.target.target_id,
+            time_left=work.time_left(self._timers.now()),
+            priority=min(LEAST_URGENT, work.route.priority),
+            last_event=relay.last_event,
+        )
+
+    async def _read(self, work: Work, ticket: Ticket) -> _Prepared:
+        """Have the prompt read by an engine that leaves the answer to another."""
+        reader = ticket.placement.belief
+        patience = READING_PATIENCE * ticket.expected + READING_GRACE
+        is_good = False
+        try:
+            reading = self._read_at(work, reader)
+            prepared = await with_timeout(self._timers, patience, reading)
+            is_good = True
+        except TimeoutError:
+            failure = ConnectionBroken(f"no reading within {patience:.2f} s")
+            self._caller.blame(work.request, reader, failure)
+            raise failure from None
+        finally:
+            self._readings.end(ticket, is_good)
+        reader.outcome(is_good=True)
+        return prepared
+
+    async def _read_at(self, work: Work, reader: TargetBelief) -> _Prepared:
+        sending = Sending(
+            target_id=reader.target.target_id,
+            time_left=work.time_left(self._timers.now()),
+            priority=min(LEAST_URGENT, work.route.priority),
+            is_reading=True,
+        )
+        call = await self._caller.begin(work.request, reader, sending)
+        try:
+            reply = await call.read_all()
+        finally:
+            call.close()
+        if reply.head.status != 200:
+            self._caller.failed(work.request, call, reply.head.status)
+            raise ReplyInvalid(f"a reading's status {reply.head.status}")
+        return _Prepared(self._dialect.read_prompt(reply).unwrap(), reader)
+
+    async def _write(self, work: Work, prepared: _Prepared, relay: _Relay) -> Call:
+        """Have the answer written by an engine that fetches the KV cache."""
+        reader = prepared.reader
+        now = self._timers.now()
+        writer = self._placer.writer(work.service, reader.target.data_centre, now)
+        try:
+            if writer is None:
+                raise NoTarget(f"no engine of {work.service} writes answers", 0.5)
+            address = reader.target.address
+            sending = self._sending(work, writer, relay)._replace(
+                cache_source=self._dialect.cache_source(address, prepared.prompt)
+            )
+            call = await self._run(work, writer, sending)
+        except Failure as failure:
+            if not failure.ran:
+                self._drop_cache(work, prepared)
+            raise
+        writer.parts.note(work.request.parts)
+        return call
+
+    async def _read_and_write(self, work: Work, ticket: Ticket, relay: _Relay) -> Call:
+        """Have one engine read the prompt and write the answer."""
+        belief = ticket.placement.belief
+        is_good = False
+        try:
+            call = await self._run(work, belief, self._sending(work, belief, relay))
+            is_good = True
+        finally:
+            self._readings.end(ticket, is_good)
+        return call
+
+    async def _run(self, work: Work, belief: TargetBelief, sending: Sending) -> Call:
+        """Send the request to be run, and wait for the head of the answer."""
+        is_once = work.route.repeatability is Repeatability.ONCE
+        work.attempts.sent(belief.target.target_id)
+        try:
+            call = await self._caller.begin(work.request, belief, sending, is_once)
+        except Failure as failure:
+            if failure.ran:
+                work.attempts.ran()
+            else:
+                work.attempts.not_run()
+            raise
+        work.attempts.ran()
+        return call
+
+    def _drop_cache(self, work: Work, prepared: _Prepared) -> None:
+        """Free a KV cache that nobody will fetch."""
+        reader = prepared.reader
+        message = self._dialect.drop_cache(reader.target.address, prepared.prompt)
+
+        async def drop() -> None:
+            call = await self._caller.send(work.request, reader, message)
+            try:
+                await call.read_all()
+            finally:
+                call.close()
+
+        dropping = Deferred.fromCoroutine(drop())
+        # Logged where it failed; the engine frees it by itself in the end.
+        dropping.addErrback(lambda failure: failure.trap(Failure))
+
+    async def _relay(self, work: Work, call: Call, relay: _Relay) -> None:
+        """Pass the answer on."""
+        assert call.head is not None
+        try:
+            if self._dialect.verdict(call.head) is not Verdict.SUCCESS:
+                await self._relay_failure(work, call, relay)
+                return
+            if not self._dialect.is_signed(call.head):
+                raise ReplyInvalid("a success that the engine does not vouch for")
+            await relay.run(call)
+        except Failure as failure:
+            if not isinstance(failure, StreamBroken):
+                self._caller.blame(work.request, call.belief, failure)
+            raise
+        finally:
+            call.close()
+        call.belief.outcome(is_good=True)
+
+    async def _relay_failure(self, work: Work, call: Call, relay: _Relay) -> None:
+        reply: HttpReply = await call.read_all()
+        status = reply.head.status
+        self._caller.failed(work.request, call, status)
+        if relay.has_begun or (status >= 500 and work.attempts.may_repeat()):
+            raise StreamBroken(f"status {status}")
+        pass_on(work.responder, reply)
+
+
+class _Relay:
+    """
+    The caller's stream over all engines that write it.
+
+    Guards that the caller gets each event once and in order.
+    """
+
+    def __init__(self, work: Work, timers: Timers) -> None:
+        self._work = work
+        self._timers = timers
+        self.last_event = work.request.last_event
+        self.has_begun = False
+
+    async def run(self, call: Call) -> None:
+        """Pass events on until the stream's end."""
+        assert call.head is not None
+        responder = self._work.responder
+        responder.on_pause(call.pause)
+        splitter = EventSplitter()
+        while (data := await call.read()) is not None:
+            for event in splitter.feed(data):
+                if not is_after(event.event_id, self.last_event):
+                    continue
+                self._begin(call)
+                responder.write(event.data)
+                self.last_event = event.event_id or self.last_event
+        self._begin(call)
+        if splitter.rest():
+            responder.write(splitter.rest())
+        responder.finish()
+
+    def _begin(self, call: Call) -> None:
+        if self.has_begun:
+            return
+        assert call.head is not None
+        self.has_begun = True
+        self._work.first_event_at = self._timers.now()
+        responder = self._work.responder
+        responder.begin(call.head.status, passed_on(call.head.headers))
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -4,6 +4,7 @@
 
 import enum
 import logging
+import os
 import sys
 from typing import Any, NamedTuple
 
@@ -33,6 +34,7 @@
         logging.ERROR,
         "The bound on the graceful stop passed with work still in flight.",
     )
+    RELOADED = ("E1006", logging.INFO, "The settings were read again.")
     SLOT_TAKEN = (
         "E1005",
         logging.ERROR,
@@ -48,12 +50,49 @@
         logging.ERROR,
         "A document offered as configuration is none; the one in force stays.",
     )
+    TARGET_UNREADABLE = (
+        "E1103",
+        logging.ERROR,
+        "An entry on the list of targets cannot be read; what was known stays.",
+    )
     KEY_VALUE_LOST = (
         "E1201",
         logging.WARNING,
         "The key-value service gives no answer; work goes on without it.",
     )
     KEY_VALUE_BACK = ("E1202", logging.INFO, "The key-value service answers again.")
+    HISTORY_LOST = (
+        "E1204",
+        logging.WARNING,
+        "The store no longer keeps the changes since a revision; all is read again.",
+    )
+    TARGET_LISTED = (
+        "E1205",
+        logging.INFO,
+        "A target appeared on the list, or changed there.",
+    )
+    TARGET_GONE = (
+        "E1206",
+        logging.INFO,
+        "A target left the list; it gets no more work.",
+    )
+    TARGET_MISSING = (
+        "E1207",
+        logging.WARNING,
+        "A target is missing from the list after an outage; it may come back.",
+    )
+    LEASE_LOST = ("E1208", logging.WARNING, "A lease of this process ended.")
+    PEER_LISTED = ("E1209", logging.INFO, "Another gateway appeared or left.")
+    PEER_MESSAGE_INVALID = (
+        "E1210",
+        logging.WARNING,
+        "A datagram on the gateways' port is no message of theirs.",
+    )
+    FROZEN = (
+        "E1211",
+        logging.WARNING,
+        "This process stood still; what it knows is read again before it is used.",
+    )
     LIST_LOST = (
         "E1203",
         logging.WARNING,
@@ -86,6 +125,32 @@
         logging.INFO,
         "An answer for an attempt that is over came in and was dropped.",
     )
+    ANSWERED = ("E1405", logging.INFO, "A request got a target's whole answer.")
+    PROMPT_PLACED = (
+        "E1406",
+        logging.INFO,
+        "A prompt that waited was given to an engine, on the inputs shown.",
+    )
+    PROMPT_REFUSED = (
+        "E1407",
+        logging.INFO,
+        "A prompt was turned away unread, on the prediction shown.",
+    )
+    STREAM_RESUMED = (
+        "E1408",
+        logging.WARNING,
+        "A stream that broke goes on at another target.",
+    )
+    CALLER_LEFT = (
+        "E1409",
+        logging.INFO,
+        "A caller closed its connection before its answer was whole.",
+    )
+    BAD_REQUEST = (
+        "E1410",
+        logging.WARNING,
+        "What a caller sent is no proper request; its connection is closed.",
+    )
     CLAIMS_TAKEN_OVER = (
         "E1501",
         logging.INFO,
@@ -141,6 +206,10 @@
 
     :param level: lowest level that is written.
     """
+    _configure(sys.stderr, level)
+
+
+def _configure(file: Any, level: int) -> None:
     structlog.configure(
         processors=[
             structlog.processors.TimeStamper(fmt="iso"),
@@ -149,11 +218,64 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=file),
         cache_logger_on_first_use=True,
     )
 
 
+# Bytes of log lines kept for a reader that is slow; what comes on top is dropped and
+# counted. At 250 bytes a line this is what a busy gateway writes in ten seconds.
+MOST_LOG_BYTES = 262_144
+
+
+class BoundedWriter:
+    """A file that never blocks: lines that its reader does not take are dropped."""
+
+    def __init__(self, descriptor: int) -> None:
+        """
+        Take over a descriptor.
+
+        :param descriptor: of a file, pipe or terminal.
+        """
+        self._descriptor = descriptor
+        self._pending = bytearray()
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> int:
+        """Write a line, or keep it for the next time."""
+        data = text.encode()
+        if len(self._pending) + len(data) > MOST_LOG_BYTES:
+            self.dropped += 1
+        else:
+            if self.dropped:
+                self._pending += f'{{"dropped": {self.dropped}}}\n'.encode()
+                self.dropped = 0
+            self._pending += data
+        self.flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Write what the reader takes."""
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            # Without a reader there is nobody to tell.
+            written = len(self._pending)
+        del self._pending[:written]
+
+
+def configure_bounded(level: int = logging.INFO) -> None:
+    """
+    Send events to standard output as JSON lines, without ever waiting for a reader.
+
+    :param level: lowest level that is written.
+    """
+    _configure(BoundedWriter(sys.stdout.fileno()), level)
+
+
 def catch_unhandled(log: Log) -> None:
     """
     Write the faults that the loop catches as events, instead of losing them.
--- /dev/null
+++ b/pimentolink/membership.py
@@ -0,0 +1,178 @@
+"""Keeps configuration, targets and other gateways as the store tells them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+from result import Err, Result
+
+from pimentolink.errors import DocumentInvalid
+from pimentolink.fleet import Fleet, Target
+from pimentolink.gatewaysettings import StoreSettings
+from pimentolink.keyspace import Change
+from pimentolink.logs import Log, LogEvent
+from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
+from pimentolink.routes import RoutingTable, RoutingTables
+from pimentolink.timers import Timers
+
+
+class Documents(Protocol):
+    """Reads the documents of a deployment's store."""
+
+    configuration_key: str
+    target_prefix: str
+
+    def read_configuration(
+        self, document: bytes
+    ) -> Result[RoutingTable, DocumentInvalid]:
+        """Read the operators' configuration."""
+
+    def read_target(self, key: str, document: bytes) -> Result[Target, DocumentInvalid]:
+        """Read the entry of a target."""
+
+
+class Membership:
+    """
+    Applies changes of the store to what this gateway believes.
+
+    Guards that a target that leaves gets no more work, and that one whose entry
+    lapsed in an outage is only given up once it had the time to return.
+    """
+
+    def __init__(
+        self,
+        tables: RoutingTables,
+        fleet: Fleet,
+        documents: Documents,
+        settings: StoreSettings,
+        timers: Timers,
+        log: Log,
+    ) -> None:
+        """
+        Start without knowledge.
+
+        :param tables: take the configuration.
+        :param fleet: takes targets.
+        :param documents: reads the store's documents.
+        :param settings: how long lapsed entries take to return.
+        :param timers: the timer service.
+        :param log: where events go.
+        """
+        self._tables = tables
+        self._fleet = fleet
+        self._documents = documents
+        self._settings = settings
+        self._timers = timers
+        self._log = log
+        self.gateways_by_name: dict[str, str] = {}
+        self.is_known = False
+        self.on_changed: Callable[[], None] = lambda: None
+        self.on_gone: Callable[[str], None] = lambda target_id: None
+
+    def key_changed(self, change: Change) -> None:
+        """Take one change of a key."""
+        if change.key == self._documents.configuration_key:
+            if change.value is not None:
+                self._configuration_changed(change.value)
+        elif change.key.startswith(self._documents.target_prefix):
+            self._target_changed(change)
+        elif change.key.startswith(GATEWAY_PREFIX):
+            self._gateway_changed(change)
+        self.on_changed()
+
+    def keys_read(self, keys: frozenset[str]) -> None:
+        """Learn that all keys were read."""
+        prefix = self._documents.target_prefix
+        listed = {key.removeprefix(prefix) for key in keys if key.startswith(prefix)}
+        for target_id in list(self._fleet.targets_by_id):
+            if target_id not in listed:
+                self._target_missing(target_id)
+        for name in list(self.gateways_by_name):
+            if GATEWAY_PREFIX + name not in keys:
+                del self.gateways_by_name[name]
+        self.is_known = True
+        self.on_changed()
+
+    def _configuration_changed(self, document: bytes) -> None:
+        found = self._documents.read_configuration(document)
+        if isinstance(found, Err):
+            detail = str(found.err_value)
+            self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=detail)
+            return
+        table = found.ok_value
+        before = self._tables.table
+        if not self._tables.offer(table):
+            return
+        models = {name: item.engine for name, item in table.services_by_name.items()}
+        self._fleet.set_models(models)
+        self._log.write(
+            LogEvent.CONFIGURATION_ADOPTED,
+            version=table.version,
+            before=before.version if before else 0,
+            routes=len(table.routes_by_name),
+        )
+
+    def _target_changed(self, change: Change) -> None:
+        target_id = change.key.removeprefix(self._documents.target_prefix)
+        if change.value is None:
+            self._target_gone(target_id, "removed")
+            return
+        found = self._documents.read_target(change.key, change.value)
+        if isinstance(found, Err):
+            detail = str(found.err_value)
+            self._log.write(LogEvent.TARGET_UNREADABLE, detail=detail)
+            return
+        target = found.ok_value
+        known = self._fleet.targets_by_id.get(target_id)
+        is_news = known is None or known.target != target
+        self._fleet.put(target)
+        if is_news:
+            self._log.write(
+                LogEvent.TARGET_LISTED,
+                target=target_id,
+                service=target.service,
+                address=target.address,
+                role=target.role.value,
+                leaving=target.is_leaving,
+                revision=change.revision,
+            )
+
+    def _target_missing(self, target_id: str) -> None:
+        """Keep a target from work until it is back, or for good."""
+        belief = self._fleet.targets_by_id[target_id]
+        if belief.missing_since is not None:
+            return
+        now = self._timers.now()
+        belief.missing_since = now
+        self._log.write(LogEvent.TARGET_MISSING, target=target_id)
+        self._timers.call_later(
+            self._settings.return_time, lambda: self._give_up(target_id)
+        )
+
+    def _give_up(self, target_id: str) -> None:
+        belief = self._fleet.targets_by_id.get(target_id)
+        if belief is not None and belief.missing_since is not None:
+            self._target_gone(target_id, "missing")
+            self.on_changed()
+
+    def _target_gone(self, target_id: str, reason: str) -> None:
+        belief = self._fleet.remove(target_id)
+        if belief is None:
+            return
+        # Work that still refers to it must not choose it again.
+        belief.missing_since = self._timers.now()
+        self._log.write(LogEvent.TARGET_GONE, target=target_id, reason=reason)
+        self.on_gone(target_id)
+
+    def _gateway_changed(self, change: Change) -> None:
+        name = change.key.removeprefix(GATEWAY_PREFIX)
+        if change.value is None:
+            if self.gateways_by_name.pop(name, None) is not None:
+                self._log.write(LogEvent.PEER_LISTED, peer=name, listed=False)
+            return
+        entry = msgspec.json.decode(change.value, type=GatewayEntry)
+        if self.gateways_by_name.get(name) != entry.address:
+            self._log.write(LogEvent.PEER_LISTED, peer=name, listed=True)
+        self.gateways_by_name[name] = entry.address
--- /dev/null
+++ b/pimentolink/placement.py
@@ -0,0 +1,278 @@
+"""Decides which waiting prompt is read next, where, and which are turned away."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from pimentolink.dialect import PromptPart
+from pimentolink.errors import CannotBeInTime, Failure, NoTarget
+from pimentolink.fleet import EngineRole, Fleet, TargetBelief
+from pimentolink.gatewaysettings import PlacementSettings
+
+# Worth of a generation by its size against the mean of its route: a fixed part and
+# one that grows with the size, up to a bound.
+FIXED_WORTH = 0.3
+SIZED_WORTH = 0.7
+MOST_SIZE = 4.0
+# Share of an answer's worth that remains once it is later than its latency target.
+LATE_WORTH = 0.35
+# An output token counts as this many prompt tokens in a request's size.
+OUTPUT_SIZE = 10
+# Weight of one request in a route's mean size.
+SIZE_SMOOTHING = 0.05
+# Waiting prompts looked at for one decision; those beyond are worth less.
+MOST_LOOKED_AT = 64
+# Shortest and longest pause, in seconds, after which a caller is asked to return.
+LEAST_PAUSE = 0.1
+MOST_PAUSE = 2.0
+
+
+class WaitingPrompt(NamedTuple):
+    """
+    A prompt that waits to be read.
+
+    :ivar size: worth of the request, by its size, as a multiple of its route's.
+    :ivar on_time_until: when its first event should be with the caller.
+    :ivar due_at: when the caller or the operator gives it up.
+    """
+
+    request_id: str
+    service: str
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    priority: int
+    size: float
+    arrived_at: float
+    on_time_until: float
+    due_at: float
+
+
+class Placement(NamedTuple):
+    """
+    Where a prompt is read.
+
+    :ivar tokens: that have to be read there.
+    :ivar held_tokens: that the engine probably holds.
+    :ivar done_at: predicted end of the reading.
+    :ivar is_reading_only: whether another engine writes the answer.
+    """
+
+    belief: TargetBelief
+    tokens: int
+    held_tokens: int
+    done_at: float
+    is_reading_only: bool
+
+
+class SizeScale:
+    """Tells a request's worth by its size, against the mean of its route."""
+
+    def __init__(self) -> None:
+        """Start without means."""
+        self._mean_by_route: dict[str, float] = {}
+
+    def worth(self, route: str, prompt_tokens: int, output_tokens: int) -> float:
+        """
+        Learn a request's size and tell its worth.
+
+        :returns: a multiple of the worth of the route's mean request.
+        """
+        size = float(prompt_tokens + OUTPUT_SIZE * output_tokens) or 1.0
+        mean = self._mean_by_route.get(route, size)
+        mean += SIZE_SMOOTHING * (size - mean)
+        self._mean_by_route[route] = mean
+        return min(MOST_SIZE, FIXED_WORTH + SIZED_WORTH * size / mean)
+
+
+class Placer:
+    """
+    Chooses engines for prompts.
+
+    Load pattern: bursts of prompts, of which most share long parts, over few engines
+    whose reading is what binds. A prompt goes where it is done soonest, with a price
+    on the engine time that it takes, so that shared parts are read once and stay
+    with one engine until that one falls behind.
+    """
+
+    def __init__(
+        self, settings: PlacementSettings, fleet: Fleet, data_centre: str
+    ) -> None:
+        """
+        Prepare.
+
+        :param settings: weights.
+        :param fleet: the targets.
+        :param data_centre: where this gateway stands.
+        """
+        self._settings = settings
+        self._fleet = fleet
+        self._data_centre = data_centre
+
+    def best(self, prompt: WaitingPrompt, now: float) -> Placement | None:
+        """
+        Find the engine at which a prompt is best read.
+
+        :returns: ``None`` if no engine of the service takes work.
+        """
+        engines = self._fleet.usable(prompt.service, now)
+        has_writer = any(
+            engine.target.role is not EngineRole.READER for engine in engines
+        )
+        if not has_writer:
+            return None
+        options = [self._option(prompt, engine, now) for engine in engines]
+        return min(options, key=lambda option: self._cost(option, now), default=None)
+
+    def _option(
+        self, prompt: WaitingPrompt, engine: TargetBelief, now: float
+    ) -> Placement:
+        # The last part is the request's own and held nowhere.
+        held = min(engine.parts.held_tokens(prompt.parts), prompt.prompt_tokens - 1)
+        tokens = max(1, prompt.prompt_tokens - held)
+        done_at = now + engine.backlog(now) + engine.work_time(tokens)
+        is_reader = engine.target.role is EngineRole.READER
+        return Placement(engine, tokens, held, done_at, is_reader)
+
+    def _cost(self, option: Placement, now: float) -> float:
+        settings = self._settings
+        engine = option.belief
+        cost = option.done_at - now
+        cost += settings.duplicate_cost * engine.work_time(option.tokens)
+        cost += engine.failure_share
+        if engine.target.data_centre != self._data_centre:
+            cost += settings.remote_cost
+        return cost
+
+    def engines(self, service: str, now: float) -> list[TargetBelief]:
+        """List the engines of a service that take work."""
+        return self._fleet.usable(service, now)
+
+    def writer(self, service: str, near: str, now: float) -> TargetBelief | None:
+        """
+        Choose the engine that writes an answer whose prompt was read elsewhere.
+
+        :param near: data centre of the engine that read it.
+        :returns: ``None`` if there is none.
+        """
+        writers = [
+            engine
+            for engine in self._fleet.usable(service, now)
+            if engine.target.role is not EngineRole.READER
+        ]
+        return min(
+            writers,
+            key=lambda engine: (
+                engine.load() / max(1, engine.target.slots)
+                + engine.backlog(now)
+                + engine.failure_share
+                + (
+                    self._settings.remote_cost
+                    if engine.target.data_centre != near
+                    else 0
+                )
+            ),
+            default=None,
+        )
+
+
+class ReadingQueue:
+    """
+    Prompts that wait at this gateway.
+
+    Load pattern: more prompts than the engines read in time. Engines are sent little
+    ahead of need, so that what waits can be reordered; what brings the most worth for
+    its engine time goes first, what can still be on time before what is late.
+    """
+
+    def __init__(self, settings: PlacementSettings, placer: Placer) -> None:
+        """
+        Start empty.
+
+        :param settings: depth and bounds.
+        :param placer: chooses engines.
+        """
+        self._settings = settings
+        self._placer = placer
+        self.prompts_by_id: dict[str, WaitingPrompt] = {}
+
+    def add(self, prompt: WaitingPrompt, now: float) -> Failure | None:
+        """
+        Take a prompt in, or turn it away at once.
+
+        :returns: why it is turned away.
+        """
+        placement = self._placer.best(prompt, now)
+        if placement is None:
+            return NoTarget(f"no engine of {prompt.service} takes work", 1.0)
+        done_at = placement.done_at + self._work_ahead(prompt, placement, now)
+        failure = self._refusal(prompt, done_at, now)
+        if failure is None:
+            self.prompts_by_id[prompt.request_id] = prompt
+        return failure
+
+    def _work_ahead(
+        self, prompt: WaitingPrompt, placement: Placement, now: float
+    ) -> float:
+        """Predict how long the prompts that go first keep the engines busy."""
+        worth = self._order(prompt, placement, now)
+        ahead = 0.0
+        for other in self.prompts_by_id.values():
+            found = self._placer.best(other, now)
+            if found is not None and self._order(other, found, now) < worth:
+                ahead += found.belief.work_time(found.tokens)
+        return ahead / max(1, len(self._placer.engines(prompt.service, now)))
+
+    def _refusal(
+        self, prompt: WaitingPrompt, done_at: float, now: float
+    ) -> Failure | None:
+        target = prompt.on_time_until - prompt.arrived_at
+        latest = prompt.arrived_at + self._settings.late_factor * target
+        latest = min(latest, prompt.due_at)
+        if done_at <= latest:
+            return None
+        pause = min(MOST_PAUSE, max(LEAST_PAUSE, done_at - prompt.on_time_until))
+        return CannotBeInTime(
+            f"would be read in {done_at - now:.2f} s, {latest - now:.2f} s are left",
+            pause,
+        )
+
+    def _order(
+        self, prompt: WaitingPrompt, placement: Placement, now: float
+    ) -> tuple[float, float]:
+        """Rank a prompt; the least goes first."""
+        work = placement.belief.work_time(placement.tokens)
+        worth = prompt.size
+        if placement.done_at > prompt.on_time_until:
+            worth *= LATE_WORTH
+        return (-worth / work, prompt.arrived_at)
+
+    def next(self, now: float) -> tuple[WaitingPrompt, Placement] | None:
+        """
+        Take the next prompt that an engine has room for.
+
+        :returns: the prompt, which waits no more, and its place.
+        """
+        found = [
+            (self._order(prompt, placement, now), prompt, placement)
+            for prompt in list(self.prompts_by_id.values())[:MOST_LOOKED_AT]
+            if (placement := self._placer.best(prompt, now)) is not None
+        ]
+        for _, prompt, placement in sorted(found, key=lambda item: item[0]):
+            if placement.belief.backlog(now) <= self._settings.depth:
+                del self.prompts_by_id[prompt.request_id]
+                return prompt, placement
+        return None
+
+    def hopeless(self, now: float) -> list[WaitingPrompt]:
+        """Take out the prompts that cannot be read before they are due."""
+        hopeless = []
+        for prompt in list(self.prompts_by_id.values()):
+            placement = self._placer.best(prompt, now)
+            if placement is None or placement.done_at > prompt.due_at:
+                hopeless.append(prompt)
+                del self.prompts_by_id[prompt.request_id]
+        return hopeless
+
+    def drop(self, request_id: str) -> None:
+        """Let a prompt wait no more."""
+        self.prompts_by_id.pop(request_id, None)
--- /dev/null
+++ b/pimentolink/plaincalls.py
@@ -0,0 +1,151 @@
+"""Serves requests to plain services."""
+
+from __future__ import annotations
+
+from twisted.internet.defer import Deferred
+
+from pimentolink.calls import Caller
+from pimentolink.dialect import Dialect, Sending, Verdict
+from pimentolink.errors import Failure, NoTarget, ReplyInvalid, RetryBudgetSpent
+from pimentolink.fleet import Fleet, TargetBelief
+from pimentolink.forwarder import Work, pass_on
+from pimentolink.gatewaysettings import PlacementSettings
+from pimentolink.httptypes import HttpReply
+from pimentolink.retry import SharedBudgets
+from pimentolink.routes import Repeatability
+from pimentolink.timers import Timers
+
+# Weight of a target's share of failures against its load, in full queues.
+FAILURE_WEIGHT = 2.0
+
+
+class PlainCalls:
+    """
+    Calls whose answer comes whole.
+
+    Load pattern: short calls over few targets with few slots, of which some fail part
+    of the calls. The target with the least load for its slots is asked; a call that
+    may be repeated is repeated elsewhere after a failure, inside the shared budget.
+    """
+
+    def __init__(
+        self,
+        caller: Caller,
+        dialect: Dialect,
+        fleet: Fleet,
+        budgets: SharedBudgets,
+        settings: PlacementSettings,
+        data_centre: str,
+        timers: Timers,
+    ) -> None:
+        """
+        Prepare.
+
+        :param caller: makes calls.
+        :param dialect: reads answers.
+        :param fleet: the targets.
+        :param budgets: bound repeated attempts.
+        :param settings: weights.
+        :param data_centre: where this gateway stands.
+        :param timers: the timer service.
+        """
+        self._caller = caller
+        self._dialect = dialect
+        self._fleet = fleet
+        self._budgets = budgets
+        self._settings = settings
+        self._data_centre = data_centre
+        self._timers = timers
+
+    async def serve(self, work: Work) -> None:
+        """Answer a request."""
+        self._budgets.earn(work.service)
+        last: Failure | HttpReply | None = None
+        while True:
+            belief = self._choose(work)
+            if belief is None:
+                break
+            is_repeat = work.attempts.count > 0
+            if is_repeat and not self._budgets.spend(work.service):
+                last = last or RetryBudgetSpent("no repeated attempt is left")
+                break
+            last = await self._attempt(work, belief)
+            if isinstance(last, HttpReply) and not self._is_repeatable(work, last):
+                break
+        if isinstance(last, HttpReply):
+            pass_on(work.responder, last)
+            return
+        raise last or NoTarget(f"no target of {work.service} takes work", 0.5)
+
+    def _choose(self, work: Work) -> TargetBelief | None:
+        now = self._timers.now()
+        if work.time_left(now) <= 0:
+            return None
+        usable = [
+            belief
+            for belief in self._fleet.usable(work.service, now)
+            if work.attempts.may_send(belief.target.target_id)
+            and belief.target.target_id not in work.attempts.tried_target_ids
+        ]
+        return min(usable, key=self._cost, default=None)
+
+    def _cost(self, belief: TargetBelief) -> float:
+        cost = belief.load() / max(1, belief.target.slots)
+        cost += FAILURE_WEIGHT * belief.failure_share
+        if belief.target.data_centre != self._data_centre:
+            cost += self._settings.remote_cost
+        return cost
+
+    def _is_repeatable(self, work: Work, reply: HttpReply) -> bool:
+        return reply.head.status >= 500 and work.attempts.may_repeat()
+
+    async def _attempt(self, work: Work, belief: TargetBelief) -> HttpReply | Failure:
+        """Make one attempt and tell how it ended."""
+        is_once = work.route.repeatability is Repeatability.ONCE
+        work.attempts.sent(belief.target.target_id)
+        try:
+            if is_once:
+                reply = await self._shielded(work, belief)
+            else:
+                reply = await self._exchange(work, belief)
+        except Failure as failure:
+            if failure.ran:
+                work.attempts.ran()
+            else:
+                work.attempts.not_run()
+            return failure
+        work.attempts.ran()
+        return reply
+
+    async def _exchange(self, work: Work, belief: TargetBelief) -> HttpReply:
+        request = work.request
+        time_left = work.time_left(self._timers.now())
+        sending = Sending(belief.target.target_id, time_left)
+        is_once = work.route.repeatability is Repeatability.ONCE
+        call = await self._caller.begin(request, belief, sending, is_once)
+        try:
+            reply = await call.read_all()
+        except Failure as failure:
+            self._caller.blame(request, belief, failure)
+            raise
+        finally:
+            call.close()
+        if self._dialect.verdict(reply.head) is Verdict.SUCCESS:
+            if not self._dialect.is_signed(reply.head):
+                raise ReplyInvalid("a success that the target does not vouch for")
+            belief.outcome(is_good=True)
+        elif reply.head.status >= 500:
+            self._caller.failed(request, call, reply.head.status)
+        return reply
+
+    async def _shielded(self, work: Work, belief: TargetBelief) -> HttpReply:
+        """
+        Exchange without cutting the target off when the caller leaves.
+
+        A call that may not be repeated and was half done would leave its effects in
+        doubt.
+        """
+        waiter: Deferred[HttpReply] = Deferred()
+        running = Deferred.fromCoroutine(self._exchange(work, belief))
+        running.addCallbacks(waiter.callback, waiter.errback)
+        return await waiter
--- /dev/null
+++ b/pimentolink/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the product."""
--- /dev/null
+++ b/pimentolink/platform/dialect.py
@@ -0,0 +1,199 @@
+"""The headers and bodies that callers, gateways and targets exchange here."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from pimentolink.dialect import (
+    CallerRequest,
+    PromptPart,
+    ReadPrompt,
+    Sending,
+    Verdict,
+)
+from pimentolink.errors import InvalidRequest, ReplyInvalid
+from pimentolink.httptypes import (
+    HttpReply,
+    HttpRequest,
+    ReplyHead,
+    end_to_end,
+    header_value,
+)
+
+REQUEST_ID = b"Pimentolink-Request-Id"
+DEADLINE = b"Pimentolink-Deadline-Ms"
+PROMPT_PARTS = b"Pimentolink-Prompt-Prefix"
+TOKEN_COUNTS = b"Pimentolink-Token-Counts"
+SIGNATURE = b"Pimentolink-Response-Signature"
+EXPECT_INSTANCE = b"Pimentolink-Expect-Instance"
+NOT_EXECUTED = b"Pimentolink-Not-Executed"
+PRIORITY = b"Pimentolink-Request-Priority"
+STAGE = b"Pimentolink-Stage"
+KV_SOURCE = b"Pimentolink-Kv-Source"
+KV_FETCH = b"Kv-Fetch"
+LAST_EVENT = b"Last-Event-Id"
+
+# Headers that the system sets; a caller's own are dropped.
+OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE,
+        EXPECT_INSTANCE,
+        NOT_EXECUTED,
+        PRIORITY,
+        STAGE,
+        KV_SOURCE,
+        KV_FETCH,
+        LAST_EVENT,
+        b"Pimentolink-Expect-Version",
+        b"Pimentolink-Pin-Ms",
+        b"Pimentolink-Kv-Hold",
+        b"Pimentolink-Kv-Backup",
+    )
+)
+MISDIRECTED = 421
+# A target counts the time that it is handed from the request's arrival there; this is
+# left for the answer's way back, in seconds.
+ANSWER_WAY = 0.01
+
+
+class _ReadAnswer(msgspec.Struct, rename="camel"):
+    """Answer to a reading: ``kv_handle`` names the KV cache at that engine."""
+
+    kv_handle: str
+    tokens: int = 0
+
+
+def read_request(
+    request: HttpRequest, now: float
+) -> Result[CallerRequest, InvalidRequest]:
+    """
+    Read what the system needs to know of a caller's request.
+
+    :param request: as it came.
+    :param now: seconds of the timer service.
+    """
+    request_id = request.header(REQUEST_ID.lower())
+    if not request_id:
+        return Err(InvalidRequest(f"no {REQUEST_ID.decode()}"))
+    deadline = request.header(DEADLINE.lower())
+    try:
+        patience = None if deadline is None else float(deadline) / 1000
+        parts = _read_parts(request.header(PROMPT_PARTS.lower()))
+        prompt_tokens, output_tokens = _read_counts(
+            request.header(TOKEN_COUNTS.lower())
+        )
+    except ValueError as error:
+        return Err(InvalidRequest(f"a header that cannot be read: {error}"))
+    if patience is not None and not 0 <= patience < 1e6:
+        return Err(InvalidRequest("the time allowed is out of range"))
+    host = (header_value(request.headers, b"host") or b"").decode("latin-1")
+    return Ok(
+        CallerRequest(
+            request_id=request_id.decode("latin-1"),
+            http=request,
+            host=host.partition(":")[0],
+            path=request.path.decode("latin-1"),
+            arrived_at=now,
+            patience=patience,
+            parts=parts,
+            prompt_tokens=prompt_tokens or sum(part.tokens for part in parts),
+            output_tokens=output_tokens,
+            last_event=request.header(LAST_EVENT.lower()),
+        )
+    )
+
+
+def _read_parts(value: bytes | None) -> tuple[PromptPart, ...]:
+    if not value:
+        return ()
+    parts = []
+    for entry in value.decode("latin-1").split(","):
+        name, _, tokens = entry.strip().partition(":")
+        parts.append(PromptPart(int(name, 16), max(0, int(tokens))))
+    return tuple(parts)
+
+
+def _read_counts(value: bytes | None) -> tuple[int, int]:
+    if not value:
+        return 0, 0
+    prompt, _, output = value.partition(b",")
+    return max(0, int(prompt)), max(0, int(output or b"0"))
+
+
+class PlatformDialect:
+    """How requests are put to this platform's targets and answers are read."""
+
+    def request_id(self, request: HttpRequest) -> str:
+        """Read the id of a caller's request; empty if it has none."""
+        return (request.header(REQUEST_ID.lower()) or b"").decode("latin-1")
+
+    def read_request(
+        self, request: HttpRequest, now: float
+    ) -> Result[CallerRequest, InvalidRequest]:
+        """Read what the system needs to know of a caller's request."""
+        return read_request(request, now)
+
+    def sending(self, request: CallerRequest, sending: Sending) -> HttpRequest:
+        """Write a request for a target."""
+        kept = [
+            item
+            for item in end_to_end(request.http.headers)
+            if item[0].lower() not in OWN_HEADERS
+        ]
+        own: list[tuple[bytes, bytes]] = [(EXPECT_INSTANCE, sending.target_id.encode())]
+        if sending.time_left is not None:
+            milliseconds = max(1, int((sending.time_left - ANSWER_WAY) * 1000))
+            own.append((DEADLINE, str(milliseconds).encode()))
+        if sending.priority is not None:
+            own.append((PRIORITY, str(sending.priority).encode()))
+        if sending.is_reading:
+            own.append((STAGE, b"prefill"))
+        if sending.cache_source:
+            own.append((KV_SOURCE, sending.cache_source.encode()))
+        if sending.copy_from:
+            own.append((KV_FETCH, sending.copy_from.encode()))
+        if sending.last_event is not None:
+            own.append((LAST_EVENT, sending.last_event))
+        return request.http._replace(headers=(*kept, *own))
+
+    def belongs(self, request: CallerRequest, head: ReplyHead) -> bool:
+        """Tell whether an answer belongs to a request."""
+        named = head.header(REQUEST_ID.lower())
+        if named is None:
+            # Only answers of the engine itself, not of a request that it ran.
+            return head.header(SIGNATURE.lower()) is None
+        return named.decode("latin-1") == request.request_id
+
+    def verdict(self, head: ReplyHead) -> Verdict:
+        """Tell what an answer says of the request."""
+        if head.status == MISDIRECTED:
+            return Verdict.OTHER_INSTANCE
+        if head.header(NOT_EXECUTED.lower()) is not None:
+            return Verdict.NOT_RUN
+        if 200 <= head.status < 300:
+            return Verdict.SUCCESS
+        return Verdict.FAILURE
+
+    def is_signed(self, head: ReplyHead) -> bool:
+        """Tell whether a target vouches for an answer."""
+        is_encoded = head.header(b"content-encoding") is not None
+        return head.header(SIGNATURE.lower()) is not None and not is_encoded
+
+    def read_prompt(self, reply: HttpReply) -> Result[ReadPrompt, ReplyInvalid]:
+        """Read the answer to a reading."""
+        try:
+            found = msgspec.json.decode(reply.body, type=_ReadAnswer)
+        except msgspec.DecodeError as error:
+            return Err(ReplyInvalid(f"a reading's answer: {error}"))
+        return Ok(ReadPrompt(found.kv_handle, found.tokens))
+
+    def cache_source(self, address: str, prompt: ReadPrompt) -> str:
+        """Name a KV cache for the engine that is to fetch it."""
+        return f"{address}/{prompt.handle}"
+
+    def drop_cache(self, address: str, prompt: ReadPrompt) -> HttpRequest:
+        """Write the request that frees a KV cache which nobody will fetch."""
+        path = f"/kv-handle/{prompt.handle}".encode()
+        return HttpRequest(b"DELETE", path, ((b"Host", address.encode()),))
--- /dev/null
+++ b/pimentolink/platform/documents.py
@@ -0,0 +1,194 @@
+"""Reads the platform's documents: the configuration and the entries of targets."""
+
+from __future__ import annotations
+
+import msgspec
+from result import Err, Ok, Result
+
+from pimentolink.errors import DocumentInvalid
+from pimentolink.fleet import EngineRole, Target
+from pimentolink.routes import (
+    CallerBounds,
+    EngineModel,
+    Repeatability,
+    Route,
+    RoutingTable,
+    Service,
+    WeightedService,
+)
+
+CONFIGURATION_KEY = "op/config"
+TARGET_PREFIX = "servers/"
+
+_IDEMPOTENT = "idempotent"
+_STREAMING = "streaming"
+_LEAVING = "draining"
+_ROLES = {"prefill": EngineRole.READER, "decode": EngineRole.WRITER}
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    """
+    A route as the operator writes it.
+
+    :ivar sticky: marks the routes whose requests carry a prompt.
+    :ivar target_latency_ms: time within which an answer earns its full worth.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 5
+    max_attempts: int = 1
+    service: str = ""
+    weighted_backends: list[_Backend] = []
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int
+    kv_tokens: int
+    role_switch_s: float = 3.0
+    kv_ttl_s: float = 5.0
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_connections: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Configuration(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits | None = None
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    """
+    What an engine registers.
+
+    :ivar sequence: number of orders that it has accepted.
+    :ivar phase: role of a model's engine; absent for other services.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: int = 1
+    state: str = "ready"
+    cold_remaining_ms: float = 0.0
+    phase: str | None = None
+    sequence: int = 0
+
+
+def _route_of(found: _Route) -> Route:
+    services = tuple(
+        WeightedService(item.service, item.weight) for item in found.weighted_backends
+    )
+    is_stream = found.kind == _STREAMING
+    may_repeat = found.kind == _IDEMPOTENT or (is_stream and found.resumable)
+    return Route(
+        name=found.name,
+        host=found.host.lower(),
+        prefix=found.prefix,
+        services=services or (WeightedService(found.service, 1.0),),
+        repeatability=Repeatability.IDEMPOTENT if may_repeat else Repeatability.ONCE,
+        is_stream=is_stream,
+        is_resumable=found.resumable,
+        is_generation=found.sticky,
+        timeout=found.timeout_ms / 1000,
+        latency_target=found.target_latency_ms / 1000,
+        most_targets=max(1, found.max_attempts),
+        priority=found.priority,
+    )
+
+
+def _service_of(found: _Service) -> Service:
+    engine = found.engine
+    model = None
+    if engine is not None:
+        model = EngineModel(
+            slots=engine.slots,
+            cache_tokens=engine.kv_tokens,
+            switch_time=engine.role_switch_s,
+            handle_time=engine.kv_ttl_s,
+        )
+    return Service(found.name, found.max_connections, model)
+
+
+def _bounds_of(found: _Limits | None) -> CallerBounds | None:
+    if found is None:
+        return None
+    return CallerBounds(
+        head_bytes=found.max_header_bytes,
+        body_bytes=found.max_body_bytes,
+        head_time=found.header_timeout_ms / 1000,
+        idle_time=found.idle_timeout_ms / 1000,
+    )
+
+
+class PlatformDocuments:
+    """Reads the documents that lie in the platform's store."""
+
+    configuration_key = CONFIGURATION_KEY
+    target_prefix = TARGET_PREFIX
+
+    def read_configuration(
+        self, document: bytes
+    ) -> Result[RoutingTable, DocumentInvalid]:
+        """
+        Read the operators' configuration.
+
+        :param document: value of ``CONFIGURATION_KEY``.
+        """
+        try:
+            found = msgspec.json.decode(document, type=_Configuration)
+        except msgspec.DecodeError as error:
+            return Err(DocumentInvalid(str(error)))
+        routes = [_route_of(item) for item in found.routes]
+        services = [_service_of(item) for item in found.services]
+        return Ok(
+            RoutingTable(found.version, routes, services, _bounds_of(found.limits))
+        )
+
+    def read_target(self, key: str, document: bytes) -> Result[Target, DocumentInvalid]:
+        """
+        Read the entry of a target.
+
+        :param key: begins with ``TARGET_PREFIX``; the rest is the target's name.
+        :param document: the entry.
+        """
+        try:
+            found = msgspec.json.decode(document, type=_Server)
+        except msgspec.DecodeError as error:
+            return Err(DocumentInvalid(f"{key}: {error}"))
+        return Ok(
+            Target(
+                target_id=key.removeprefix(TARGET_PREFIX),
+                service=found.service,
+                address=found.address,
+                data_centre=found.zone,
+                slots=found.slots,
+                is_leaving=found.state == _LEAVING,
+                cold_time=found.cold_remaining_ms / 1000,
+                role=_ROLES.get(found.phase or "", EngineRole.NONE),
+                orders_accepted=found.sequence,
+            )
+        )
--- /dev/null
+++ b/pimentolink/platform/edge.py
@@ -0,0 +1,63 @@
+"""Starts a gateway on the users' platform: ``python3 -m pimentolink.platform.edge``."""
+
+from __future__ import annotations
+
+import os
+import sys
+from typing import Any
+
+from result import Err
+
+from pimentolink import logs
+from pimentolink.gateway import Gateway
+from pimentolink.gatewaysettings import GatewaySettings
+from pimentolink.platform import documents
+from pimentolink.platform.dialect import PlatformDialect
+from pimentolink.platform.store import PlatformStore
+from pimentolink.process import Process
+from pimentolink.settings import read_settings
+from pimentolink.timers import ReactorTimers
+
+SETTINGS_VARIABLE = "PIMENTOLINK_BOOT"
+EXIT_INVALID = 2
+
+
+def make_gateway(reactor: Any, settings: GatewaySettings) -> Gateway:
+    """
+    Make a gateway that speaks the platform's protocols.
+
+    :param reactor: the loop.
+    :param settings: of the gateway.
+    """
+    timers = ReactorTimers(reactor)
+    store = PlatformStore(reactor, settings.store, settings.connections, timers)
+    return Gateway(
+        reactor,
+        settings,
+        store,
+        PlatformDialect(),
+        documents.PlatformDocuments(),
+        timers,
+    )
+
+
+def main() -> int:
+    """Run until told to stop; return the exit code."""
+    path = os.environ[SETTINGS_VARIABLE]
+    settings = read_settings(GatewaySettings, [path])
+    if isinstance(settings, Err):
+        print(settings.err_value, file=sys.stderr)
+        return EXIT_INVALID
+    logs.configure_bounded()
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    logs.catch_unhandled(logs.Log())
+    process = Process(reactor, lambda loop: make_gateway(loop, settings.ok_value))
+    reactor.callWhenRunning(process.start)
+    reactor.run(installSignalHandlers=False)
+    return process.exit_code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/pimentolink/readings.py
@@ -0,0 +1,170 @@
+"""Lets prompts wait for an engine, and has them read there."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import count
+
+from twisted.internet.defer import Deferred
+
+from pimentolink.dialect import PromptPart
+from pimentolink.errors import CannotBeInTime, Failure
+from pimentolink.fleet import Fleet
+from pimentolink.logs import Log, LogEvent
+from pimentolink.peers import PeerNews, ReadingBegan, ReadingEnded
+from pimentolink.placement import Placement, ReadingQueue, WaitingPrompt
+from pimentolink.timers import Timer, Timers
+
+# Seconds between two looks at the queue when nothing happens; predictions shift with
+# time alone.
+LOOK_INTERVAL = 0.05
+
+
+class Ticket:
+    """A reading that an engine was given, from its sending to its end."""
+
+    def __init__(self, name: str, placement: Placement, began_at: float) -> None:
+        """
+        Record what was predicted.
+
+        :param name: of the reading, unique over all gateways.
+        :param placement: where it is read.
+        :param began_at: seconds of the timer service.
+        """
+        self.name = name
+        self.placement = placement
+        self.began_at = began_at
+        self.expected = placement.done_at - began_at
+        self.is_over = False
+
+
+class Readings:
+    """The queue of this gateway with the loop that empties it."""
+
+    def __init__(
+        self,
+        queue: ReadingQueue,
+        fleet: Fleet,
+        news: PeerNews,
+        timers: Timers,
+        log: Log,
+        gateway: str,
+    ) -> None:
+        """
+        Start empty.
+
+        :param queue: decides.
+        :param fleet: the targets.
+        :param news: tells other gateways.
+        :param timers: the timer service.
+        :param log: where events go.
+        :param gateway: this process's life, which names its readings.
+        """
+        self._queue = queue
+        self._fleet = fleet
+        self._news = news
+        self._timers = timers
+        self._log = log
+        self._gateway = gateway
+        self._numbers = count()
+        self._waiters_by_id: dict[str, Deferred[Ticket]] = {}
+        self._timer: Timer | None = None
+        self.belief_age: Callable[[], float] = lambda: 0.0
+
+    def wait(self, prompt: WaitingPrompt) -> Deferred[Ticket]:
+        """
+        Wait until an engine has room for a prompt.
+
+        :returns: where it is to be read.
+        :raises CannotBeInTime: once it is known that it cannot be served.
+        :raises NoTarget: if no engine takes work.
+        """
+
+        def left(_: Deferred[Ticket]) -> None:
+            self._queue.drop(prompt.request_id)
+            self._waiters_by_id.pop(prompt.request_id, None)
+
+        waiter: Deferred[Ticket] = Deferred(left)
+        refused = self._queue.add(prompt, self._timers.now())
+        if refused is not None:
+            self._tell_refusal(prompt, refused)
+            waiter.errback(refused)
+            return waiter
+        self._waiters_by_id[prompt.request_id] = waiter
+        self.look()
+        return waiter
+
+    def look(self) -> None:
+        """Send what has room, turn away what has become hopeless."""
+        now = self._timers.now()
+        for prompt in self._queue.hopeless(now):
+            failure = CannotBeInTime("the engines fell behind", 0.3)
+            self._tell_refusal(prompt, failure)
+            self._waiters_by_id.pop(prompt.request_id).errback(failure)
+        while (found := self._queue.next(now)) is not None:
+            prompt, placement = found
+            ticket = self._begin(prompt, placement, now)
+            self._waiters_by_id.pop(prompt.request_id).callback(ticket)
+        if self._waiters_by_id and self._timer is None:
+            self._timer = self._timers.call_later(LOOK_INTERVAL, self._look_again)
+
+    def _look_again(self) -> None:
+        self._timer = None
+        self.look()
+
+    def _begin(self, prompt: WaitingPrompt, placement: Placement, now: float) -> Ticket:
+        name = f"{self._gateway}-{next(self._numbers)}"
+        belief = placement.belief
+        tokens, priority = placement.tokens, prompt.priority
+        belief.begin_reading(name, tokens, priority, prompt.parts, now)
+        target_id = belief.target.target_id
+        parts = parts_of(prompt.parts)
+        self._news.tell(ReadingBegan(name, target_id, tokens, priority, parts))
+        self._log.write(
+            LogEvent.PROMPT_PLACED,
+            request=prompt.request_id,
+            target=belief.target.target_id,
+            role=belief.target.role.value,
+            tokens=tokens,
+            held=placement.held_tokens,
+            waited=round(now - prompt.arrived_at, 3),
+            predicted=round(placement.done_at - now, 3),
+            waiting=len(self._queue.prompts_by_id),
+            list_age=round(self.belief_age(), 3),
+        )
+        return Ticket(name, placement, now)
+
+    def end(self, ticket: Ticket, is_good: bool) -> None:
+        """
+        Count a reading no more.
+
+        :param is_good: whether it came to its end, so that its time can be learned.
+        """
+        if ticket.is_over:
+            return
+        ticket.is_over = True
+        belief = ticket.placement.belief
+        belief.end_reading(ticket.name)
+        if is_good:
+            took = self._timers.now() - ticket.began_at
+            usual = self._fleet.usual_rate(belief.target.service)
+            belief.timed_reading(ticket.expected, took, usual)
+        target_id = belief.target.target_id
+        self._news.tell(ReadingEnded(ticket.name, target_id, belief.rate))
+        self.look()
+
+    def _tell_refusal(self, prompt: WaitingPrompt, failure: Failure) -> None:
+        self._log.write(
+            LogEvent.PROMPT_REFUSED,
+            request=prompt.request_id,
+            code=failure.code,
+            detail=failure.detail,
+            waited=round(self._timers.now() - prompt.arrived_at, 3),
+            waiting=len(self._queue.prompts_by_id),
+            list_age=round(self.belief_age(), 3),
+        )
+
+
+def parts_of(parts: tuple[PromptPart, ...]) -> list[tuple[int, int]]:
+    """Write parts for another gateway."""
+    return [(part.part_id, part.tokens) for part in parts]
--- /dev/null
+++ b/pimentolink/registration.py
@@ -0,0 +1,115 @@
+"""Keeps this gateway's entry in the store, so that the others find it."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+from twisted.internet.defer import CancelledError, Deferred
+
+from pimentolink.errors import KeyValueUnavailable, LeaseLost
+from pimentolink.gatewaysettings import GatewaySettings
+from pimentolink.keyspace import Keyspace, Write
+from pimentolink.logs import Log, LogEvent
+from pimentolink.retry import Backoff
+from pimentolink.timers import Timers, pause
+
+GATEWAY_PREFIX = "pimentolink/gateways/"
+# A lease is renewed this often within its time, so that one lost renewal ends nothing.
+RENEWALS = 3
+
+
+class GatewayEntry(msgspec.Struct):
+    """
+    What a gateway tells of itself.
+
+    :ivar address: for datagrams of the others.
+    :ivar life: of the process.
+    """
+
+    address: str
+    life: str
+
+
+class Registration:
+    """An entry under a lease, written anew when the lease was lost."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        life: str,
+        keyspace: Keyspace,
+        timers: Timers,
+        random: Random,
+        log: Log,
+    ) -> None:
+        """
+        Prepare.
+
+        :param settings: name and address of this gateway.
+        :param life: of this process.
+        :param keyspace: the store.
+        :param timers: the timer service.
+        :param random: seeded source for jitter.
+        :param log: where events go.
+        """
+        self._settings = settings
+        self._keyspace = keyspace
+        self._timers = timers
+        self._log = log
+        store = settings.store
+        self._backoff = Backoff(store.backoff_most, 4 * store.backoff_most, random)
+        self._entry = GatewayEntry(settings.peers, life)
+        self._key = GATEWAY_PREFIX + settings.instance
+        self._running: Deferred[None] | None = None
+        self.lease = 0
+
+    def start(self) -> None:
+        """Write the entry and keep it."""
+        self._running = Deferred.fromCoroutine(self._keep())
+        self._running.addErrback(lambda failure: failure.trap(CancelledError))
+
+    def stop(self) -> None:
+        """Let the others know that this gateway is gone."""
+        if self._running is not None:
+            self._running.cancel()
+        if self.lease:
+            ending = self._keyspace.end(self.lease)
+            # Without an answer the lease runs out by itself.
+            ending.addErrback(lambda failure: failure.trap(KeyValueUnavailable))
+
+    def check(self) -> None:
+        """Renew now: the lease may have ended during a freeze."""
+        if self._running is not None:
+            self._running.cancel()
+            self.start()
+
+    async def _keep(self) -> None:
+        while True:
+            try:
+                await self._step()
+                self._backoff.reset()
+                await pause(self._timers, self._settings.store.lease / RENEWALS)
+            except LeaseLost as failure:
+                self._log.write(
+                    LogEvent.LEASE_LOST, lease=self.lease, detail=str(failure)
+                )
+                self.lease = 0
+            except KeyValueUnavailable:
+                # The follower logs outages of the store.
+                await pause(self._timers, self._backoff.next())
+
+    async def _step(self) -> None:
+        if self.lease:
+            await self._keyspace.renew(self.lease)
+            return
+        lease = await self._keyspace.grant(self._settings.store.lease)
+        found = await self._keyspace.read(self._key)
+        expected = found.revision if found is not None else 0
+        value = msgspec.json.encode(self._entry)
+        written = await self._keyspace.write(Write(self._key, value, expected, lease))
+        if written is None:
+            raise KeyValueUnavailable(
+                "another write to this gateway's entry came first"
+            )
+        self.lease = lease
--- a/pimentolink/retry.py
+++ b/pimentolink/retry.py
@@ -4,7 +4,13 @@
 
 from random import Random
 
+from pimentolink.gatewaysettings import BudgetSettings
 from pimentolink.settings import RetrySettings
+from pimentolink.timers import Timers
+
+# Share of the deployment's budget that gateways use; the rest is left for what they
+# cannot count, such as attempts that a caller's own retries set off elsewhere.
+USED_SHARE = 0.8
 
 
 class RetryBudget:
@@ -40,6 +46,86 @@
         return True
 
 
+class SharedBudget:
+    """
+    One gateway's part of a budget that all gateways share.
+
+    Over any window at most ``ratio`` of the requests here and this gateway's part of
+    ``slack`` are granted: half of the part at once, the other half over the window.
+    """
+
+    def __init__(self, settings: BudgetSettings, timers: Timers) -> None:
+        """
+        Start with what may be spent at once.
+
+        :param settings: ratio, slack and window.
+        :param timers: the timer service.
+        """
+        self._settings = settings
+        self._timers = timers
+        self._earned = 0.0
+        self._balance: float | None = None
+        self._counted_at = timers.now()
+
+    def earn(self) -> None:
+        """Count one request."""
+        most = self._settings.slack
+        ratio = USED_SHARE * self._settings.ratio
+        self._earned = min(most, self._earned + ratio)
+
+    def spend(self, gateways: int) -> bool:
+        """
+        Ask for one repeated attempt.
+
+        :param gateways: that share the slack.
+        :returns: whether it is granted.
+        """
+        part = USED_SHARE * self._settings.slack / max(1, gateways) / 2
+        now = self._timers.now()
+        gained = part * (now - self._counted_at) / self._settings.window
+        before = part if self._balance is None else self._balance
+        self._balance = min(part, before + gained)
+        self._counted_at = now
+        if self._balance >= 1.0:
+            self._balance -= 1.0
+            return True
+        if self._earned >= 1.0:
+            self._earned -= 1.0
+            return True
+        return False
+
+
+class SharedBudgets:
+    """A budget for each service."""
+
+    def __init__(self, settings: BudgetSettings, timers: Timers) -> None:
+        """
+        Start without spending.
+
+        :param settings: ratio, slack and window.
+        :param timers: the timer service.
+        """
+        self._settings = settings
+        self._timers = timers
+        self._budgets_by_service: dict[str, SharedBudget] = {}
+        self.gateways = 1
+
+    def earn(self, service: str) -> None:
+        """Count one request to a service."""
+        self._budget(service).earn()
+
+    def spend(self, service: str) -> bool:
+        """Ask for one repeated attempt; tell whether it is granted."""
+        return self._budget(service).spend(self.gateways)
+
+    def _budget(self, service: str) -> SharedBudget:
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = SharedBudget(self._settings, self._timers)
+            self._budgets_by_service[service] = budget
+        return budget
+
+
 class Backoff:
     """Growing pauses with full jitter."""
 
--- a/pimentolink/settings.py
+++ b/pimentolink/settings.py
@@ -294,7 +294,7 @@
     trace_ratio: Ratio = 0.0
 
 
-SettingsType = TypeVar("SettingsType", EntrySettings, SidecarSettings, PlatformSettings)
+SettingsType = TypeVar("SettingsType", bound=Struct)
 
 
 def merge_documents(documents: list[dict[str, Any]]) -> dict[str, Any]:
--- a/pimentolink/timers.py
+++ b/pimentolink/timers.py
@@ -5,10 +5,12 @@
 import heapq
 import itertools
 import time
-from collections.abc import Callable
-from typing import Any, Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol, TypeVar
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+
+Awaited = TypeVar("Awaited")
 
 
 class Timer(Protocol):
@@ -56,6 +58,37 @@
     return pending
 
 
+async def with_timeout(
+    timers: Timers, seconds: float, work: Coroutine[Any, Any, Awaited]
+) -> Awaited:
+    """
+    Wait for work that is cancelled when it takes too long.
+
+    :param timers: the timer service.
+    :param seconds: how long it may take.
+    :param work: a coroutine that awaits Deferreds.
+    :raises TimeoutError: if it took longer.
+    """
+    pending: Deferred[Awaited] = Deferred.fromCoroutine(work)
+    expired = False
+
+    def expire() -> None:
+        nonlocal expired
+        expired = True
+        pending.cancel()
+
+    timer = timers.call_later(seconds, expire)
+    try:
+        return await pending
+    except CancelledError:
+        if expired:
+            raise TimeoutError(f"not done within {seconds:g} s") from None
+        pending.cancel()
+        raise
+    finally:
+        timer.cancel()
+
+
 class Repeater:
     """Calls back at a fixed interval until cancelled."""
 
