--- a/pimentolink/callerhttp.py
+++ b/pimentolink/callerhttp.py
@@ -16,7 +16,7 @@
 
 from pimentolink.errors import BodyTooLarge, Failure, InvalidRequest, RequestTooSlow
 from pimentolink.httphead import check_head, split_head
-from pimentolink.httptypes import Headers, HttpRequest
+from pimentolink.httptypes import Headers, HttpRequest, header_value
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
 from pimentolink.routes import CallerBounds
@@ -148,6 +148,9 @@
                 return
             if isinstance(event, h11.Request):
                 self._request = event
+                if self._told_length(event) > self.factory.bounds().body_bytes:
+                    self._reject(BodyTooLarge("the body is over the limit"))
+                    return
                 if parser.they_are_waiting_for_100_continue:
                     self._write_event(
                         h11.InformationalResponse(status_code=100, headers=[])
@@ -164,6 +167,10 @@
             else:
                 return
 
+    def _told_length(self, request: h11.Request) -> int:
+        headers = tuple(request.headers.raw_items())
+        return int(header_value(headers, b"content-length") or 0)
+
     def _whole(self) -> None:
         parser, request = self._parser, self._request
         assert parser is not None
--- a/pimentolink/calls.py
+++ b/pimentolink/calls.py
@@ -11,7 +11,7 @@
 from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
-from pimentolink.targethttp import ConnectionPool, TargetConnection
+from pimentolink.targethttp import ConnectionPool, TargetConnection, exchange
 from pimentolink.timers import Timers
 
 MOST_ANSWER_BYTES = 8_000_000
@@ -121,6 +121,21 @@
         pool.most = self.most_connections
         return pool
 
+    async def alone(self, belief: TargetBelief, message: HttpRequest) -> HttpReply:
+        """
+        Make one call on a connection of its own.
+
+        Nothing of it can arrive once the connection is closed, which an order needs.
+
+        :raises Failure: without an answer.
+        """
+        address = belief.target.address
+        pool = ConnectionPool(self._reactor, address, self._settings, self._timers)
+        try:
+            return await exchange(pool, message, lambda head: True, MOST_ANSWER_BYTES)
+        finally:
+            pool.close()
+
     async def begin(
         self,
         request: CallerRequest,
--- a/pimentolink/dialect.py
+++ b/pimentolink/dialect.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import enum
-from typing import NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from result import Result
 
-from pimentolink.errors import InvalidRequest, ReplyInvalid
+from pimentolink.errors import InvalidRequest, OrderRefused, ReplyInvalid
 from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
 
+if TYPE_CHECKING:
+    from pimentolink.fleet import EngineReport, EngineRole, TargetBelief
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt, which other prompts may share."""
@@ -118,3 +121,26 @@
 
     def drop_cache(self, address: str, prompt: ReadPrompt) -> HttpRequest:
         """Write the request that frees a KV cache which nobody will fetch."""
+
+    def ask_report(self, belief: TargetBelief) -> HttpRequest:
+        """Write the request for an engine's report."""
+
+    def read_report(self, reply: HttpReply) -> Result[EngineReport, ReplyInvalid]:
+        """Read an engine's report."""
+
+    def change_role(
+        self,
+        belief: TargetBelief,
+        report: EngineReport,
+        role: EngineRole,
+        holder: str,
+        fence: int,
+    ) -> HttpRequest:
+        """
+        Write the order that changes an engine's role.
+
+        The engine refuses it if it has accepted another order since its report.
+        """
+
+    def order_outcome(self, reply: HttpReply) -> Result[None, OrderRefused]:
+        """Read the answer to an order."""
--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -25,6 +25,10 @@
 LOST_END = 2.0
 
 
+# Seconds that fetching parts from another engine takes besides their tokens.
+COPY_OVERHEAD = 0.015
+
+
 class EngineRole(enum.Enum):
     """What an engine does; other targets have no role."""
 
@@ -39,7 +43,6 @@
 
     :ivar target_id: one life of one target; a restart has another.
     :ivar cold_time: seconds for which it stays slow after its start.
-    :ivar orders_accepted: orders that it accepted, which an order may expect.
     """
 
     target_id: str
@@ -50,6 +53,18 @@
     is_leaving: bool
     cold_time: float
     role: EngineRole
+
+
+class EngineReport(NamedTuple):
+    """
+    What an engine says of itself.
+
+    :ivar is_busy: whether it carries out an order.
+    :ivar orders_accepted: since its start.
+    """
+
+    role: EngineRole
+    is_busy: bool
     orders_accepted: int
 
 
@@ -63,6 +78,7 @@
 
     tokens: int
     priority: int
+    parts: tuple[PromptPart, ...]
     began_at: float
     forgotten_at: float
 
@@ -83,7 +99,11 @@
         self.target = target
         self._settings = settings
         self.rate = float(settings.first_rate)
+        self._copy_rate = model.copy_rate if model else 1e9
+        # What it will hold once it has read all that it was given, and what it holds
+        # already, so that other engines can fetch it.
         self.parts = PartMemory(model.cache_tokens if model else 0)
+        self.fetchable = PartMemory(model.cache_tokens if model else 0)
         self.readings_by_ticket: dict[str, Reading] = {}
         self.in_flight = 0
         self.streams_by_peer: dict[str, int] = {}
@@ -126,6 +146,15 @@
         """
         return self._settings.overhead + tokens / self.rate_now()
 
+    def copy_time(self, tokens: int) -> float:
+        """
+        Predict how long fetching parts from another engine takes.
+
+        :param tokens: to be fetched.
+        :returns: seconds.
+        """
+        return COPY_OVERHEAD + tokens / self._copy_rate if tokens else 0.0
+
     def backlog(self, now: float) -> float:
         """
         Predict when all readings there are done.
@@ -165,13 +194,24 @@
         """Count a reading that was sent there, by whichever gateway."""
         expected = self.backlog(now) + self.work_time(tokens)
         forgotten_at = now + 3 * expected + LOST_END
-        reading = Reading(tokens, priority, now, forgotten_at)
+        reading = Reading(tokens, priority, tuple(parts), now, forgotten_at)
         self.readings_by_ticket[ticket] = reading
-        self.parts.note(parts)
+        self.parts.note(reading.parts)
+
+    def end_reading(self, ticket: str, is_good: bool) -> None:
+        """
+        Count a reading no more.
 
-    def end_reading(self, ticket: str) -> Reading | None:
-        """Count a reading no more."""
-        return self.readings_by_ticket.pop(ticket, None)
+        :param is_good: whether it was done, so that its parts are there.
+        """
+        reading = self.readings_by_ticket.pop(ticket, None)
+        if reading is not None and is_good:
+            self.fetchable.note(reading.parts)
+
+    def fetched(self, parts: tuple[PromptPart, ...]) -> None:
+        """Learn that it fetched a prompt, which it keeps like its own."""
+        self.parts.note(parts)
+        self.fetchable.note(parts)
 
     def timed_reading(self, expected: float, took: float, usual_rate: float) -> None:
         """
@@ -232,6 +272,10 @@
         """Learn which services have engines, and of which model."""
         self._models_by_service = models_by_service
 
+    def model(self, service: str) -> EngineModel | None:
+        """Tell what is known of a service's engines; ``None`` for other services."""
+        return self._models_by_service.get(service)
+
     def put(self, target: Target) -> TargetBelief:
         """Take a target in, or what has changed of it."""
         known = self.targets_by_id.get(target.target_id)
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -23,12 +23,14 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.membership import Membership
 from pimentolink.metrics import Metrics
+from pimentolink.orderholder import OrderHolder
 from pimentolink.peers import InFlight, PeerBook, PeerProtocol
 from pimentolink.placement import Placer, ReadingQueue
 from pimentolink.plaincalls import PlainCalls
 from pimentolink.readings import Readings
 from pimentolink.registration import Registration
 from pimentolink.retry import SharedBudgets
+from pimentolink.rolebalance import RoleBalancer
 from pimentolink.routes import CallerBounds, RoutingTables
 from pimentolink.settings import split_address
 from pimentolink.timers import Repeater, Timers, pause
@@ -121,6 +123,21 @@
         self._registration = Registration(
             settings, self._life, keyspace, timers, self._random, self.log
         )
+        self._orders = OrderHolder(
+            settings,
+            self._life,
+            keyspace,
+            RoleBalancer(settings.roles, self.fleet),
+            self.fleet,
+            dialect,
+            self._caller.alone,
+            self._peers,
+            timers,
+            self._random,
+            self.log,
+        )
+        self._orders.services = self._engine_services
+        self.membership.on_holder = self._orders.key_changed
         self._factory = CallerFactory(
             self.forwarder,
             self._bounds,
@@ -181,6 +198,7 @@
         self._ports.append(self._reactor.listenUDP(port, self._peers, interface=host))
         self._follower.start()
         self._registration.start()
+        self._orders.start()
         self._repeaters = [
             Repeater(self._timers, FREEZE_LOOK, self._look_for_freeze),
             Repeater(self._timers, TELL_INTERVAL, self._tell_in_flight),
@@ -194,6 +212,7 @@
         self.log.write(LogEvent.STOPPING, in_work=self.forwarder.in_work)
         self._factory.announce_close()
         self._registration.stop()
+        self._orders.stop()
         await pause(self._timers, LEAVE_TIME)
         self._factory.close_idle()
         bound = began_at + self._settings.stop_within - CUT_BEFORE
@@ -222,6 +241,13 @@
     def _request_id(self, headers: Headers) -> str:
         return self._dialect.request_id(HttpRequest(b"", b"", headers))
 
+    def _engine_services(self) -> list[str]:
+        table = self.tables.table
+        if table is None:
+            return []
+        services = table.services_by_name.values()
+        return [service.name for service in services if service.engine is not None]
+
     def _fleet_changed(self) -> None:
         gateways = self.membership.gateways_by_name
         self._peers.addresses_by_gateway = {
@@ -258,6 +284,7 @@
         self.log.write(LogEvent.FROZEN, seconds=round(stood, 3))
         self._follower.restart()
         self._registration.check()
+        self._orders.distrust()
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -91,6 +91,8 @@
         the seconds until it is done; keeps prompts with the engine that holds them.
     :ivar late_factor: multiple of the latency target beyond which a prediction
         turns a request away while it can still go elsewhere.
+    :ivar interference: weight of the time for which a reading slows each answer that
+        the same engine writes.
     :ivar remote_cost: seconds added for a target in another data centre.
     """
 
@@ -99,8 +101,9 @@
     overhead: Seconds = 0.03
     depth: Seconds = 0.25
     duplicate_cost: Annotated[float, Meta(ge=0)] = 0.6
-    late_factor: Annotated[float, Meta(gt=0)] = 1.6
+    late_factor: Annotated[float, Meta(gt=0)] = 1.0
     remote_cost: Annotated[float, Meta(ge=0)] = 0.004
+    interference: Annotated[float, Meta(ge=0)] = 0.1
 
 
 class EjectionSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -134,6 +137,29 @@
     window: Seconds = 10.0
 
 
+class RoleSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    How many engines read prompts and how many write answers.
+
+    :ivar fill: share of a writer's slots that answers may take; with more, each token
+        takes longer, and a crash loses more.
+    :ivar least_share: share of a service's engines that write at least.
+    :ivar least_count: engines that write at least, where there are more than three;
+        with one, its crash stops the service for as long as a change of role takes.
+    :ivar horizon: seconds over which answers under way are averaged; swings that are
+        shorter cause no change.
+    :ivar rise: times as fast that a rise is believed.
+    :ivar pause: seconds between two changes in a service.
+    """
+
+    fill: Ratio = 0.4
+    least_share: Ratio = 0.2
+    least_count: Count = 2
+    horizon: Seconds = 6.0
+    rise: Annotated[float, Meta(ge=1)] = 3.0
+    pause: Seconds = 1.0
+
+
 class GatewaySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """
     Settings of a gateway.
@@ -162,6 +188,7 @@
     placement: PlacementSettings = field(default_factory=PlacementSettings)
     ejection: EjectionSettings = field(default_factory=EjectionSettings)
     budget: BudgetSettings = field(default_factory=BudgetSettings)
+    roles: RoleSettings = field(default_factory=RoleSettings)
     order_lease_ms: Count = 3000
     thaw: Seconds = 0.3
     stop_within: Seconds = 8.0
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -168,7 +168,7 @@
         patience = READING_PATIENCE * ticket.expected + READING_GRACE
         is_good = False
         try:
-            reading = self._read_at(work, reader)
+            reading = self._read_at(work, ticket)
             prepared = await with_timeout(self._timers, patience, reading)
             is_good = True
         except TimeoutError:
@@ -180,12 +180,14 @@
         reader.outcome(is_good=True)
         return prepared
 
-    async def _read_at(self, work: Work, reader: TargetBelief) -> _Prepared:
+    async def _read_at(self, work: Work, ticket: Ticket) -> _Prepared:
+        reader = ticket.placement.belief
         sending = Sending(
             target_id=reader.target.target_id,
             time_left=work.time_left(self._timers.now()),
             priority=min(LEAST_URGENT, work.route.priority),
             is_reading=True,
+            copy_from=ticket.placement.copy_from,
         )
         call = await self._caller.begin(work.request, reader, sending)
         try:
@@ -214,7 +216,7 @@
             if not failure.ran:
                 self._drop_cache(work, prepared)
             raise
-        writer.parts.note(work.request.parts)
+        writer.fetched(work.request.parts)
         return call
 
     async def _read_and_write(self, work: Work, ticket: Ticket, relay: _Relay) -> Call:
@@ -222,7 +224,9 @@
         belief = ticket.placement.belief
         is_good = False
         try:
-            call = await self._run(work, belief, self._sending(work, belief, relay))
+            sending = self._sending(work, belief, relay)
+            sending = sending._replace(copy_from=ticket.placement.copy_from)
+            call = await self._run(work, belief, sending)
             is_good = True
         finally:
             self._readings.end(ticket, is_good)
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -162,6 +162,8 @@
         "Another sidecar took over a partition of claims; this one stopped using it.",
     )
     PLAN_WRITTEN = ("E1600", logging.INFO, "This entry wrote a new plan for a group.")
+    ORDERS_TAKEN = ("E1604", logging.INFO, "This gateway may now give orders.")
+    ORDERS_LOST = ("E1605", logging.WARNING, "This gateway may no longer give orders.")
     ORDER_STARTED = ("E1601", logging.INFO, "An order to the engine began.")
     ORDER_DONE = ("E1602", logging.INFO, "An order to the engine took effect.")
     ORDER_FAILED = (
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -13,6 +13,7 @@
 from pimentolink.gatewaysettings import StoreSettings
 from pimentolink.keyspace import Change
 from pimentolink.logs import Log, LogEvent
+from pimentolink.orderholder import HOLDER_KEY
 from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
 from pimentolink.routes import RoutingTable, RoutingTables
 from pimentolink.timers import Timers
@@ -69,6 +70,7 @@
         self.gateways_by_name: dict[str, str] = {}
         self.is_known = False
         self.on_changed: Callable[[], None] = lambda: None
+        self.on_holder: Callable[[Change], None] = lambda change: None
         self.on_gone: Callable[[str], None] = lambda target_id: None
 
     def key_changed(self, change: Change) -> None:
@@ -80,6 +82,8 @@
             self._target_changed(change)
         elif change.key.startswith(GATEWAY_PREFIX):
             self._gateway_changed(change)
+        elif change.key == HOLDER_KEY:
+            self.on_holder(change)
         self.on_changed()
 
     def keys_read(self, keys: frozenset[str]) -> None:
@@ -92,6 +96,8 @@
         for name in list(self.gateways_by_name):
             if GATEWAY_PREFIX + name not in keys:
                 del self.gateways_by_name[name]
+        if HOLDER_KEY not in keys:
+            self.on_holder(Change(HOLDER_KEY, None, 0))
         self.is_known = True
         self.on_changed()
 
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -36,11 +36,13 @@
     """
     A reading came to its end.
 
+    :ivar is_good: whether the prompt was read.
     :ivar rate: of the engine as its sender learned it, in tokens a second.
     """
 
     ticket: str
     target_id: str
+    is_good: bool
     rate: float
 
 
@@ -51,7 +53,18 @@
     counts_by_target: dict[str, int]
 
 
-Message = ReadingBegan | ReadingEnded | InFlight
+class RoleChanging(msgspec.Struct, tag="r", array_like=True):
+    """
+    An engine was ordered to another role.
+
+    :ivar seconds: for which it takes no work.
+    """
+
+    target_id: str
+    seconds: float
+
+
+Message = ReadingBegan | ReadingEnded | InFlight | RoleChanging
 
 
 class PeerNews(Protocol):
@@ -90,8 +103,10 @@
             belief.begin_reading(
                 message.ticket, message.tokens, message.priority, parts, now
             )
+        elif isinstance(message, RoleChanging):
+            belief.changing_until = now + message.seconds
         else:
-            belief.end_reading(message.ticket)
+            belief.end_reading(message.ticket, message.is_good)
             belief.rate += (message.rate - belief.rate) / 2
 
     def _take_in_flight(self, message: InFlight) -> None:
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -18,6 +18,10 @@
 LATE_WORTH = 0.35
 # An output token counts as this many prompt tokens in a request's size.
 OUTPUT_SIZE = 10
+# Multiple of its own reading time that a large prompt is given before it is late.
+LARGE_FACTOR = 1.2
+# Tokens below which parts are read again rather than fetched.
+LEAST_COPY = 512
 # Weight of one request in a route's mean size.
 SIZE_SMOOTHING = 0.05
 # Waiting prompts looked at for one decision; those beyond are worth less.
@@ -54,6 +58,7 @@
     :ivar tokens: that have to be read there.
     :ivar held_tokens: that the engine probably holds.
     :ivar done_at: predicted end of the reading.
+    :ivar copy_from: address of an engine that holds more of the prompt.
     :ivar is_reading_only: whether another engine writes the answer.
     """
 
@@ -61,6 +66,8 @@
     tokens: int
     held_tokens: int
     done_at: float
+    copy_from: str
+    copied_tokens: int
     is_reading_only: bool
 
 
@@ -120,25 +127,47 @@
         )
         if not has_writer:
             return None
-        options = [self._option(prompt, engine, now) for engine in engines]
+        holder = max(engines, key=lambda engine: self._fetchable(prompt, engine))
+        options = [self._option(prompt, engine, holder, now) for engine in engines]
         return min(options, key=lambda option: self._cost(option, now), default=None)
 
+    def _held(self, prompt: WaitingPrompt, engine: TargetBelief) -> int:
+        """Count the tokens of a prompt that an engine holds."""
+        held = engine.parts.held_tokens(prompt.parts)
+        return min(held, prompt.prompt_tokens - 1)
+
+    def _fetchable(self, prompt: WaitingPrompt, engine: TargetBelief) -> int:
+        """Count the tokens of a prompt that can be fetched from an engine now."""
+        held = engine.fetchable.held_tokens(prompt.parts)
+        return min(held, prompt.prompt_tokens - 1)
+
     def _option(
-        self, prompt: WaitingPrompt, engine: TargetBelief, now: float
+        self,
+        prompt: WaitingPrompt,
+        engine: TargetBelief,
+        holder: TargetBelief,
+        now: float,
     ) -> Placement:
-        # The last part is the request's own and held nowhere.
-        held = min(engine.parts.held_tokens(prompt.parts), prompt.prompt_tokens - 1)
-        tokens = max(1, prompt.prompt_tokens - held)
+        held = self._held(prompt, engine)
+        copied = max(0, self._fetchable(prompt, holder) - held)
+        if copied < LEAST_COPY:
+            copied = 0
+        tokens = max(1, prompt.prompt_tokens - held - copied)
         done_at = now + engine.backlog(now) + engine.work_time(tokens)
+        done_at += engine.copy_time(copied)
         is_reader = engine.target.role is EngineRole.READER
-        return Placement(engine, tokens, held, done_at, is_reader)
+        source = holder.target.address if copied else ""
+        return Placement(engine, tokens, held, done_at, source, copied, is_reader)
 
     def _cost(self, option: Placement, now: float) -> float:
         settings = self._settings
         engine = option.belief
         cost = option.done_at - now
-        cost += settings.duplicate_cost * engine.work_time(option.tokens)
+        work = engine.work_time(option.tokens) + engine.copy_time(option.copied_tokens)
+        cost += settings.duplicate_cost * work
         cost += engine.failure_share
+        if engine.target.role is EngineRole.WRITER:
+            cost += settings.interference * engine.load() * work
         if engine.target.data_centre != self._data_centre:
             cost += settings.remote_cost
         return cost
@@ -205,7 +234,7 @@
         if placement is None:
             return NoTarget(f"no engine of {prompt.service} takes work", 1.0)
         done_at = placement.done_at + self._work_ahead(prompt, placement, now)
-        failure = self._refusal(prompt, done_at, now)
+        failure = self._refusal(prompt, placement, done_at, now)
         if failure is None:
             self.prompts_by_id[prompt.request_id] = prompt
         return failure
@@ -218,15 +247,23 @@
         ahead = 0.0
         for other in self.prompts_by_id.values():
             found = self._placer.best(other, now)
-            if found is not None and self._order(other, found, now) < worth:
+            if found is not None and self._order(other, found, now) <= worth:
                 ahead += found.belief.work_time(found.tokens)
         return ahead / max(1, len(self._placer.engines(prompt.service, now)))
 
     def _refusal(
-        self, prompt: WaitingPrompt, done_at: float, now: float
+        self, prompt: WaitingPrompt, placement: Placement, done_at: float, now: float
     ) -> Failure | None:
+        """
+        Turn a prompt away that would be read too late.
+
+        A prompt whose own reading takes longer than the latency target is given that
+        time too, so that large ones are not turned away for their size alone.
+        """
+        own_work = placement.belief.work_time(placement.tokens)
         target = prompt.on_time_until - prompt.arrived_at
-        latest = prompt.arrived_at + self._settings.late_factor * target
+        allowed = max(target, LARGE_FACTOR * own_work)
+        latest = prompt.arrived_at + self._settings.late_factor * allowed
         latest = min(latest, prompt.due_at)
         if done_at <= latest:
             return None
--- a/pimentolink/platform/dialect.py
+++ b/pimentolink/platform/dialect.py
@@ -12,8 +12,10 @@
     Sending,
     Verdict,
 )
-from pimentolink.errors import InvalidRequest, ReplyInvalid
+from pimentolink.errors import InvalidRequest, OrderRefused, ReplyInvalid
+from pimentolink.fleet import EngineReport, EngineRole, TargetBelief
 from pimentolink.httptypes import (
+    Headers,
     HttpReply,
     HttpRequest,
     ReplyHead,
@@ -122,6 +124,38 @@
     return max(0, int(prompt)), max(0, int(output or b"0"))
 
 
+_PHASES_BY_ROLE = {EngineRole.READER: "prefill", EngineRole.WRITER: "decode"}
+_ROLES_BY_PHASE = {phase: role for role, phase in _PHASES_BY_ROLE.items()}
+
+
+class _Report(msgspec.Struct, rename="camel"):
+    """
+    An engine's report.
+
+    :ivar phase: its role.
+    :ivar busy: whether it carries out an order.
+    :ivar sequence: number of orders that it has accepted.
+    """
+
+    phase: str = ""
+    busy: bool = False
+    sequence: int = 0
+
+
+class _Order(msgspec.Struct, rename="camel"):
+    """
+    An order that changes an engine's role.
+
+    :ivar expected: orders that the engine has accepted before this one.
+    """
+
+    op: str
+    phase: str
+    holder: str
+    fencing_token: int
+    expected: int
+
+
 class PlatformDialect:
     """How requests are put to this platform's targets and answers are read."""
 
@@ -197,3 +231,45 @@
         """Write the request that frees a KV cache which nobody will fetch."""
         path = f"/kv-handle/{prompt.handle}".encode()
         return HttpRequest(b"DELETE", path, ((b"Host", address.encode()),))
+
+    def ask_report(self, belief: TargetBelief) -> HttpRequest:
+        """Write the request for an engine's report."""
+        return HttpRequest(b"GET", b"/report", _own_headers(belief))
+
+    def read_report(self, reply: HttpReply) -> Result[EngineReport, ReplyInvalid]:
+        """Read an engine's report."""
+        try:
+            found = msgspec.json.decode(reply.body, type=_Report)
+        except msgspec.DecodeError as error:
+            return Err(ReplyInvalid(f"a report: {error}"))
+        role = _ROLES_BY_PHASE.get(found.phase, EngineRole.NONE)
+        return Ok(EngineReport(role, found.busy, found.sequence))
+
+    def change_role(
+        self,
+        belief: TargetBelief,
+        report: EngineReport,
+        role: EngineRole,
+        holder: str,
+        fence: int,
+    ) -> HttpRequest:
+        """Write the order that changes an engine's role."""
+        order = _Order(
+            "phase", _PHASES_BY_ROLE[role], holder, fence, report.orders_accepted
+        )
+        headers = (*_own_headers(belief), (b"Content-Type", b"application/json"))
+        return HttpRequest(b"POST", b"/order", headers, msgspec.json.encode(order))
+
+    def order_outcome(self, reply: HttpReply) -> Result[None, OrderRefused]:
+        """Read the answer to an order."""
+        if reply.head.status in (200, 202):
+            return Ok(None)
+        return Err(OrderRefused(f"status {reply.head.status}"))
+
+
+def _own_headers(belief: TargetBelief) -> Headers:
+    target = belief.target
+    return (
+        (b"Host", target.address.encode()),
+        (EXPECT_INSTANCE, target.target_id.encode()),
+    )
--- a/pimentolink/platform/documents.py
+++ b/pimentolink/platform/documents.py
@@ -58,6 +58,8 @@
     kv_tokens: int
     role_switch_s: float = 3.0
     kv_ttl_s: float = 5.0
+    kv_bytes: float = 20_000.0
+    link_mbps: float = 100_000.0
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -84,7 +86,6 @@
     """
     What an engine registers.
 
-    :ivar sequence: number of orders that it has accepted.
     :ivar phase: role of a model's engine; absent for other services.
     """
 
@@ -95,7 +96,6 @@
     state: str = "ready"
     cold_remaining_ms: float = 0.0
     phase: str | None = None
-    sequence: int = 0
 
 
 def _route_of(found: _Route) -> Route:
@@ -129,6 +129,7 @@
             cache_tokens=engine.kv_tokens,
             switch_time=engine.role_switch_s,
             handle_time=engine.kv_ttl_s,
+            copy_rate=engine.link_mbps * 1e6 / 8 / max(1.0, engine.kv_bytes),
         )
     return Service(found.name, found.max_connections, model)
 
@@ -189,6 +190,5 @@
                 is_leaving=found.state == _LEAVING,
                 cold_time=found.cold_remaining_ms / 1000,
                 role=_ROLES.get(found.phase or "", EngineRole.NONE),
-                orders_accepted=found.sequence,
             )
         )
--- a/pimentolink/platform/edge.py
+++ b/pimentolink/platform/edge.py
@@ -42,8 +42,15 @@
 
 
 def main() -> int:
-    """Run until told to stop; return the exit code."""
-    path = os.environ[SETTINGS_VARIABLE]
+    """
+    Run until told to stop.
+
+    The settings file is the first argument, or else what the platform's variable
+    names.
+
+    :returns: the exit code.
+    """
+    path = sys.argv[1] if len(sys.argv) > 1 else os.environ[SETTINGS_VARIABLE]
     settings = read_settings(GatewaySettings, [path])
     if isinstance(settings, Err):
         print(settings.err_value, file=sys.stderr)
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -127,6 +127,7 @@
             role=belief.target.role.value,
             tokens=tokens,
             held=placement.held_tokens,
+            copied=placement.copied_tokens,
             waited=round(now - prompt.arrived_at, 3),
             predicted=round(placement.done_at - now, 3),
             waiting=len(self._queue.prompts_by_id),
@@ -144,13 +145,13 @@
             return
         ticket.is_over = True
         belief = ticket.placement.belief
-        belief.end_reading(ticket.name)
+        belief.end_reading(ticket.name, is_good)
         if is_good:
             took = self._timers.now() - ticket.began_at
             usual = self._fleet.usual_rate(belief.target.service)
             belief.timed_reading(ticket.expected, took, usual)
         target_id = belief.target.target_id
-        self._news.tell(ReadingEnded(ticket.name, target_id, belief.rate))
+        self._news.tell(ReadingEnded(ticket.name, target_id, is_good, belief.rate))
         self.look()
 
     def _tell_refusal(self, prompt: WaitingPrompt, failure: Failure) -> None:
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,179 @@
+"""Stand-in for the users' platform's store: leases, history, pages, faults."""
+
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.web.server import Request
+
+from pimentolink.errors import HistoryLost, LeaseLost
+from pimentolink.keyspace import Change, Changes, Item, Write
+from pimentolink.memorykeyspace import MemoryKeyspace
+from pimentolink.timers import ReactorTimers
+from standins.web import Routes, answer, argument, body_of, reactor, serve
+
+ITEMS_PER_PAGE = 50
+OPERATORS_PREFIXES = ("op/", "servers/")
+
+
+class PlatformStoreStandIn:
+    """The store's HTTP interface over keys in memory."""
+
+    def __init__(self) -> None:
+        """Start empty and without faults."""
+        self.keys = MemoryKeyspace(ReactorTimers(reactor))
+        self.faults: dict[str, Any] = {"down": "", "lose_answers": 0, "status": 503}
+        self.routes = Routes()
+        for method, path, handler in (
+            ("GET", "/kv-key", self.read),
+            ("GET", "/kv-range", self.range),
+            ("GET", "/kv-watch", self.watch),
+            ("POST", "/kv-txn", self.write),
+            ("POST", "/kv-lease", self.grant),
+            ("POST", "/kv-keep/", self.renew),
+            ("DELETE", "/kv-lease-end/", self.end),
+        ):
+            self.routes.add(method, path, self._unless_down(handler))
+        self.routes.add("PUT", "/faults", self.set_faults)
+        self.routes.add("PUT", "/compact", self.compact)
+        self.routes.add("PUT", "/operator", self.operate)
+
+    def set_faults(self, request: Request) -> None:
+        """Switch faults on or off: ``down`` is ``busy``, ``reset`` or ``silent``."""
+        self.faults.update(body_of(request))
+        self.keys.answers_to_lose = self.faults["lose_answers"]
+        if self.faults["down"]:
+            self.keys.set_down(True)
+        self.keys.set_down(False)
+        answer(request, self.faults)
+
+    def compact(self, request: Request) -> None:
+        """Forget the history."""
+        self.keys.compact()
+        answer(request, {})
+
+    def operate(self, request: Request) -> None:
+        """Write or remove a key as the operator or a target does."""
+        key = argument(request, "key")
+        value = body_of(request)
+        if value is None:
+            self.keys.remove(key)
+        else:
+            self.keys.put(key, base64.b64decode(value["value"]))
+        answer(request, {"revision": self.keys.revision})
+
+    def read(self, request: Request) -> None:
+        """Read a key."""
+
+        def found(item: Item | None) -> None:
+            if item is None:
+                answer(request, {"currentRev": self.keys.revision}, 404)
+            else:
+                answer(request, _item(item) | {"currentRev": self.keys.revision})
+
+        self.keys.read(argument(request, "key")).addCallback(found)
+
+    def range(self, request: Request) -> None:
+        """Read a page of the keys under a prefix."""
+        prefix, after = argument(request, "prefix"), argument(request, "after")
+
+        def found(snapshot: Any) -> None:
+            items = sorted(item for item in snapshot.items if item.key > after)
+            page = [_item(item) for item in items[:ITEMS_PER_PAGE]]
+            more = len(items) > ITEMS_PER_PAGE
+            told = {"items": page, "morePages": more, "currentRev": snapshot.revision}
+            answer(request, told)
+
+        self.keys.read_all(prefix).addCallback(found)
+
+    def watch(self, request: Request) -> None:
+        """Wait for changes."""
+        wait = int(argument(request, "waitMs", "0")) / 1000
+        after = int(argument(request, "after", "0"))
+        pending = self.keys.changes(argument(request, "prefix"), after, wait)
+
+        def found(changes: Changes) -> None:
+            events = [_event(change) for change in changes.changes]
+            answer(request, {"events": events, "currentRev": changes.revision})
+
+        def failed(failure: Any) -> None:
+            is_lost = failure.check(HistoryLost)
+            answer(request, {"error": "history"}, 410 if is_lost else 503)
+
+        request.notifyFinish().addErrback(lambda _: pending.cancel())
+        pending.addCallbacks(found, failed).addErrback(lambda _: None)
+
+    def write(self, request: Request) -> None:
+        """Make a transaction of one write."""
+        body = body_of(request)
+        put, expected = body["puts"][0], body["expected"][0]
+        if put["key"].startswith(OPERATORS_PREFIXES):
+            answer(request, {"error": "not yours"}, 403)
+            return
+        value = base64.b64decode(put["value"])
+        lease = put.get("lease", 0)
+        write = Write(put["key"], value, expected["revision"], lease)
+        pending: Deferred[int | None] = self.keys.write(write)
+
+        def written(revision: int | None) -> None:
+            if revision is None:
+                answer(request, {"items": []}, 412)
+            else:
+                answer(request, {"revision": revision})
+
+        def failed(failure: Any) -> None:
+            if failure.check(LeaseLost):
+                answer(request, {"error": "lease"}, 404)
+            else:
+                request.transport.abortConnection()  # type: ignore[union-attr]
+
+        pending.addCallbacks(written, failed)
+
+    def grant(self, request: Request) -> None:
+        """Grant a lease."""
+        milliseconds = body_of(request)["ttlMs"]
+        self.keys.grant(milliseconds / 1000).addCallback(
+            lambda lease: answer(request, {"lease": lease, "ttlMs": milliseconds})
+        )
+
+    def renew(self, request: Request) -> None:
+        """Renew a lease."""
+        lease = int(request.path.decode().rpartition("/")[2])
+        self.keys.renew(lease).addCallbacks(
+            lambda _: answer(request, {"ttlMs": 0}),
+            lambda _: answer(request, {"error": "lease"}, 404),
+        )
+
+    def end(self, request: Request) -> None:
+        """End a lease."""
+        lease = int(request.path.decode().rpartition("/")[2])
+        self.keys.end(lease).addCallback(lambda _: answer(request, {}))
+
+    def _unless_down(self, handler: Any) -> Any:
+        def guarded(request: Request) -> None:
+            down = self.faults["down"]
+            if not down:
+                handler(request)
+            elif down == "busy":
+                answer(request, {"error": "busy"}, self.faults["status"])
+            elif down == "reset":
+                request.transport.abortConnection()  # type: ignore[union-attr]
+
+        return guarded
+
+
+def _item(item: Item) -> dict[str, Any]:
+    value = base64.b64encode(item.value).decode()
+    return {"key": item.key, "value": value, "revision": item.revision}
+
+
+def _event(change: Change) -> dict[str, Any]:
+    if change.value is None:
+        return {"key": change.key, "revision": change.revision, "deleted": True}
+    return _item(Item(change.key, change.value, change.revision))
+
+
+if __name__ == "__main__":
+    serve(PlatformStoreStandIn().routes, __doc__)
--- /dev/null
+++ b/tests/gatewayparts.py
@@ -0,0 +1,112 @@
+"""Compact builders of what a gateway decides on."""
+
+from typing import Any
+
+from pimentolink.dialect import PromptPart
+from pimentolink.fleet import EngineRole, Fleet, Target
+from pimentolink.gatewaysettings import (
+    EjectionSettings,
+    GatewaySettings,
+    PlacementSettings,
+    StoreSettings,
+)
+from pimentolink.placement import Placer, ReadingQueue, WaitingPrompt
+from pimentolink.routes import EngineModel, Repeatability, Route, WeightedService
+
+MODEL = EngineModel(
+    slots=64,
+    cache_tokens=100_000,
+    switch_time=3.0,
+    handle_time=5.0,
+    copy_rate=1_000_000.0,
+)
+
+
+def route(**changes: Any) -> Route:
+    return Route(
+        name="r",
+        host="h.example",
+        prefix="/p/",
+        services=(WeightedService("s", 1.0),),
+        repeatability=Repeatability.IDEMPOTENT,
+        is_stream=False,
+        is_resumable=False,
+        is_generation=False,
+        timeout=2.0,
+        latency_target=0.5,
+        most_targets=2,
+        priority=1,
+    )._replace(**changes)
+
+
+def target(name: str, role: EngineRole = EngineRole.NONE, **changes: Any) -> Target:
+    return Target(
+        target_id=name,
+        service="s",
+        address=f"127.0.0.1:{9000 + len(name)}",
+        data_centre="north",
+        slots=64,
+        is_leaving=False,
+        cold_time=0.0,
+        role=role,
+    )._replace(**changes)
+
+
+def fleet(*targets: Target, **placement: Any) -> Fleet:
+    settings = PlacementSettings(**{"first_rate": 10_000, **placement})
+    found = Fleet(settings, EjectionSettings())
+    found.set_models({"s": MODEL})
+    for item in targets:
+        found.put(item)
+    return found
+
+
+def engines(readers: int, writers: int) -> list[Target]:
+    names = [f"reader-{number}" for number in range(readers)]
+    found = [target(name, EngineRole.READER) for name in names]
+    names = [f"writer-{number}" for number in range(writers)]
+    return found + [target(name, EngineRole.WRITER) for name in names]
+
+
+def queue_over(found: Fleet, **placement: Any) -> ReadingQueue:
+    settings = PlacementSettings(**{"first_rate": 10_000, **placement})
+    return ReadingQueue(settings, Placer(settings, found, "north"))
+
+
+def prompt(
+    name: str,
+    own: int = 1_000,
+    shared: tuple[int, int] | None = None,
+    at: float = 0.0,
+    latency_target: float = 1.0,
+    patience: float = 6.0,
+    size: float = 1.0,
+) -> WaitingPrompt:
+    parts = [PromptPart(*shared)] if shared else []
+    parts.append(PromptPart(hash(name) & 0xFFFFFFFF, own))
+    return WaitingPrompt(
+        request_id=name,
+        service="s",
+        parts=tuple(parts),
+        prompt_tokens=sum(part.tokens for part in parts),
+        priority=1,
+        size=size,
+        arrived_at=at,
+        on_time_until=at + latency_target,
+        due_at=at + patience,
+    )
+
+
+def gateway_settings(**changes: Any) -> GatewaySettings:
+    return GatewaySettings(
+        **{
+            "instance": "gateway-1",
+            "data_centre": "north",
+            "listen": "127.0.0.1:8001",
+            "readiness": "127.0.0.1:8002",
+            "peers": "127.0.0.1:8003",
+            "metrics": "127.0.0.1:8004",
+            "store": StoreSettings(address="127.0.0.1:8005"),
+            **changes,
+        }
+    )
--- /dev/null
+++ b/tests/platformworld.py
@@ -0,0 +1,149 @@
+"""A small deployment of the users' platform, of stand-ins, on loopback."""
+
+import base64
+import http.client
+import json
+import socket
+from uuid import uuid4
+
+from tools.fleet import Fleet, call, wait_until
+
+HOST = "h.example"
+PARTS = "aa:1000,bb:200"
+
+
+class PlatformWorld:
+    """Store, engines, plain targets and gateways as processes."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        fleet.start("store", "standins.platform_store")
+        fleet.settle()
+
+    def target(self, name: str, service: str, phase: str = "", **options) -> None:
+        words = [f"--{key}={value}" for key, value in options.items()]
+        words += [f"--instance={name}"] + ([f"--phase={phase}"] if phase else [])
+        self.fleet.start(name, "standins.platform_engine", *words)
+        self.list_target(name, service, phase)
+
+    def list_target(self, name, service, phase="", state="ready") -> None:
+        entry = {
+            "service": service,
+            "address": self.fleet.address(name),
+            "zone": "north",
+            "slots": 8,
+            "state": state,
+            "sequence": 9,
+        }
+        self.put(f"servers/{name}", entry | ({"phase": phase} if phase else {}))
+
+    def put(self, key: str, value) -> None:
+        body = {"value": base64.b64encode(json.dumps(value).encode()).decode()}
+        path = f"/operator?key={key}"
+        call(self.fleet.url("store", path), "PUT", body)
+
+    def remove(self, key: str) -> None:
+        call(self.fleet.url("store", f"/operator?key={key}"), "PUT", b"null")
+
+    def configure(self, version: int, **extra_routes) -> None:
+        def route(name, kind, service, **more):
+            told = {
+                "name": name,
+                "host": HOST,
+                "prefix": f"/{name}/",
+                "kind": kind,
+                "service": service,
+                "timeoutMs": 3000,
+                "targetLatencyMs": 800,
+                "maxAttempts": 2,
+                "priority": 1,
+            }
+            return told | more
+
+        routes = [
+            route("read", "idempotent", "plain"),
+            route("once", "non_idempotent", "plain", maxAttempts=1),
+            route("short", "idempotent", "plain", timeoutMs=300),
+            route("resume", "streaming", "llm", sticky=True, resumable=True),
+            route("stream", "streaming", "llm", sticky=True, maxAttempts=1),
+        ]
+        routes += [
+            route(name, "idempotent", service) for name, service in extra_routes.items()
+        ]
+        engine = {"slots": 8, "kvTokens": 100_000}
+        services = [
+            {"name": "llm", "maxConnections": 100, "engine": engine},
+            {"name": "plain", "maxConnections": 100},
+        ]
+        self.put(
+            "op/config", {"version": version, "routes": routes, "services": services}
+        )
+
+    def start_usual(self) -> None:
+        """Two engines, two plain targets, one gateway that is ready."""
+        self.target("reader", "llm", "prefill")
+        self.target("writer", "llm", "decode")
+        self.target("plain-1", "plain")
+        self.target("plain-2", "plain")
+        self.configure(1)
+        self.gateway("gateway")
+
+    def gateway(self, name: str, **extra) -> None:
+        self.fleet.start_gateway(name, **extra)
+        self.fleet.settle()
+        wait_until(lambda: self.is_ready(name), what=f"{name} to be ready")
+
+    def is_ready(self, name: str) -> bool:
+        url = f"http://{self.fleet.readiness_by_gateway[name]}/readyz"
+        return call(url).status == 200
+
+    def request(self, path, method="POST", body=b"x", headers=None, gateway="gateway"):
+        """Make one request; return the answer and its id."""
+        name = uuid4().hex[:16]
+        told = {
+            "Host": HOST,
+            "Pimentolink-Request-Id": name,
+            "Pimentolink-Deadline-Ms": "5000",
+            **(headers or {}),
+        }
+        found = call(self.fleet.url(gateway, path), method, body, told)
+        return found, name
+
+    def generate(self, path, **headers):
+        return self.request(
+            path,
+            headers={
+                "Pimentolink-Model": "m",
+                "Pimentolink-Token-Counts": "1200,50",
+                "Pimentolink-Prompt-Prefix": PARTS,
+                **headers,
+            },
+        )
+
+    def fault(self, name: str, **faults) -> None:
+        call(self.fleet.url(name, "/faults"), "PUT", faults)
+
+    def runs(self, name: str) -> dict:
+        return call(self.fleet.url(name, "/runs")).json
+
+    def raw(self, data: bytes, gateway="gateway", within=5.0) -> bytes:
+        """Send bytes and read until the gateway closes or falls silent."""
+        host, _, port = self.fleet.address(gateway).rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=within) as found:
+            found.sendall(data)
+            received = b""
+            try:
+                while piece := found.recv(65536):
+                    received += piece
+            except TimeoutError:
+                pass
+            return received
+
+    def connection(self, gateway="gateway") -> http.client.HTTPConnection:
+        host, _, port = self.fleet.address(gateway).rpartition(":")
+        return http.client.HTTPConnection(host, int(port), timeout=10)
+
+    def logged(self, gateway: str, request_id: str) -> list[dict]:
+        text = self.fleet.processes_by_name[gateway].log_path.read_text()
+        lines = [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+        return [line for line in lines if line.get("request") == request_id]
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,308 @@
+"""A gateway as a process, before stand-ins of the users' platform."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from tests.platformworld import HOST, PlatformWorld
+from tools.fleet import call, wait_until
+
+
+@pytest.fixture
+def world(fleet):
+    found = PlatformWorld(fleet)
+    found.start_usual()
+    return found
+
+
+def events_of(body: bytes) -> list[str]:
+    return [
+        line for line in body.decode().splitlines() if line.startswith(("id:", "data:"))
+    ]
+
+
+class TestWholePath:
+    def test_plain_call_is_passed_on_unchanged(self, world):
+        found, name = world.request("/read/a?b=c%20d", body=b"body")
+        assert found.status == 200
+        assert found.json == {"name": name, "body": "body", "path": "/read/a?b=c%20d"}
+        assert found.headers["pimentolink-response-signature"] == f"signed-{name}"
+
+    def test_stream_is_read_at_one_engine_and_written_at_another(self, world):
+        found, name = world.generate("/stream/x")
+        assert found.status == 200
+        assert len(events_of(found.body)) == 8
+        assert world.runs("writer")["runs"] == {name: 1}
+
+    def test_targets_are_told_the_time_left_and_who_is_meant(self, world):
+        _, name = world.request("/read/x")
+        (headers,) = [
+            told["headers"][name]
+            for told in (world.runs("plain-1"), world.runs("plain-2"))
+            if name in told["headers"]
+        ]
+        assert headers["Pimentolink-Expect-Instance"].startswith("plain-")
+        assert 0 < int(headers["Pimentolink-Deadline-Ms"]) <= 3000
+
+    def test_callers_own_system_headers_are_dropped(self, world):
+        _, name = world.generate(
+            "/resume/x",
+            **{
+                "Pimentolink-Kv-Source": "10.0.0.1:1/abc",
+                "Pimentolink-Kv-Hold": "h",
+                "Pimentolink-Pin-Ms": "100",
+                "Pimentolink-Kv-Backup": "10.0.0.1:1",
+            },
+        )
+        headers = world.runs("writer")["headers"][name]
+        assert "abc" not in headers.get("Pimentolink-Kv-Source", "")
+        assert not {
+            "Pimentolink-Kv-Hold",
+            "Pimentolink-Pin-Ms",
+            "Pimentolink-Kv-Backup",
+        } & set(headers)
+
+    def test_unknown_route_is_404(self, world):
+        found, _ = world.request("/none/x")
+        assert found.status == 404
+
+    def test_each_decision_on_a_request_is_logged_with_its_id(self, world):
+        _, name = world.generate("/stream/x")
+        wait_until(lambda: len(world.logged("gateway", name)) == 2)
+        placed, answered = world.logged("gateway", name)
+        assert placed["event"] == "prompt_placed"
+        assert placed["list_age"] >= 0
+        assert answered["event"] == "answered"
+        assert answered["version"] == 1
+
+    def test_metrics_tell_outcomes(self, world):
+        world.request("/read/x")
+        url = f"http://{world.fleet.metrics_by_gateway['gateway']}/metrics"
+        assert b'pimentolink_answered_total{kind="read"} 1.0' in call(url).body
+
+
+class TestFailures:
+    def test_idempotent_call_is_repeated_elsewhere(self, world):
+        world.fault("plain-1", status=500)
+        world.fault("plain-2", status=500)
+        found, name = world.request("/read/x")
+        assert found.status == 500
+        counts = [world.runs(n)["runs"].get(name, 0) for n in ("plain-1", "plain-2")]
+        assert counts == [1, 1]
+
+    def test_call_that_runs_once_is_not_repeated(self, world):
+        world.fault("plain-1", status=500)
+        world.fault("plain-2", status=500)
+        found, name = world.request("/once/x")
+        assert found.status == 500
+        counts = [world.runs(n)["runs"].get(name, 0) for n in ("plain-1", "plain-2")]
+        assert sorted(counts) == [0, 1]
+
+    def test_call_that_runs_once_goes_on_where_it_was_rejected_unrun(self, world):
+        world.fault("plain-1", reject=True)
+        for _ in range(4):
+            found, _ = world.request("/once/x")
+            assert found.status == 200
+
+    def test_call_that_all_reject_is_said_not_to_have_run(self, world):
+        world.fault("plain-1", reject=True)
+        world.fault("plain-2", reject=True)
+        found, name = world.request("/once/x")
+        assert found.status == 503
+        assert float(found.headers["retry-after"]) > 0
+        assert name not in world.runs("plain-1")["runs"]
+        assert name not in world.runs("plain-2")["runs"]
+
+    def test_answer_to_another_request_is_not_given(self, world):
+        world.fault("plain-1", wrong_id=True)
+        world.fault("plain-2", wrong_id=True)
+        found, _ = world.request("/short/x")
+        assert found.status in (502, 504)
+
+    def test_silent_target_is_answered_for_at_the_routes_timeout(self, world):
+        world.fault("plain-1", silent=True)
+        world.fault("plain-2", silent=True)
+        began = time.monotonic()
+        found, _ = world.request("/short/x")
+        assert found.status == 504
+        assert 0.25 < time.monotonic() - began < 0.8
+
+    def test_broken_stream_goes_on_at_another_engine_after_its_last_event(self, world):
+        world.target("writer-2", "llm", "decode")
+        world.fault("writer", break_after=2)
+        for _ in range(3):
+            found, _ = world.generate("/resume/x")
+            assert found.status == 200
+            ids = [line for line in events_of(found.body) if line.startswith("id")]
+            assert ids == ["id: 1", "id: 2", "id: 3", "id: 4"]
+
+    def test_broken_stream_that_may_not_resume_does_not_look_complete(self, world):
+        world.fault("writer", break_after=2)
+        connection = world.connection()
+        headers = {
+            "Host": HOST,
+            "Pimentolink-Request-Id": "aa",
+            "Pimentolink-Deadline-Ms": "5000",
+            "Pimentolink-Prompt-Prefix": "aa:10",
+            "Pimentolink-Token-Counts": "10,5",
+        }
+        connection.request("POST", "/stream/x", b"x", headers)
+        answer = connection.getresponse()
+        with pytest.raises((ConnectionError, OSError, Exception)) as broken:
+            answer.read()
+        assert "IncompleteRead" in repr(broken.value) or isinstance(
+            broken.value, OSError
+        )
+
+    def test_callers_leaving_reaches_the_engine_at_once(self, world):
+        world.remove("servers/writer")
+        world.target("slow", "llm", "decode", pieces=1000, gap=0.05)
+        time.sleep(0.3)
+        connection = world.connection()
+        headers = {
+            "Host": HOST,
+            "Pimentolink-Request-Id": "leaving",
+            "Pimentolink-Deadline-Ms": "5000",
+            "Pimentolink-Prompt-Prefix": "aa:10",
+            "Pimentolink-Token-Counts": "10,5",
+        }
+        connection.request("POST", "/resume/x", b"x", headers)
+        connection.getresponse().read(10)
+        connection.sock.close()
+        connection.close()
+        wait_until(lambda: "leaving" in world.runs("slow")["left"], within=0.5)
+
+    def test_call_that_runs_once_is_not_cut_off_when_its_caller_leaves(self, world):
+        for name in ("plain-1", "plain-2"):
+            world.remove(f"servers/{name}")
+        world.target("slow", "plain", gap=0.6)
+        time.sleep(0.3)
+        connection = world.connection()
+        headers = {"Host": HOST, "Pimentolink-Request-Id": "once"}
+        connection.request("POST", "/once/x", b"x", headers)
+        time.sleep(0.2)
+        connection.close()
+        time.sleep(0.8)
+        assert world.runs("slow")["runs"] == {"once": 1}
+        assert world.runs("slow")["left"] == []
+
+
+class TestLeaving:
+    def test_leaving_target_gets_no_more_work(self, world):
+        world.list_target("plain-1", "plain", state="draining")
+        time.sleep(0.3)
+        names = [world.request("/read/x")[1] for _ in range(5)]
+        assert not set(names) & set(world.runs("plain-1")["runs"])
+
+    def test_target_whose_address_has_another_instance_is_given_up(self, world):
+        world.remove("servers/plain-2")
+        entry = {
+            "service": "plain",
+            "address": world.fleet.address("plain-1"),
+            "zone": "north",
+            "slots": 8,
+            "state": "ready",
+        }
+        world.put("servers/other", entry)
+        time.sleep(0.3)
+        for _ in range(6):
+            assert world.request("/once/x")[0].status == 200
+
+
+class TestConfiguration:
+    def test_without_one_the_gateway_is_not_ready_and_refuses_as_not_run(self, fleet):
+        world = PlatformWorld(fleet)
+        fleet.start_gateway("gateway")
+        fleet.settle()
+        assert not world.is_ready("gateway")
+        found, _ = world.request("/read/x")
+        assert found.status == 503
+        assert "retry-after" in found.headers
+
+    def test_newer_version_is_in_force_within_a_second(self, world):
+        world.configure(2, added="plain")
+        wait_until(lambda: world.request("/added/x")[0].status == 200, within=1.0)
+
+    def test_outage_of_the_store_stops_nothing(self, world):
+        call(world.fleet.url("store", "/faults"), "PUT", {"down": "reset"})
+        time.sleep(0.5)
+        assert world.request("/read/x")[0].status == 200
+        assert world.generate("/stream/x")[0].status == 200
+        assert world.is_ready("gateway")
+
+
+class TestStop:
+    def test_stop_finishes_what_is_under_way(self, world):
+        world.target("slow-1", "plain", gap=1.5)
+        world.remove("servers/plain-1")
+        world.remove("servers/plain-2")
+        time.sleep(0.3)
+        answers = []
+        asking = threading.Thread(
+            target=lambda: answers.append(world.request("/read/x")[0])
+        )
+        asking.start()
+        time.sleep(0.3)
+        gateway = world.fleet.processes_by_name["gateway"]
+        gateway.send(signal.SIGTERM)
+        time.sleep(0.2)
+        assert not world.is_ready("gateway")
+        asking.join(10)
+        assert answers[0].status == 200
+        assert gateway.popen.wait(10) == 0
+
+    def test_open_connections_are_answered_and_then_told_to_close(self, world):
+        connection = world.connection()
+        headers = {"Host": HOST, "Pimentolink-Request-Id": "aa"}
+        connection.request("POST", "/read/x", b"x", headers)
+        assert connection.getresponse().read()
+        world.fleet.processes_by_name["gateway"].send(signal.SIGTERM)
+        time.sleep(0.5)
+        connection.request("POST", "/read/x", b"x", headers)
+        answer = connection.getresponse()
+        assert answer.status == 200
+        assert answer.headers["connection"] == "close"
+
+
+GOOD_HEAD = (
+    b"POST /read/x HTTP/1.1\r\nHost: h.example\r\nPimentolink-Request-Id: %s\r\n"
+)
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("data", "status"),
+        [
+            (
+                GOOD_HEAD % b"a1"
+                + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+                400,
+            ),
+            (
+                GOOD_HEAD % b"a2"
+                + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                400,
+            ),
+            (GOOD_HEAD % b"a3" + b"X: a\r\n folded\r\n\r\n", 400),
+            (b"POST /read/x HTTP/1.1\nHost: h.example\n\n", 400),
+            (GOOD_HEAD % b"a4" + b"X: \xff\r\n\r\n", 400),
+            (GOOD_HEAD % b"a5" + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n", 400),
+            (GOOD_HEAD % b"a6" + b"X: " + b"a" * 20_000 + b"\r\n\r\n", 431),
+            (GOOD_HEAD % b"a7" + b"Content-Length: 99999999\r\n\r\n" + b"a" * 10, 413),
+        ],
+    )
+    def test_is_refused_and_nothing_is_passed_on(self, world, data, status):
+        answer = world.raw(data)
+        assert answer.startswith(b"HTTP/1.1 %d " % status)
+        assert answer.count(b"HTTP/1.1 ") == 1
+        assert world.runs("plain-1")["runs"] == {}
+        assert world.runs("plain-2")["runs"] == {}
+
+    def test_pipelined_requests_are_answered_in_order(self, world):
+        data = b"".join(
+            GOOD_HEAD % name + b"Content-Length: 1\r\n\r\nx" for name in (b"p1", b"p2")
+        )
+        answer = world.raw(data, within=1.5)
+        assert answer.index(b"signed-p1") < answer.index(b"signed-p2")
--- a/tests/test_kvstore.py
+++ b/tests/test_kvstore.py
@@ -12,18 +12,6 @@
 from tools.fleet import Fleet, call
 
 
-@pytest.fixture(scope="module")
-def loop():
-    """The reactor on a thread, so that tests may wait for Deferreds."""
-    thread = threading.Thread(
-        target=reactor.run, kwargs={"installSignalHandlers": False}, daemon=True
-    )
-    thread.start()
-    yield
-    reactor.callFromThread(reactor.stop)
-    thread.join(5)
-
-
 @pytest.fixture(scope="module")
 def service():
     with Fleet() as fleet:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,167 @@
+"""What a gateway believes of targets and configuration, from the store."""
+
+import json
+from random import Random
+
+import pytest
+
+from pimentolink.fleet import EngineRole, Fleet
+from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
+from pimentolink.keyspacefollower import KeyspaceFollower
+from pimentolink.logs import Log
+from pimentolink.membership import Membership
+from pimentolink.memorykeyspace import MemoryKeyspace
+from pimentolink.platform.documents import PlatformDocuments
+from pimentolink.routes import RoutingTables
+from pimentolink.timers import ManualTimers
+from tests.gatewayparts import gateway_settings
+
+
+def entry(**changes):
+    told = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "north",
+        "slots": 4,
+        "state": "ready",
+        "sequence": 3,
+    }
+    return json.dumps({**told, **changes}).encode()
+
+
+def configuration(version, *prefixes):
+    routes = [
+        {
+            "name": prefix,
+            "host": "h.example",
+            "prefix": prefix,
+            "kind": "idempotent",
+            "timeoutMs": 800,
+            "service": "s",
+        }
+        for prefix in prefixes
+    ]
+    return json.dumps({"version": version, "routes": routes, "services": []}).encode()
+
+
+class World:
+    """A store, a follower and what it makes a gateway believe."""
+
+    def __init__(self):
+        self.timers = ManualTimers()
+        self.store = MemoryKeyspace(self.timers)
+        self.tables = RoutingTables()
+        self.fleet = Fleet(PlacementSettings(), EjectionSettings())
+        self.gone = []
+        settings = gateway_settings().store
+        log = Log()
+        self.membership = Membership(
+            self.tables, self.fleet, PlatformDocuments(), settings, self.timers, log
+        )
+        self.membership.on_gone = self.gone.append
+        self.follower = KeyspaceFollower(
+            "", self.store, self.membership, settings, self.timers, Random(1), log
+        )
+        self.follower.start()
+
+    def usable(self):
+        now = self.timers.now()
+        return {item.target.target_id for item in self.fleet.usable("s", now)}
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+class TestTargets:
+    def test_target_is_used_as_soon_as_it_is_listed(self, world):
+        world.store.put("servers/a", entry(phase="prefill"))
+        assert world.usable() == {"a"}
+        assert world.fleet.targets_by_id["a"].target.role is EngineRole.READER
+
+    def test_leaving_target_gets_no_more_work(self, world):
+        world.store.put("servers/a", entry())
+        world.store.put("servers/a", entry(state="draining"))
+        assert world.usable() == set()
+
+    def test_removed_target_is_gone_at_once(self, world):
+        world.store.put("servers/a", entry())
+        world.store.remove("servers/a")
+        assert world.usable() == set()
+        assert world.gone == ["a"]
+
+    def test_work_that_holds_on_to_a_gone_target_cannot_choose_it(self, world):
+        world.store.put("servers/a", entry())
+        belief = world.fleet.targets_by_id["a"]
+        world.store.remove("servers/a")
+        assert not belief.is_usable(world.timers.now())
+
+    def test_unreadable_entry_changes_nothing(self, world):
+        world.store.put("servers/a", entry())
+        world.store.put("servers/a", b"{")
+        assert world.usable() == {"a"}
+
+
+class TestOutage:
+    def test_targets_known_stay_in_use(self, world):
+        world.store.put("servers/a", entry())
+        world.store.set_down(True)
+        world.timers.advance(30.0)
+        assert world.usable() == {"a"}
+        assert not world.follower.is_connected
+        assert world.follower.age() >= 30.0
+
+    def test_entry_that_lapsed_meanwhile_is_waited_for(self, world):
+        world.store.put("servers/a", entry())
+        world.store.set_down(True)
+        world.store.remove("servers/a")
+        world.store.set_down(False)
+        world.timers.advance(1.5)
+        assert world.usable() == set()
+        assert world.gone == []
+        world.store.put("servers/a", entry())
+        assert world.usable() == {"a"}
+        world.timers.advance(5.0)
+        assert world.usable() == {"a"}
+
+    def test_entry_that_does_not_return_is_gone(self, world):
+        world.store.put("servers/a", entry())
+        world.store.set_down(True)
+        world.store.remove("servers/a")
+        world.store.set_down(False)
+        world.timers.advance(5.0)
+        assert world.gone == ["a"]
+
+    def test_changes_missed_in_lost_history_are_read(self, world):
+        world.store.put("servers/a", entry())
+        world.store.put("op/config", configuration(1, "/p/"))
+        world.follower.stop()
+        world.store.put("op/config", configuration(4, "/q/"))
+        world.store.remove("servers/a")
+        world.store.compact()
+        world.follower.start()
+        world.timers.advance(3.0)
+        assert world.tables.table.version == 4
+        assert world.usable() == set()
+
+
+class TestConfiguration:
+    def test_version_in_force_never_reverts(self, world):
+        world.store.put("op/config", configuration(7, "/p/"))
+        world.store.put("op/config", configuration(5, "/q/"))
+        assert world.tables.table.version == 7
+
+    def test_unreadable_configuration_leaves_the_last_in_force(self, world):
+        world.store.put("op/config", configuration(7, "/p/"))
+        world.store.put("op/config", b'{"version": 8}')
+        assert world.tables.table.version == 7
+
+
+class TestGateways:
+    def test_peers_come_and_go_with_their_leases(self, world):
+        value = json.dumps({"address": "10.0.0.2:7", "life": "x"}).encode()
+        world.store.put("pimentolink/gateways/two", value)
+        assert world.membership.gateways_by_name == {"two": "10.0.0.2:7"}
+        world.store.remove("pimentolink/gateways/two")
+        assert world.membership.gateways_by_name == {}
--- /dev/null
+++ b/tests/test_orderholder.py
@@ -0,0 +1,198 @@
+"""One holder at a time, and no order on old belief."""
+
+import json
+from random import Random
+
+import pytest
+
+from pimentolink.errors import NotConnected
+from pimentolink.fleet import EngineRole
+from pimentolink.httptypes import HttpReply, ReplyHead
+from pimentolink.keyspace import Change
+from pimentolink.logs import Log
+from pimentolink.memorykeyspace import MemoryKeyspace
+from pimentolink.orderholder import HOLDER_KEY, IN_DOUBT, OrderHolder
+from pimentolink.platform.dialect import PlatformDialect
+from pimentolink.rolebalance import RoleBalancer
+from pimentolink.timers import ManualTimers
+from tests.gatewayparts import engines, fleet, gateway_settings
+
+LIST_LAG = 4.0
+
+
+class Engine:
+    """Takes orders as an engine that does not check fencing numbers."""
+
+    def __init__(self, timers):
+        self._timers = timers
+        self.orders = []
+        self.accepted = {}
+        self.phases = {}
+        self.is_silent = False
+        self.fleets = []
+
+    async def send(self, belief, message):
+        name = belief.target.target_id
+        if message.path == b"/report":
+            sequence = self.accepted.get(name, 0)
+            phase = self.phases.get(name, "decode")
+            body = {"phase": phase, "busy": False, "sequence": sequence}
+            return HttpReply(ReplyHead(200, ()), json.dumps(body).encode())
+        order = json.loads(message.body)
+        self.orders.append((self._timers.now(), name, order))
+        if self.is_silent:
+            raise NotConnected("no answer")
+        self.accepted[name] = self.accepted.get(name, 0) + 1
+        self.phases[name] = order["phase"]
+        self._timers.call_later(LIST_LAG, lambda: self._list(name))
+        return HttpReply(ReplyHead(202, ()), b"{}")
+
+    def _list(self, name):
+        for found in self.fleets:
+            known = found.targets_by_id[name].target
+            found.put(known._replace(role=EngineRole.READER))
+
+
+class Late(list):
+    """A list of fleets that learns nothing."""
+
+    def append(self, found):
+        pass
+
+
+class News:
+    def tell(self, message):
+        pass
+
+
+class World:
+    """A store, engines, and gateways that want to give orders."""
+
+    def __init__(self):
+        self.timers = ManualTimers()
+        self.store = MemoryKeyspace(self.timers)
+        self.engine = Engine(self.timers)
+        self.holders = []
+
+    def gateway(self, readers=2, writers=5):
+        found = fleet(*engines(readers, writers))
+        self.engine.fleets.append(found)
+        settings = gateway_settings(instance=f"g{len(self.holders)}")
+        holder = OrderHolder(
+            settings,
+            f"life-{len(self.holders)}",
+            self.store,
+            RoleBalancer(settings.roles, found),
+            found,
+            PlatformDialect(),
+            self.engine.send,
+            News(),
+            self.timers,
+            Random(len(self.holders)),
+            Log(),
+        )
+        holder.services = lambda: ["s"]
+        holder.key_changed(Change(HOLDER_KEY, None, 0))
+        self.holders.append(holder)
+        holder.start()
+        self._follow(holder)
+        return holder
+
+    def _follow(self, holder):
+        def told(changes):
+            for change in changes.changes:
+                if change.key == HOLDER_KEY:
+                    holder.key_changed(change)
+            self._follow(holder)
+
+        after = self.store.revision
+        self.store.changes("pimentolink/", after, 3600.0).addCallbacks(
+            told, lambda _: self.timers.call_later(0.1, lambda: self._follow(holder))
+        )
+
+    def fences(self):
+        return [order["fencingToken"] for _, _, order in self.engine.orders]
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+class TestOneHolder:
+    def test_only_one_of_many_gives_orders(self, world):
+        for _ in range(5):
+            world.gateway()
+        world.timers.advance(30.0)
+        assert world.engine.orders
+        assert len({order["holder"] for _, _, order in world.engine.orders}) == 1
+
+    def test_successor_waits_for_the_last_orders_and_fences_higher(self, world):
+        first, second = world.gateway(), world.gateway()
+        world.timers.advance(8.0)
+        holder, other = (first, second) if first._lease else (second, first)
+        ordered = len(world.engine.orders)
+        assert ordered
+        holder._running.cancel()
+        world.timers.advance(30.0)
+        last = world.engine.orders[ordered - 1][0]
+        later = world.engine.orders[ordered:]
+        assert later
+        assert later[0][0] - last >= gateway_settings().order_lease_ms / 1000
+        assert {order["holder"] for _, _, order in later} == {other._name}
+        assert world.fences() == sorted(world.fences())
+
+    def test_no_order_goes_out_without_a_lease(self, world):
+        world.gateway()
+        world.timers.advance(5.0)
+        ordered = len(world.engine.orders)
+        world.store.set_down(True)
+        world.timers.advance(60.0)
+        assert len(world.engine.orders) <= ordered + 1
+        assert all(at <= 6.0 for at, _, _ in world.engine.orders)
+
+    def test_lease_taken_by_another_ends_the_right_before_the_next_order(self, world):
+        holder = world.gateway()
+        world.timers.advance(3.0)
+        world.store.lapse(holder._lease)
+        world.store.put(HOLDER_KEY, b'{"instance": "x", "life": "y"}')
+        ordered = len(world.engine.orders)
+        world.timers.advance(20.0)
+        assert len(world.engine.orders) == ordered
+
+    def test_nothing_is_ordered_after_a_freeze_until_the_lease_is_renewed(self, world):
+        holder = world.gateway()
+        world.timers.advance(5.0)
+        holder.distrust()
+        change = holder._balancer.decide("s", world.timers.now() + 9.0)
+        assert change is not None
+        assert not holder._may_order(change)
+        world.timers.advance(2.0)
+        assert holder._may_order(change)
+
+
+class TestOrdersInDoubt:
+    def test_engine_gets_no_further_order_until_the_lost_one_is_over(self, world):
+        world.engine.is_silent = True
+        world.gateway(readers=1, writers=3)
+        world.timers.advance(60.0)
+        times_by_engine = {}
+        for at, name, _ in world.engine.orders:
+            times_by_engine.setdefault(name, []).append(at)
+        for times in times_by_engine.values():
+            gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+            assert all(gap >= IN_DOUBT for gap in gaps)
+
+    def test_role_that_the_list_tells_late_is_not_ordered_again(self, world):
+        world.engine.fleets = Late()
+        world.gateway(readers=1, writers=3)
+        world.timers.advance(60.0)
+        names = [name for _, name, _ in world.engine.orders]
+        assert len(names) == len(set(names))
+
+    def test_orders_expect_what_the_engine_told(self, world):
+        world.engine.accepted = {f"writer-{number}": 4 for number in range(5)}
+        world.gateway()
+        world.timers.advance(10.0)
+        assert {order["expected"] for _, _, order in world.engine.orders} == {4}
+        assert {order["phase"] for _, _, order in world.engine.orders} == {"prefill"}
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,178 @@
+"""Load patterns replayed against the decisions on prompts."""
+
+import pytest
+
+from pimentolink.errors import CannotBeInTime, NoTarget
+from pimentolink.fleet import EngineRole
+from tests.gatewayparts import engines, fleet, prompt, queue_over, target
+
+SHARED = (77, 8_000)
+
+
+def place_all(queue, found, now=0.0):
+    """Place what has room, and count it as sent."""
+    placed = []
+    while (chosen := queue.next(now)) is not None:
+        waiting, placement = chosen
+        placement.belief.begin_reading(
+            waiting.request_id, placement.tokens, 1, waiting.parts, now
+        )
+        placed.append((waiting.request_id, placement.belief.target.target_id))
+    return placed
+
+
+class TestSharedParts:
+    """Pattern: prompts that share a long part arrive at an idle fleet."""
+
+    def test_go_where_the_part_was_read(self):
+        found = fleet(*engines(3, 1))
+        queue = queue_over(found, depth=10.0)
+        for number in range(3):
+            waiting = prompt(f"p{number}", 500, SHARED, latency_target=4.0)
+            assert queue.add(waiting, 0.0) is None
+        homes = {home for _, home in place_all(queue, found)}
+        assert len(homes) == 1
+
+    def test_are_fetched_once_their_engine_is_behind(self):
+        found = fleet(*engines(2, 1))
+        queue = queue_over(found, depth=10.0)
+        queue.add(prompt("first", 500, SHARED), 0.0)
+        ((_, home),) = place_all(queue, found)
+        found.targets_by_id[home].end_reading("first", is_good=True)
+        found.targets_by_id[home].begin_reading("long", 30_000, 1, (), 0.0)
+        assert queue.add(prompt("second", 500, SHARED), 0.0) is None
+        _, placement = queue.next(0.0)
+        assert placement.belief.target.target_id != home
+        assert placement.copied_tokens == 8_000
+        assert placement.tokens == 500
+        assert placement.copy_from == found.targets_by_id[home].target.address
+
+
+class TestOverload:
+    """Pattern: more prompts than the engines read in time."""
+
+    def test_prompts_beyond_what_can_be_on_time_are_turned_away_at_once(self):
+        found = fleet(*engines(1, 1))
+        queue = queue_over(found)
+        found.targets_by_id["writer-0"].changing_until = 99.0
+        found.put(target("idle-writer", EngineRole.WRITER, slots=64))
+        outcomes = [queue.add(prompt(f"p{n}", 4_000), 0.0) for n in range(12)]
+        refused = [item for item in outcomes if item is not None]
+        assert refused
+        assert all(isinstance(item, CannotBeInTime) for item in refused)
+        assert all(0.1 <= item.retry_after <= 2.0 for item in refused)
+        assert outcomes[0] is None
+
+    def test_idle_engines_turn_nothing_away_that_can_be_on_time(self):
+        found = fleet(*engines(2, 1))
+        queue = queue_over(found)
+        assert queue.add(prompt("p", 4_000), 0.0) is None
+
+    def test_large_prompt_is_not_turned_away_for_its_size_alone(self):
+        found = fleet(*engines(2, 1))
+        queue = queue_over(found)
+        large = prompt("large", 30_000, latency_target=0.5, patience=8.0)
+        assert queue.add(large, 0.0) is None
+
+    def test_what_waits_goes_by_worth_for_engine_time(self):
+        found = fleet(*engines(1, 1))
+        queue = queue_over(found, depth=0.0)
+        for name, own in (("long", 6_000), ("short", 500)):
+            assert queue.add(prompt(name, own, latency_target=2.0), 0.0) is None
+        waiting, _ = queue.next(0.0)
+        assert waiting.request_id == "short"
+
+    def test_what_can_be_on_time_goes_before_what_is_late(self):
+        found = fleet(*engines(1, 1))
+        queue = queue_over(found, depth=0.0, late_factor=9.0)
+        assert queue.add(prompt("late", 900, at=-0.99), 0.0) is None
+        assert queue.add(prompt("on-time", 1_500), 0.0) is None
+        waiting, _ = queue.next(0.0)
+        assert waiting.request_id == "on-time"
+
+    def test_engines_are_sent_little_ahead_of_need(self):
+        found = fleet(*engines(1, 1))
+        queue = queue_over(found, depth=0.25, late_factor=9.0)
+        found.targets_by_id["writer-0"].in_flight = 60
+        for number in range(8):
+            queue.add(prompt(f"p{number}", 2_000), 0.0)
+        placed = [home for _, home in place_all(queue, found) if home == "reader-0"]
+        assert len(placed) == 2
+
+    def test_hopeless_prompts_are_given_up_before_they_are_due(self):
+        found = fleet(*engines(1, 1))
+        queue = queue_over(found, depth=0.0, late_factor=9.0)
+        assert queue.add(prompt("p", 4_000, patience=1.0), 0.0) is None
+        assert queue.hopeless(0.3) == []
+        assert [item.request_id for item in queue.hopeless(0.9)] == ["p"]
+
+
+class TestRoles:
+    def test_no_writer_means_that_nothing_can_be_served(self):
+        found = fleet(*engines(2, 0))
+        queue = queue_over(found)
+        assert isinstance(queue.add(prompt("p"), 0.0), NoTarget)
+
+    def test_busy_writer_is_spared_from_reading(self):
+        found = fleet(*engines(1, 1))
+        found.targets_by_id["writer-0"].in_flight = 20
+        found.targets_by_id["reader-0"].begin_reading("r", 4_000, 1, (), 0.0)
+        queue = queue_over(found, late_factor=9.0)
+        queue.add(prompt("p", 2_000), 0.0)
+        placement = queue._placer.best(prompt("p", 2_000), 0.0)
+        assert placement.belief.target.target_id == "reader-0"
+
+
+class TestHealth:
+    def test_slow_engine_gets_less(self):
+        found = fleet(*engines(2, 1))
+        slow = found.targets_by_id["reader-0"]
+        for _ in range(30):
+            slow.timed_reading(0.1, 0.5, 10_000)
+        queue = queue_over(found)
+        queue.add(prompt("p"), 0.0)
+        _, placement = queue.next(0.0)
+        assert placement.belief.target.target_id != "reader-0"
+
+    def test_leaving_missing_and_changing_engines_get_nothing(self):
+        found = fleet(*engines(3, 1))
+        found.put(found.targets_by_id["reader-0"].target._replace(is_leaving=True))
+        found.targets_by_id["reader-1"].missing_since = 0.0
+        found.targets_by_id["reader-2"].changing_until = 5.0
+        assert [item.target.target_id for item in found.usable("s", 1.0)] == [
+            "writer-0"
+        ]
+
+    def test_bad_news_about_all_ejects_no_more_than_half(self):
+        found = fleet(*engines(4, 0))
+        for belief in found.of_service("s"):
+            for _ in range(3):
+                found.failed(belief, 0.0)
+        assert len(found.usable("s", 0.1)) == 4
+
+    def test_ejected_engine_returns(self):
+        found = fleet(*engines(4, 0))
+        belief = found.targets_by_id["reader-0"]
+        found.failed(belief, 0.0)
+        assert found.failed(belief, 0.0)
+        assert len(found.usable("s", 0.1)) == 3
+        assert len(found.usable("s", 1.1)) == 4
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_backlog_is_the_work_of_all_readings(count):
+    found = fleet(*engines(1, 0))
+    belief = found.targets_by_id["reader-0"]
+    for number in range(count):
+        belief.begin_reading(str(number), 1_000, 1, (), 0.0)
+    assert belief.backlog(0.0) == pytest.approx(count * belief.work_time(1_000))
+    belief.end_reading("0", is_good=True)
+    assert belief.backlog(0.0) == pytest.approx((count - 1) * belief.work_time(1_000))
+
+
+def test_reading_whose_end_was_never_told_is_forgotten():
+    found = fleet(*engines(1, 0))
+    belief = found.targets_by_id["reader-0"]
+    belief.begin_reading("lost", 1_000, 1, (), 0.0)
+    assert belief.backlog(1.0) > 0
+    assert belief.backlog(9.0) == 0
--- /dev/null
+++ b/tests/test_rolebalance.py
@@ -0,0 +1,67 @@
+"""Swings of the mix replayed against the decision on roles."""
+
+from pimentolink.fleet import EngineRole
+from pimentolink.gatewaysettings import RoleSettings
+from pimentolink.rolebalance import RoleBalancer
+from tests.gatewayparts import engines, fleet
+
+
+def replay(found, streams_at, seconds, settings=None):
+    """Observe once a second; return the changes that were decided."""
+    balancer = RoleBalancer(settings or RoleSettings(), found)
+    changes = []
+    for second in range(seconds):
+        writers = [
+            engine
+            for engine in found.of_service("s")
+            if engine.target.role is EngineRole.WRITER
+        ]
+        for engine in writers:
+            engine.in_flight = round(streams_at(second) / max(1, len(writers)))
+        balancer.observe("s", float(second))
+        change = balancer.decide("s", float(second))
+        if change is not None:
+            changes.append((second, change.role))
+            found.put(change.belief.target._replace(role=change.role))
+            balancer.begun("s", float(second))
+    return changes
+
+
+class TestLongPrompts:
+    def test_idle_writers_become_readers_but_for_two(self):
+        found = fleet(*engines(2, 3))
+        changes = replay(found, lambda second: 10, 20)
+        assert [role for _, role in changes] == [EngineRole.READER]
+
+    def test_a_share_of_a_large_fleet_goes_on_writing(self):
+        found = fleet(*engines(9, 18))
+        replay(found, lambda second: 30, 40)
+        roles = [engine.target.role for engine in found.of_service("s")]
+        assert roles.count(EngineRole.WRITER) == 6
+
+
+class TestLongAnswers:
+    def test_lasting_load_makes_readers_write(self):
+        found = fleet(*engines(3, 2))
+        changes = replay(found, lambda second: 100, 30)
+        assert (EngineRole.WRITER) in [role for _, role in changes]
+
+
+class TestSwings:
+    def test_swings_shorter_than_the_horizon_cause_no_change(self):
+        found = fleet(*engines(3, 2))
+        changes = replay(found, lambda second: 45 if second % 4 < 2 else 5, 60)
+        assert changes == []
+
+    def test_one_engine_changes_at_a_time(self):
+        found = fleet(*engines(2, 5))
+        balancer = RoleBalancer(RoleSettings(), found)
+        balancer.observe("s", 0.0)
+        first = balancer.decide("s", 0.0)
+        first.belief.changing_until = 5.0
+        assert balancer.decide("s", 3.0) is None
+        assert balancer.decide("s", 5.1) is not None
+
+    def test_at_least_one_engine_reads(self):
+        found = fleet(*engines(1, 1))
+        assert replay(found, lambda second: 500, 10) == []
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -153,6 +153,8 @@
         self.folder = Path(self._folder.name)
         self.processes_by_name: dict[str, Process] = {}
         self._starting: list[Process] = []
+        self.readiness_by_gateway: dict[str, str] = {}
+        self.metrics_by_gateway: dict[str, str] = {}
 
     def __enter__(self) -> Fleet:
         """Use as a context: every process is ended with it."""
@@ -235,6 +237,28 @@
         path = self.write(name, settings)
         return self._launch(name, ["pimentolink.cli", "entry", str(path)], address)
 
+    def start_gateway(self, name: str, **extra: Any) -> Process:
+        """Start a gateway on the platform's stand-ins."""
+        listen, readiness, peers, metrics = (
+            f"127.0.0.1:{free_port()}" for _ in range(4)
+        )
+        settings = {
+            "instance": name,
+            "data_centre": "north",
+            "listen": listen,
+            "readiness": readiness,
+            "peers": peers,
+            "metrics": metrics,
+            "store": {"address": self.address("store"), "timeout": 0.5},
+            "stop_within": 5.0,
+            **extra,
+        }
+        self.readiness_by_gateway[name] = readiness
+        self.metrics_by_gateway[name] = metrics
+        path = self.write(name, settings)
+        arguments = ["pimentolink.platform.edge", str(path)]
+        return self._launch(name, arguments, listen)
+
     def _launch(self, name: str, arguments: list[str], address: str) -> Process:
         process = Process(name, arguments, address, self.folder)
         self.processes_by_name[name] = process
