--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -42,6 +42,8 @@
     :ivar address: where it answers.
     :ivar timeout: seconds until a call counts as unanswered.
     :ivar watch_wait: seconds that one waiting watch lasts; each costs a call.
+    :ivar gather: seconds between changes and the next watch, so that changes that come
+        together cost each gateway one call.
     :ivar backoff_first: seconds of the first pause after a failed call.
     :ivar backoff_most: seconds of the longest pause.
     :ivar return_time: seconds after an outage within which targets that live are
@@ -52,6 +54,7 @@
     address: Address
     timeout: Seconds = 1.0
     watch_wait: Seconds = 20.0
+    gather: Seconds = 0.25
     backoff_first: Seconds = 0.1
     backoff_most: Seconds = 1.0
     return_time: Seconds = 2.0
@@ -94,6 +97,8 @@
     :ivar interference: weight of the time for which a reading slows each answer that
         the same engine writes.
     :ivar remote_cost: seconds added for a target in another data centre.
+    :ivar remote_fetch: share of a writer's slots that a fetch between data centres
+        counts for; it takes twice as long as one inside and costs up to three times.
     """
 
     first_rate: Count = 30_000
@@ -103,6 +108,7 @@
     duplicate_cost: Annotated[float, Meta(ge=0)] = 0.6
     late_factor: Annotated[float, Meta(gt=0)] = 1.0
     remote_cost: Annotated[float, Meta(ge=0)] = 0.004
+    remote_fetch: Annotated[float, Meta(ge=0)] = 0.15
     interference: Annotated[float, Meta(ge=0)] = 0.1
 
 
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -121,6 +121,8 @@
         for change in found.changes:
             self._listener.key_changed(change)
         self._revision = found.revision
+        if found.changes:
+            await pause(self._timers, self._settings.gather)
 
     def _confirmed(self) -> None:
         self.confirmed_at = self._timers.now()
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -190,19 +190,17 @@
         ]
         return min(
             writers,
-            key=lambda engine: (
-                engine.load() / max(1, engine.target.slots)
-                + engine.backlog(now)
-                + engine.failure_share
-                + (
-                    self._settings.remote_cost
-                    if engine.target.data_centre != near
-                    else 0
-                )
-            ),
+            key=lambda engine: self._writer_cost(engine, near, now),
             default=None,
         )
 
+    def _writer_cost(self, engine: TargetBelief, near: str, now: float) -> float:
+        cost = engine.load() / max(1, engine.target.slots)
+        cost += engine.backlog(now) + engine.failure_share
+        if engine.target.data_centre != near:
+            cost += self._settings.remote_fetch
+        return cost
+
 
 class ReadingQueue:
     """
--- a/pimentolink/rolebalance.py
+++ b/pimentolink/rolebalance.py
@@ -73,7 +73,7 @@
         streams = self._streams_by_service.get(service, 0.0)
         wanted = self._writers_wanted(readers + writers, streams)
         if len(writers) > wanted:
-            idlest = min(writers, key=lambda engine: engine.load())
+            idlest = min(writers, key=lambda engine: _spared(engine, writers))
             return self._change(service, idlest, EngineRole.READER, streams, wanted)
         if len(writers) < wanted:
             idlest = min(readers, key=lambda engine: engine.backlog(now))
@@ -119,3 +119,17 @@
     ) -> RoleChange:
         readers = len(self._fleet.of_service(service)) - wanted
         return RoleChange(belief, role, streams, readers)
+
+
+def _spared(engine: TargetBelief, writers: list[TargetBelief]) -> tuple[int, int]:
+    """
+    Rank a writer that could read instead; the least is taken.
+
+    Data centres keep writers of their own, since fetches between them cost more.
+    """
+    near = [
+        other
+        for other in writers
+        if other.target.data_centre == engine.target.data_centre
+    ]
+    return -len(near), engine.load()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -65,6 +65,8 @@
         self.follower.start()
 
     def usable(self):
+        # The next watch begins after the time in which changes are gathered.
+        self.timers.advance(0.3)
         now = self.timers.now()
         return {item.target.target_id for item in self.fleet.usable("s", now)}
 
@@ -87,6 +89,7 @@
 
     def test_removed_target_is_gone_at_once(self, world):
         world.store.put("servers/a", entry())
+        world.timers.advance(0.3)
         world.store.remove("servers/a")
         assert world.usable() == set()
         assert world.gone == ["a"]
@@ -95,6 +98,7 @@
         world.store.put("servers/a", entry())
         belief = world.fleet.targets_by_id["a"]
         world.store.remove("servers/a")
+        world.timers.advance(0.3)
         assert not belief.is_usable(world.timers.now())
 
     def test_unreadable_entry_changes_nothing(self, world):
@@ -114,6 +118,7 @@
 
     def test_entry_that_lapsed_meanwhile_is_waited_for(self, world):
         world.store.put("servers/a", entry())
+        world.timers.advance(0.3)
         world.store.set_down(True)
         world.store.remove("servers/a")
         world.store.set_down(False)
@@ -127,6 +132,7 @@
 
     def test_entry_that_does_not_return_is_gone(self, world):
         world.store.put("servers/a", entry())
+        world.timers.advance(0.3)
         world.store.set_down(True)
         world.store.remove("servers/a")
         world.store.set_down(False)
@@ -150,6 +156,7 @@
     def test_version_in_force_never_reverts(self, world):
         world.store.put("op/config", configuration(7, "/p/"))
         world.store.put("op/config", configuration(5, "/q/"))
+        world.timers.advance(0.3)
         assert world.tables.table.version == 7
 
     def test_unreadable_configuration_leaves_the_last_in_force(self, world):
@@ -164,4 +171,5 @@
         world.store.put("pimentolink/gateways/two", value)
         assert world.membership.gateways_by_name == {"two": "10.0.0.2:7"}
         world.store.remove("pimentolink/gateways/two")
+        world.timers.advance(0.3)
         assert world.membership.gateways_by_name == {}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -122,6 +122,16 @@
         placement = queue._placer.best(prompt("p", 2_000), 0.0)
         assert placement.belief.target.target_id == "reader-0"
 
+    def test_answer_is_written_near_its_reader_unless_busy_there(self):
+        found = fleet(
+            target("here", EngineRole.WRITER),
+            target("there", EngineRole.WRITER, data_centre="south"),
+        )
+        placer = queue_over(found)._placer
+        assert placer.writer("s", "south", 0.0).target.target_id == "there"
+        found.targets_by_id["there"].in_flight = 30
+        assert placer.writer("s", "south", 0.0).target.target_id == "here"
+
 
 class TestHealth:
     def test_slow_engine_gets_less(self):
--- a/tests/test_rolebalance.py
+++ b/tests/test_rolebalance.py
@@ -39,6 +39,23 @@
         roles = [engine.target.role for engine in found.of_service("s")]
         assert roles.count(EngineRole.WRITER) == 6
 
+    def test_writers_stay_in_each_data_centre(self):
+        targets = engines(0, 4)
+        homes = ("north", "north", "north", "south")
+        found = fleet(
+            *(
+                item._replace(data_centre=home)
+                for item, home in zip(targets, homes, strict=True)
+            )
+        )
+        replay(found, lambda second: 0, 20)
+        writers = [
+            engine.target.data_centre
+            for engine in found.of_service("s")
+            if engine.target.role is EngineRole.WRITER
+        ]
+        assert sorted(writers) == ["north", "south"]
+
 
 class TestLongAnswers:
     def test_lasting_load_makes_readers_write(self):
