Try failed requests again with time of their own, learn caches, read settings again

Cause: a request whose engine failed was measured by its first arrival and turned away; a restarted gateway knew nothing of what engines hold; settings changes had no effect.

Change: SIGHUP and silent changes are noticed.

--- a/pimentolink/dialect.py
+++ b/pimentolink/dialect.py
@@ -122,6 +122,14 @@
     def drop_cache(self, address: str, prompt: ReadPrompt) -> HttpRequest:
         """Write the request that frees a KV cache which nobody will fetch."""
 
+    def ask_parts(self, belief: TargetBelief) -> HttpRequest:
+        """Write the question what an engine's memory holds."""
+
+    def read_parts(
+        self, reply: HttpReply
+    ) -> Result[tuple[PromptPart, ...], ReplyInvalid]:
+        """Read what an engine's memory holds, the least recently used first."""
+
     def ask_report(self, belief: TargetBelief) -> HttpRequest:
         """Write the request for an engine's report."""
 
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -9,10 +9,13 @@
 from uuid import uuid4
 
 import msgspec
+from result import Err, Result
 
+from pimentolink.cachelearning import CacheLearning
 from pimentolink.callerhttp import CallerConnection, CallerFactory
 from pimentolink.calls import Caller
 from pimentolink.dialect import Dialect
+from pimentolink.errors import SettingsInvalid
 from pimentolink.fleet import Fleet
 from pimentolink.forwarder import Forwarder
 from pimentolink.gatewaysettings import GatewaySettings
@@ -21,7 +24,7 @@
 from pimentolink.keyspace import Keyspace
 from pimentolink.keyspacefollower import KeyspaceFollower
 from pimentolink.logs import Log, LogEvent
-from pimentolink.membership import Membership
+from pimentolink.membership import Documents, Membership
 from pimentolink.metrics import Metrics
 from pimentolink.orderholder import OrderHolder
 from pimentolink.peers import InFlight, PeerBook, PeerProtocol
@@ -41,6 +44,8 @@
 FREEZE = 0.5
 # Seconds between two tellings of requests under way to the other gateways.
 TELL_INTERVAL = 0.2
+# Seconds between two looks at the settings file, which may change without a signal.
+RELOAD_INTERVAL = 5.0
 # Seconds after a stop's begin until idle connections are closed: the balancer takes
 # this long to notice that the gateway is not ready.
 LEAVE_TIME = 2.5
@@ -48,6 +53,9 @@
 CUT_BEFORE = 0.5
 
 
+ReadSettings = Callable[[], Result[GatewaySettings, SettingsInvalid]]
+
+
 class Gateway:
     """All parts of a gateway, put together."""
 
@@ -57,8 +65,9 @@
         settings: GatewaySettings,
         keyspace: Keyspace,
         dialect: Dialect,
-        documents: Any,
+        documents: Documents,
         timers: Timers,
+        read_settings: ReadSettings,
     ) -> None:
         """
         Open nothing yet.
@@ -69,9 +78,11 @@
         :param dialect: the deployment's headers and bodies.
         :param documents: reads the store's documents.
         :param timers: the timer service.
+        :param read_settings: reads the settings file again.
         """
         self._reactor = reactor
         self._settings = settings
+        self._read_settings = read_settings
         self._timers = timers
         self._keyspace = keyspace
         self._life = uuid4().hex[:8]
@@ -108,6 +119,16 @@
         self.membership = Membership(
             self.tables, self.fleet, documents, settings.store, timers, self.log
         )
+        if not settings.is_first_start:
+            learning = CacheLearning(
+                dialect,
+                self.fleet,
+                self._caller.alone,
+                timers,
+                self._random,
+                self.log,
+            )
+            self.membership.on_first_read = learning.ask_all
         self.membership.on_changed = self._fleet_changed
         self.membership.on_gone = self._caller.forget
         self._follower = KeyspaceFollower(
@@ -149,6 +170,7 @@
         self._ports: list[Any] = []
         self._repeaters: list[Repeater] = []
         self._looked_at = (timers.now(), _boot_clock())
+        self._has_told_any = False
         self.is_stopping = False
 
     def _make_forwarder(self, placer: Placer) -> Forwarder:
@@ -202,6 +224,7 @@
         self._repeaters = [
             Repeater(self._timers, FREEZE_LOOK, self._look_for_freeze),
             Repeater(self._timers, TELL_INTERVAL, self._tell_in_flight),
+            Repeater(self._timers, RELOAD_INTERVAL, self.reload),
         ]
         self.log.write(LogEvent.STARTED, settings=msgspec.to_builtins(self._settings))
 
@@ -226,8 +249,22 @@
         self.log.write(LogEvent.STOPPED)
 
     def reload(self) -> None:
-        """Read everything again; the settings file may have changed."""
-        self.log.write(LogEvent.RELOADED)
+        """Read the settings again; those that are invalid change nothing."""
+        found = self._read_settings()
+        if isinstance(found, Err):
+            self.log.write(LogEvent.SETTINGS_INVALID, detail=str(found.err_value))
+            return
+        settings = found.ok_value
+        if settings == self._settings:
+            return
+        fields = msgspec.structs.asdict(settings)
+        before = msgspec.structs.asdict(self._settings)
+        changed = sorted(name for name in fields if fields[name] != before[name])
+        # Parts hold their settings; only these are read at each use.
+        self.budgets.settings = settings.budget
+        later = [name for name in changed if name != "budget"]
+        self._settings = settings
+        self.log.write(LogEvent.RELOADED, changed=changed, at_next_start=later)
 
     def _bounds(self) -> CallerBounds:
         table = self.tables.table
@@ -267,11 +304,9 @@
             for belief in self.fleet.targets_by_id.values()
             if belief.in_flight
         }
-        if counts or self._told_any:
+        if counts or self._has_told_any:
             self._peers.tell(InFlight(self._settings.instance, counts))
-        self._told_any = bool(counts)
-
-    _told_any = False
+        self._has_told_any = bool(counts)
 
     def _look_for_freeze(self) -> None:
         """Notice that the process stood still, and read the store again."""
--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -150,8 +150,10 @@
     :ivar fill: share of a writer's slots that answers may take; with more, each token
         takes longer, and a crash loses more.
     :ivar least_share: share of a service's engines that write at least.
-    :ivar least_count: engines that write at least, where there are more than three;
-        with one, its crash stops the service for as long as a change of role takes.
+    :ivar least_count: engines that write at least; with one, its crash stops the
+        service for as long as a change of role takes.
+    :ivar least_from: engines of a service from which on that holds; with fewer, a
+        second writer costs more reading than its crash would.
     :ivar horizon: seconds over which answers under way are averaged; swings that are
         shorter cause no change.
     :ivar rise: times as fast that a rise is believed.
@@ -161,6 +163,7 @@
     fill: Ratio = 0.4
     least_share: Ratio = 0.2
     least_count: Count = 2
+    least_from: Count = 5
     horizon: Seconds = 6.0
     rise: Annotated[float, Meta(ge=1)] = 3.0
     pause: Seconds = 1.0
@@ -176,6 +179,8 @@
     :ivar readiness: address where the balancer asks whether to send callers here.
     :ivar peers: address for datagrams of other gateways.
     :ivar metrics: address of the metrics.
+    :ivar is_first_start: whether the whole deployment starts for the first time, so
+        that engines hold nothing yet.
     :ivar order_lease_ms: milliseconds within which two processes may not both give
         orders.
     :ivar thaw: seconds after a freeze in which nothing rests on older belief.
@@ -195,6 +200,7 @@
     ejection: EjectionSettings = field(default_factory=EjectionSettings)
     budget: BudgetSettings = field(default_factory=BudgetSettings)
     roles: RoleSettings = field(default_factory=RoleSettings)
+    is_first_start: bool = False
     order_lease_ms: Count = 3000
     thaw: Seconds = 0.3
     stop_within: Seconds = 8.0
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -20,7 +20,7 @@
 from pimentolink.forwarder import Work, pass_on, passed_on
 from pimentolink.httptypes import HttpReply
 from pimentolink.logs import Log, LogEvent
-from pimentolink.placement import Placer, SizeScale, WaitingPrompt
+from pimentolink.placement import MOST_SIZE, Placer, SizeScale, WaitingPrompt
 from pimentolink.readings import Readings, Ticket
 from pimentolink.retry import SharedBudgets
 from pimentolink.routes import Repeatability
@@ -91,11 +91,9 @@
         self._budgets.earn(work.service)
         relay = _Relay(work, self._timers)
         last: Failure | None = None
-        tries = 0
         while True:
-            if tries and not self._may_go_on(work):
+            if relay.tries and not self._may_go_on(work):
                 break
-            tries += 1
             try:
                 await self._try(work, relay)
             except Failure as failure:
@@ -129,7 +127,7 @@
 
     async def _try(self, work: Work, relay: _Relay) -> None:
         """Read the prompt, have the answer written and relay it."""
-        ticket = await self._readings.wait(self._waiting(work))
+        ticket = await self._readings.wait(self._waiting(work, relay))
         if ticket.placement.is_reading_only:
             prepared = await self._read(work, ticket)
             call = await self._write(work, prepared, relay)
@@ -138,19 +136,28 @@
         call = await self._read_and_write(work, ticket, relay)
         await self._relay(work, call, relay)
 
-    def _waiting(self, work: Work) -> WaitingPrompt:
+    def _waiting(self, work: Work, relay: _Relay) -> WaitingPrompt:
         request, route = work.request, work.route
+        is_retry = relay.tries > 0
+        relay.tries += 1
+        arrived_at = self._timers.now() if is_retry else request.arrived_at
+        size = self._sizes.worth(
+            route.name, request.prompt_tokens, request.output_tokens
+        )
+        if relay.has_begun:
+            # Its caller sees a pause and soon gives up; nothing else is as urgent.
+            size = MOST_SIZE
         return WaitingPrompt(
             request_id=request.request_id,
             service=work.service,
             parts=request.parts,
             prompt_tokens=max(1, request.prompt_tokens),
             priority=min(LEAST_URGENT, route.priority),
-            size=self._sizes.worth(
-                route.name, request.prompt_tokens, request.output_tokens
-            ),
-            arrived_at=request.arrived_at,
-            on_time_until=request.arrived_at + route.latency_target,
+            size=size,
+            arrived_at=arrived_at,
+            latency_target=route.latency_target,
+            on_time_until=(arrived_at if relay.has_begun else request.arrived_at)
+            + route.latency_target,
             due_at=work.due_at,
         )
 
@@ -302,6 +309,7 @@
         self._timers = timers
         self.last_event = work.request.last_event
         self.has_begun = False
+        self.tries = 0
 
     async def run(self, call: Call) -> None:
         """Pass events on until the stream's end."""
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -35,6 +35,11 @@
         "The bound on the graceful stop passed with work still in flight.",
     )
     RELOADED = ("E1006", logging.INFO, "The settings were read again.")
+    SETTINGS_INVALID = (
+        "E1007",
+        logging.ERROR,
+        "The settings file cannot be used any more; the settings in force stay.",
+    )
     SLOT_TAKEN = (
         "E1005",
         logging.ERROR,
@@ -125,6 +130,11 @@
         logging.INFO,
         "An answer for an attempt that is over came in and was dropped.",
     )
+    CACHE_LEARNED = (
+        "E1411",
+        logging.INFO,
+        "An engine was asked what its memory holds.",
+    )
     ANSWERED = ("E1405", logging.INFO, "A request got a target's whole answer.")
     PROMPT_PLACED = (
         "E1406",
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -70,6 +70,7 @@
         self.gateways_by_name: dict[str, str] = {}
         self.is_known = False
         self.on_changed: Callable[[], None] = lambda: None
+        self.on_first_read: Callable[[], None] = lambda: None
         self.on_holder: Callable[[Change], None] = lambda change: None
         self.on_gone: Callable[[str], None] = lambda target_id: None
 
@@ -98,7 +99,10 @@
                 del self.gateways_by_name[name]
         if HOLDER_KEY not in keys:
             self.on_holder(Change(HOLDER_KEY, None, 0))
+        is_first = not self.is_known
         self.is_known = True
+        if is_first:
+            self.on_first_read()
         self.on_changed()
 
     def _configuration_changed(self, document: bytes) -> None:
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -36,6 +36,9 @@
     A prompt that waits to be read.
 
     :ivar size: worth of the request, by its size, as a multiple of its route's.
+    :ivar arrived_at: when the caller asked, or, of a request that is tried again after
+        an engine failed it, when that was.
+    :ivar latency_target: seconds that it may take from then on.
     :ivar on_time_until: when its first event should be with the caller.
     :ivar due_at: when the caller or the operator gives it up.
     """
@@ -47,6 +50,7 @@
     priority: int
     size: float
     arrived_at: float
+    latency_target: float
     on_time_until: float
     due_at: float
 
@@ -259,8 +263,7 @@
         time too, so that large ones are not turned away for their size alone.
         """
         own_work = placement.belief.work_time(placement.tokens)
-        target = prompt.on_time_until - prompt.arrived_at
-        allowed = max(target, LARGE_FACTOR * own_work)
+        allowed = max(prompt.latency_target, LARGE_FACTOR * own_work)
         latest = prompt.arrived_at + self._settings.late_factor * allowed
         latest = min(latest, prompt.due_at)
         if done_at <= latest:
--- a/pimentolink/platform/dialect.py
+++ b/pimentolink/platform/dialect.py
@@ -142,6 +142,12 @@
     sequence: int = 0
 
 
+class _HeldParts(msgspec.Struct):
+    """Parts in an engine's memory, each as empty text, id, tokens and model."""
+
+    held: list[tuple[str, str, int, str]]
+
+
 class _Order(msgspec.Struct, rename="camel"):
     """
     An order that changes an engine's role.
@@ -232,6 +238,23 @@
         path = f"/kv-handle/{prompt.handle}".encode()
         return HttpRequest(b"DELETE", path, ((b"Host", address.encode()),))
 
+    def ask_parts(self, belief: TargetBelief) -> HttpRequest:
+        """Write the question what an engine's memory holds."""
+        return HttpRequest(b"GET", b"/kv-list", _own_headers(belief))
+
+    def read_parts(
+        self, reply: HttpReply
+    ) -> Result[tuple[PromptPart, ...], ReplyInvalid]:
+        """Read what an engine's memory holds."""
+        try:
+            found = msgspec.json.decode(reply.body, type=_HeldParts)
+            parts = tuple(
+                PromptPart(int(name, 16), tokens) for _, name, tokens, _ in found.held
+            )
+        except (msgspec.DecodeError, ValueError) as error:
+            return Err(ReplyInvalid(f"a list of parts: {error}"))
+        return Ok(parts)
+
     def ask_report(self, belief: TargetBelief) -> HttpRequest:
         """Write the request for an engine's report."""
         return HttpRequest(b"GET", b"/report", _own_headers(belief))
--- a/pimentolink/platform/edge.py
+++ b/pimentolink/platform/edge.py
@@ -22,12 +22,13 @@
 EXIT_INVALID = 2
 
 
-def make_gateway(reactor: Any, settings: GatewaySettings) -> Gateway:
+def make_gateway(reactor: Any, settings: GatewaySettings, path: str) -> Gateway:
     """
     Make a gateway that speaks the platform's protocols.
 
     :param reactor: the loop.
     :param settings: of the gateway.
+    :param path: of the file that holds them.
     """
     timers = ReactorTimers(reactor)
     store = PlatformStore(reactor, settings.store, settings.connections, timers)
@@ -38,6 +39,7 @@
         PlatformDialect(),
         documents.PlatformDocuments(),
         timers,
+        lambda: read_settings(GatewaySettings, [path]),
     )
 
 
@@ -60,7 +62,7 @@
 
     reactor: Any = installed
     logs.catch_unhandled(logs.Log())
-    process = Process(reactor, lambda loop: make_gateway(loop, settings.ok_value))
+    process = Process(reactor, lambda loop: make_gateway(loop, settings.ok_value, path))
     reactor.callWhenRunning(process.start)
     reactor.run(installSignalHandlers=False)
     return process.exit_code
--- a/pimentolink/retry.py
+++ b/pimentolink/retry.py
@@ -61,7 +61,7 @@
         :param settings: ratio, slack and window.
         :param timers: the timer service.
         """
-        self._settings = settings
+        self.settings = settings
         self._timers = timers
         self._earned = 0.0
         self._balance: float | None = None
@@ -69,8 +69,8 @@
 
     def earn(self) -> None:
         """Count one request."""
-        most = self._settings.slack
-        ratio = USED_SHARE * self._settings.ratio
+        most = self.settings.slack
+        ratio = USED_SHARE * self.settings.ratio
         self._earned = min(most, self._earned + ratio)
 
     def spend(self, gateways: int) -> bool:
@@ -80,9 +80,9 @@
         :param gateways: that share the slack.
         :returns: whether it is granted.
         """
-        part = USED_SHARE * self._settings.slack / max(1, gateways) / 2
+        part = USED_SHARE * self.settings.slack / max(1, gateways) / 2
         now = self._timers.now()
-        gained = part * (now - self._counted_at) / self._settings.window
+        gained = part * (now - self._counted_at) / self.settings.window
         before = part if self._balance is None else self._balance
         self._balance = min(part, before + gained)
         self._counted_at = now
@@ -105,7 +105,7 @@
         :param settings: ratio, slack and window.
         :param timers: the timer service.
         """
-        self._settings = settings
+        self.settings = settings
         self._timers = timers
         self._budgets_by_service: dict[str, SharedBudget] = {}
         self.gateways = 1
@@ -121,8 +121,9 @@
     def _budget(self, service: str) -> SharedBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            budget = SharedBudget(self._settings, self._timers)
+            budget = SharedBudget(self.settings, self._timers)
             self._budgets_by_service[service] = budget
+        budget.settings = self.settings
         return budget
 
 
--- a/pimentolink/rolebalance.py
+++ b/pimentolink/rolebalance.py
@@ -88,7 +88,7 @@
         slots = max(1, engines[0].target.slots)
         for_streams = math.ceil(streams / (slots * self._settings.fill))
         least = math.ceil(len(engines) * self._settings.least_share)
-        if len(engines) > 3:
+        if len(engines) >= self._settings.least_from:
             least = max(least, self._settings.least_count)
         return min(len(engines) - 1, max(1, least, for_streams))
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -34,6 +34,7 @@
         self.handles: set[str] = set()
         self.runs: Counter[str] = Counter()
         self.reads: Counter[str] = Counter()
+        self.parts: dict[str, int] = {}
         self.left: list[str] = []
         self.headers: dict[str, dict[str, str]] = {}
         self.faults: dict[str, Any] = {
@@ -47,6 +48,7 @@
         self.routes.add("PUT", "/faults", self.set_faults)
         self.routes.add("GET", "/runs", self.tell_runs)
         self.routes.add("GET", "/report", self.report)
+        self.routes.add("GET", "/kv-list", self.list_parts)
         self.routes.add("POST", "/order", self.order)
         self.routes.add("DELETE", "/kv-handle/", self.drop)
         self.routes.add("POST", "/", self.take)
@@ -67,6 +69,11 @@
         }
         answer(request, told)
 
+    def list_parts(self, request: Request) -> None:
+        """Tell what memory holds."""
+        held = [["", name, tokens, "m"] for name, tokens in self.parts.items()]
+        answer(request, {"epoch": 1, "next": 1, "held": held})
+
     def report(self, request: Request) -> None:
         """Tell the role and the orders accepted."""
         told = {"phase": self.phase, "busy": False, "sequence": self.sequence}
@@ -111,6 +118,10 @@
 
     def _read(self, request: Request, name: str) -> None:
         self.reads[name] += 1
+        parts = request.getHeader("Pimentolink-Prompt-Prefix") or ""
+        for part in parts.split(","):
+            part_id, _, tokens = part.partition(":")
+            self.parts[part_id] = int(tokens or 0)
         handle = uuid4().hex[:12]
         self.handles.add(handle)
         told = {"kvHandle": handle, "tokens": 1, "version": 1}
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -92,6 +92,7 @@
         priority=1,
         size=size,
         arrived_at=at,
+        latency_target=latency_target,
         on_time_until=at + latency_target,
         due_at=at + patience,
     )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """A gateway as a process, before stand-ins of the users' platform."""
 
+import json
 import signal
 import threading
 import time
@@ -189,6 +190,24 @@
         assert world.runs("slow")["left"] == []
 
 
+class TestRestart:
+    def test_restarted_gateway_learns_what_engines_hold(self, world):
+        world.generate("/stream/x")
+        world.gateway("second")
+        log = world.fleet.processes_by_name["second"].log_path
+        wait_until(lambda: '"parts": 2' in log.read_text(), within=3.0)
+        _, name = world.request(
+            "/stream/x",
+            headers={
+                "Pimentolink-Token-Counts": "1200,50",
+                "Pimentolink-Prompt-Prefix": "aa:1000,cc:200",
+            },
+            gateway="second",
+        )
+        wait_until(lambda: world.logged("second", name))
+        assert world.logged("second", name)[0]["tokens"] == 200
+
+
 class TestLeaving:
     def test_leaving_target_gets_no_more_work(self, world):
         world.list_target("plain-1", "plain", state="draining")
@@ -233,6 +252,28 @@
         assert world.is_ready("gateway")
 
 
+class TestSettings:
+    def test_change_without_a_signal_is_noticed(self, world):
+        path = world.fleet.folder / "gateway.json"
+        settings = json.loads(path.read_text())
+        path.write_text(json.dumps(settings | {"budget": {"ratio": 0.0, "slack": 0.0}}))
+        log = world.fleet.processes_by_name["gateway"].log_path
+        wait_until(lambda: '"reloaded"' in log.read_text(), within=7.0)
+        world.fault("plain-1", status=500)
+        world.fault("plain-2", status=500)
+        _, name = world.request("/read/x")
+        runs = [world.runs(n)["runs"].get(name, 0) for n in ("plain-1", "plain-2")]
+        assert sum(runs) == 1
+
+    def test_invalid_settings_change_nothing(self, world):
+        path = world.fleet.folder / "gateway.json"
+        path.write_text("{")
+        gateway = world.fleet.processes_by_name["gateway"]
+        gateway.send(signal.SIGHUP)
+        wait_until(lambda: '"settings_invalid"' in gateway.log_path.read_text())
+        assert world.request("/read/x")[0].status == 200
+
+
 class TestStop:
     def test_stop_finishes_what_is_under_way(self, world):
         world.target("slow-1", "plain", gap=1.5)
