Soak real gateways with random faults, and write the operators' and developers' pages

Cause: nothing injected faults into real processes from outside; the pages said nothing of gateways.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: environment test demo bench capacity experiment generate
+.PHONY: environment test demo bench capacity experiment generate soak
 
 environment: .venv/installed
 
@@ -31,3 +31,9 @@
 
 experiment: environment
 	$(BIN)/python -m tools.experiment
+
+SEEDS ?= 50
+FIRST ?= 1
+
+soak: environment
+	$(BIN)/python -m tests.soak --seeds $(SEEDS) --first $(FIRST)
--- a/pimentolink/calls.py
+++ b/pimentolink/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from pimentolink.dialect import CallerRequest, Dialect, Sending, Verdict
@@ -101,7 +102,7 @@
         self._log = log
         self._metrics = metrics
         self._pools_by_target: dict[str, ConnectionPool] = {}
-        self.most_connections = settings.most
+        self.most_connections: Callable[[str], int] = lambda service: settings.most
 
     def forget(self, target_id: str) -> None:
         """Close the idle connections of a target that is gone."""
@@ -118,7 +119,7 @@
                 self._reactor, target.address, self._settings, self._timers
             )
             self._pools_by_target[target.target_id] = pool
-        pool.most = self.most_connections
+        pool.most = self.most_connections(target.service)
         return pool
 
     async def alone(self, belief: TargetBelief, message: HttpRequest) -> HttpReply:
--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -306,13 +306,20 @@
         """
         List the targets of a service that may get work.
 
-        Ejected ones are left out as long as enough others remain.
+        Ejected ones are left out as long as enough others of their role remain.
         """
-        usable = [item for item in self.of_service(service) if item.is_usable(now)]
-        healthy = [item for item in usable if not item.is_ejected(now)]
-        if len(healthy) >= len(usable) * (1 - self._ejection.most_share):
-            return healthy
-        return usable
+        by_role: dict[EngineRole, list[TargetBelief]] = {}
+        for belief in self.of_service(service):
+            if belief.is_usable(now):
+                by_role.setdefault(belief.target.role, []).append(belief)
+        return [
+            belief for group in by_role.values() for belief in self._healthy(group, now)
+        ]
+
+    def _healthy(self, group: list[TargetBelief], now: float) -> list[TargetBelief]:
+        healthy = [belief for belief in group if not belief.is_ejected(now)]
+        least = len(group) * (1 - self._ejection.most_share)
+        return healthy if len(healthy) >= least else group
 
     def failed(self, belief: TargetBelief, now: float) -> bool:
         """
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -101,6 +101,7 @@
             self.log,
             self.metrics,
         )
+        self._caller.most_connections = self._most_connections
         self._dialect = dialect
         self._book = PeerBook(self.fleet)
         self._peers = PeerProtocol(
@@ -285,6 +286,15 @@
         services = table.services_by_name.values()
         return [service.name for service in services if service.engine is not None]
 
+    def _most_connections(self, service: str) -> int:
+        """Tell this gateway's part of the connections that a target takes."""
+        most = self._settings.connections.most
+        table = self.tables.table
+        found = table.services_by_name.get(service) if table is not None else None
+        if found is None:
+            return most
+        return max(1, min(most, found.most_connections // self.budgets.gateways))
+
     def _fleet_changed(self) -> None:
         gateways = self.membership.gateways_by_name
         self._peers.addresses_by_gateway = {
--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -18,7 +18,8 @@
     :ivar idle: seconds that a connection is kept unused at most.
     :ivar idle_once: the same before a request that may not be repeated, which a
         connection that closes under it would lose.
-    :ivar most: connections to one target at once.
+    :ivar most: connections to one target at once; fewer if the target's own bound,
+        shared by all gateways, says so.
     :ivar probe_after: seconds of silence before a keep-alive probe.
     :ivar probe_interval: seconds between probes.
     :ivar probes: probes missed after which a connection counts as lost.
@@ -69,15 +70,12 @@
     :ivar body_bytes: largest body.
     :ivar head_time: seconds that a request's head may take.
     :ivar idle_time: seconds that a connection may stay unused.
-    :ivar buffered_bytes: bytes of an answer kept for a caller that reads slowly,
-        before reading from the target is paused.
     """
 
     head_bytes: Count = 16_384
     body_bytes: Count = 4_194_304
     head_time: Seconds = 3.0
     idle_time: Seconds = 15.0
-    buffered_bytes: Count = 65_536
 
 
 class PlacementSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -183,7 +181,6 @@
         that engines hold nothing yet.
     :ivar order_lease_ms: milliseconds within which two processes may not both give
         orders.
-    :ivar thaw: seconds after a freeze in which nothing rests on older belief.
     :ivar stop_within: seconds that a graceful stop may take.
     """
 
@@ -202,5 +199,4 @@
     roles: RoleSettings = field(default_factory=RoleSettings)
     is_first_start: bool = False
     order_lease_ms: Count = 3000
-    thaw: Seconds = 0.3
     stop_within: Seconds = 8.0
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections import Counter
 from typing import Any
 from uuid import uuid4
@@ -54,6 +55,11 @@
         self.routes.add("POST", "/", self.take)
         self.routes.add("GET", "/", self.take)
 
+    def _log(self, event: str, name: str, **fields: Any) -> None:
+        """Write what happened to standard output, which outlives this process."""
+        told = {"event": event, "name": name, "at": time.time(), **fields}
+        print(json.dumps(told), flush=True)
+
     def set_faults(self, request: Request) -> None:
         """Switch faults on or off."""
         self.faults.update(body_of(request))
@@ -87,6 +93,7 @@
             return
         self.sequence += 1
         self.phase = body["phase"]
+        self._log("order", body["holder"], fence=body["fencingToken"])
         answer(request, {}, 202)
 
     def drop(self, request: Request) -> None:
@@ -118,6 +125,7 @@
 
     def _read(self, request: Request, name: str) -> None:
         self.reads[name] += 1
+        self._log("read", name)
         parts = request.getHeader("Pimentolink-Prompt-Prefix") or ""
         for part in parts.split(","):
             part_id, _, tokens = part.partition(":")
@@ -129,6 +137,7 @@
 
     def _call(self, request: Request, name: str) -> None:
         self.runs[name] += 1
+        self._log("run", name)
         body = content_of(request).decode()
         shown = uuid4().hex if self.faults["wrong_id"] else name
         headers = {ID: shown, "Pimentolink-Response-Signature": f"signed-{name}"}
@@ -142,6 +151,7 @@
             answer(request, {}, 421, {"Pimentolink-Instance-Id": self.instance})
             return
         self.runs[name] += 1
+        self._log("run", name)
         request.setHeader(ID, name)
         request.setHeader("Pimentolink-Response-Signature", f"signed-{name}")
         request.setHeader("Content-Type", "text/event-stream")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -160,6 +160,13 @@
                 found.failed(belief, 0.0)
         assert len(found.usable("s", 0.1)) == 4
 
+    def test_only_writer_is_used_though_it_failed(self):
+        found = fleet(*engines(4, 1))
+        writer = found.targets_by_id["writer-0"]
+        for _ in range(3):
+            found.failed(writer, 0.0)
+        assert queue_over(found)._placer.writer("s", "north", 0.1) is writer
+
     def test_ejected_engine_returns(self):
         found = fleet(*engines(4, 0))
         belief = found.targets_by_id["reader-0"]
--- a/tools/docs.py
+++ b/tools/docs.py
@@ -10,11 +10,11 @@
 
 import msgspec
 
-from pimentolink import configuration, settings
+from pimentolink import configuration, gatewaysettings, settings
 from pimentolink.logs import LogEvent
 
 DOCS = Path("docs")
-PAGES_NEEDED = ("index", "GLOSSARY", "OPERATIONS", "PROOFS", "CAPACITY")
+PAGES_NEEDED = ("index", "GLOSSARY", "OPERATIONS", "PROOFS", "CAPACITY", "HUNTS")
 CONFIGURATION_TYPES: tuple[type[msgspec.Struct], ...] = (
     configuration.Configuration,
     configuration.DataCentreConfiguration,
@@ -35,6 +35,14 @@
     settings.QueueSettings,
     settings.ClaimSettings,
     settings.OrderSettings,
+    gatewaysettings.GatewaySettings,
+    gatewaysettings.StoreSettings,
+    gatewaysettings.ConnectionSettings,
+    gatewaysettings.CallerSettings,
+    gatewaysettings.PlacementSettings,
+    gatewaysettings.RoleSettings,
+    gatewaysettings.EjectionSettings,
+    gatewaysettings.BudgetSettings,
 )
 
 
@@ -62,9 +70,9 @@
         "# Configuration and settings",
         "",
         "Made by `python -m tools.docs` from the types in",
-        "`pimentolink/configuration.py` and `pimentolink/settings.py`. Both are JSON:",
-        "one base file and an overlay for each site, merged as RFC 7396 says. A field",
-        "with a default may be left out.",
+        "`configuration`, `settings` and `gatewaysettings` of the package. All are",
+        "JSON: one base file and an overlay for each site, merged as RFC 7396 says. A",
+        "field with a default may be left out.",
         "",
         "## Configuration",
         "",
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -259,6 +259,11 @@
         arguments = ["pimentolink.platform.edge", str(path)]
         return self._launch(name, arguments, listen)
 
+    def start_again(self, name: str) -> Process:
+        """Start a process that ended, as it was started before."""
+        before = self.processes_by_name[name]
+        return self._launch(name, before.arguments, before.address)
+
     def _launch(self, name: str, arguments: list[str], address: str) -> Process:
         process = Process(name, arguments, address, self.folder)
         self.processes_by_name[name] = process
