--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -161,7 +161,7 @@
     fill: Ratio = 0.4
     least_share: Ratio = 0.2
     least_count: Count = 2
-    least_from: Count = 5
+    least_from: Count = 4
     horizon: Seconds = 6.0
     rise: Annotated[float, Meta(ge=1)] = 3.0
     pause: Seconds = 1.0
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -13,11 +13,12 @@
     Failure,
     NoTarget,
     ReplyInvalid,
+    RetryBudgetSpent,
     StreamBroken,
 )
 from pimentolink.eventstream import EventSplitter, is_after
 from pimentolink.fleet import Fleet, TargetBelief
-from pimentolink.forwarder import Work, pass_on, passed_on
+from pimentolink.forwarder import USUAL_PAUSE, Work, pass_on, passed_on
 from pimentolink.httptypes import HttpReply
 from pimentolink.logs import Log, LogEvent
 from pimentolink.placement import MOST_SIZE, Placer, SizeScale, WaitingPrompt
@@ -110,11 +111,18 @@
         raise last
 
     def _may_go_on(self, work: Work) -> bool:
-        return (
-            work.attempts.may_repeat()
-            and work.time_left(self._timers.now()) > 0
-            and self._budgets.spend(work.service)
-        )
+        return work.attempts.may_repeat() and work.time_left(self._timers.now()) > 0
+
+    def _spend_on_repeat(self, work: Work, is_repeat: bool) -> None:
+        """
+        Take a repeated sending out of the shared budget.
+
+        The first reading and the first run of a request are free.
+
+        :raises RetryBudgetSpent: if nothing is left.
+        """
+        if is_repeat and not self._budgets.spend(work.service):
+            raise RetryBudgetSpent("no repeated attempt is left", USUAL_PAUSE)
 
     def _tell_broken(self, work: Work, relay: _Relay, failure: Failure) -> None:
         self._log.write(
@@ -129,7 +137,7 @@
         """Read the prompt, have the answer written and relay it."""
         ticket = await self._readings.wait(self._waiting(work, relay))
         if ticket.placement.is_reading_only:
-            prepared = await self._read(work, ticket)
+            prepared = await self._read(work, ticket, relay)
             call = await self._write(work, prepared, relay)
             await self._relay(work, call, relay)
             return
@@ -169,12 +177,14 @@
             last_event=relay.last_event,
         )
 
-    async def _read(self, work: Work, ticket: Ticket) -> _Prepared:
+    async def _read(self, work: Work, ticket: Ticket, relay: _Relay) -> _Prepared:
         """Have the prompt read by an engine that leaves the answer to another."""
         reader = ticket.placement.belief
         patience = READING_PATIENCE * ticket.expected + READING_GRACE
         is_good = False
         try:
+            self._spend_on_repeat(work, relay.readings > 0)
+            relay.readings += 1
             reading = self._read_at(work, ticket)
             prepared = await with_timeout(self._timers, patience, reading)
             is_good = True
@@ -242,6 +252,7 @@
     async def _run(self, work: Work, belief: TargetBelief, sending: Sending) -> Call:
         """Send the request to be run, and wait for the head of the answer."""
         is_once = work.route.repeatability is Repeatability.ONCE
+        self._spend_on_repeat(work, work.attempts.count > 0)
         work.attempts.sent(belief.target.target_id)
         try:
             call = await self._caller.begin(work.request, belief, sending, is_once)
@@ -310,6 +321,7 @@
         self.last_event = work.request.last_event
         self.has_begun = False
         self.tries = 0
+        self.readings = 0
 
     async def run(self, call: Call) -> None:
         """Pass events on until the stream's end."""
--- a/pimentolink/retry.py
+++ b/pimentolink/retry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from random import Random
 
 from pimentolink.gatewaysettings import BudgetSettings
@@ -50,28 +51,27 @@
     """
     One gateway's part of a budget that all gateways share.
 
-    Over any window at most ``ratio`` of the requests here and this gateway's part of
-    ``slack`` are granted: half of the part at once, the other half over the window.
+    Over any window it grants at most ``ratio`` of the requests that came here in it and
+    this gateway's part of ``slack``. Nothing is saved up: a failure after a quiet hour
+    must not set off a storm of attempts.
     """
 
     def __init__(self, settings: BudgetSettings, timers: Timers) -> None:
         """
-        Start with what may be spent at once.
+        Start with nothing counted.
 
         :param settings: ratio, slack and window.
         :param timers: the timer service.
         """
         self.settings = settings
         self._timers = timers
-        self._earned = 0.0
-        self._balance: float | None = None
-        self._counted_at = timers.now()
+        self._requests: deque[float] = deque()
+        self._granted: deque[float] = deque()
 
     def earn(self) -> None:
         """Count one request."""
-        most = self.settings.slack
-        ratio = USED_SHARE * self.settings.ratio
-        self._earned = min(most, self._earned + ratio)
+        self._requests.append(self._timers.now())
+        self._forget()
 
     def spend(self, gateways: int) -> bool:
         """
@@ -80,19 +80,19 @@
         :param gateways: that share the slack.
         :returns: whether it is granted.
         """
-        part = USED_SHARE * self.settings.slack / max(1, gateways) / 2
-        now = self._timers.now()
-        gained = part * (now - self._counted_at) / self.settings.window
-        before = part if self._balance is None else self._balance
-        self._balance = min(part, before + gained)
-        self._counted_at = now
-        if self._balance >= 1.0:
-            self._balance -= 1.0
-            return True
-        if self._earned >= 1.0:
-            self._earned -= 1.0
-            return True
-        return False
+        self._forget()
+        earned = self.settings.ratio * len(self._requests)
+        part = self.settings.slack / max(1, gateways)
+        if len(self._granted) + 1 > USED_SHARE * (earned + part):
+            return False
+        self._granted.append(self._timers.now())
+        return True
+
+    def _forget(self) -> None:
+        begin = self._timers.now() - self.settings.window
+        for times in (self._requests, self._granted):
+            while times and times[0] < begin:
+                times.popleft()
 
 
 class SharedBudgets:
--- a/tests/test_sharedbudget.py
+++ b/tests/test_sharedbudget.py
@@ -24,6 +24,17 @@
             requests = 4 * 100
             assert len(inside) <= 0.2 * requests + 54
 
+    def test_nothing_is_saved_up_for_a_later_storm(self):
+        timers = ManualTimers()
+        settings = BudgetSettings(ratio=0.2, slack=54.0, window=10.0)
+        budgets = SharedBudgets(settings, timers)
+        budgets.gateways = 4
+        for _ in range(600):
+            timers.advance(0.1)
+            budgets.earn("s")
+        granted = sum(budgets.spend("s") for _ in range(200))
+        assert granted <= 0.2 * 100 + 54 / 4
+
     def test_quiet_gateway_may_repeat_at_once(self):
         budgets = SharedBudgets(BudgetSettings(slack=54.0), ManualTimers())
         budgets.gateways = 4
