Tell a start that fails, watch for freezes in a module of its own, drop what nobody used

A failure at the start went to Twisted's own log, which nothing observes.

Change: a failed start or stop is logged as a fault of the process. Fields that nothing read are gone.

Measured: tests of the modules touched pass.

--- a/pimentolink/callerhttp.py
+++ b/pimentolink/callerhttp.py
@@ -63,7 +63,7 @@
         self._body_size = 0
         self._answering: Deferred[None] | None = None
         self._timer: Timer | None = None
-        self._is_closing = False
+        self.is_closing = False
         self._is_lost = False
         self._is_reading_paused = False
         self._on_pause: Callable[[bool], None] | None = None
@@ -105,7 +105,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is under way on it."""
-        self._is_closing = True
+        self.is_closing = True
         if self._answering is None and self._parser is None and not self._received:
             self._transport().loseConnection()
 
@@ -207,7 +207,7 @@
         if parser.our_state is not h11.DONE and parser.our_state is not h11.MUST_CLOSE:
             self.abort()
             return
-        if parser.our_state is h11.MUST_CLOSE or self._is_closing:
+        if parser.our_state is h11.MUST_CLOSE or self.is_closing:
             self._transport().loseConnection()
             return
         self._go_on()
@@ -273,7 +273,7 @@
         """Do nothing: the caller's leaving is told by the connection."""
 
     def _write_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        if self._is_closing:
+        if self.is_closing:
             headers.append((b"Connection", b"close"))
         self._write_event(h11.Response(status_code=status, headers=headers))
 
@@ -371,7 +371,7 @@
     def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         """Make the protocol of a new connection."""
         connection = CallerConnection(self)
-        connection._is_closing = self.is_closing
+        connection.is_closing = self.is_closing
         return connection
 
     def close_idle(self) -> None:
@@ -384,7 +384,7 @@
         """Tell callers with their next answer that the connection closes."""
         self.is_closing = True
         for connection in self.connections:
-            connection._is_closing = True
+            connection.is_closing = True
 
     def caller_left(self, request_id: str) -> None:
         """Count a caller that closed before its answer was whole."""
--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -42,7 +42,6 @@
     A target as it is listed.
 
     :ivar target_id: one life of one target; a restart has another.
-    :ivar cold_time: seconds for which it stays slow after its start.
     """
 
     target_id: str
@@ -51,7 +50,6 @@
     data_centre: str
     slots: int
     is_leaving: bool
-    cold_time: float
     role: EngineRole
 
 
@@ -77,7 +75,6 @@
     """
 
     tokens: int
-    priority: int
     parts: tuple[PromptPart, ...]
     began_at: float
     forgotten_at: float
@@ -187,14 +184,13 @@
         self,
         ticket: str,
         tokens: int,
-        priority: int,
         parts: Iterable[PromptPart],
         now: float,
     ) -> None:
         """Count a reading that was sent there, by whichever gateway."""
         expected = self.backlog(now) + self.work_time(tokens)
         forgotten_at = now + 3 * expected + LOST_END
-        reading = Reading(tokens, priority, tuple(parts), now, forgotten_at)
+        reading = Reading(tokens, tuple(parts), now, forgotten_at)
         self.readings_by_ticket[ticket] = reading
         self.parts.note(reading.parts)
 
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -18,6 +17,7 @@
 from pimentolink.errors import SettingsInvalid
 from pimentolink.fleet import Fleet
 from pimentolink.forwarder import Forwarder
+from pimentolink.freezewatch import FreezeWatch
 from pimentolink.gatewaysettings import GatewaySettings
 from pimentolink.generation import Generations
 from pimentolink.httptypes import Headers, HttpRequest
@@ -38,10 +38,6 @@
 from pimentolink.settings import split_address
 from pimentolink.timers import Repeater, Timers, pause
 
-# Seconds between two looks for a freeze, and how far off a look may be before it
-# counts as one.
-FREEZE_LOOK = 0.1
-FREEZE = 0.5
 # Seconds between two tellings of requests under way to the other gateways.
 TELL_INTERVAL = 0.2
 # Seconds between two looks at the settings file, which may change without a signal.
@@ -105,7 +101,7 @@
         self._dialect = dialect
         self._book = PeerBook(self.fleet)
         self._peers = PeerProtocol(
-            self._book, self._news, timers.now, self.log, self.metrics
+            self._book, self._news, timers, self.log, self.metrics
         )
         placer = Placer(settings.placement, self.fleet, settings.data_centre)
         self.readings = Readings(
@@ -170,7 +166,7 @@
         )
         self._ports: list[Any] = []
         self._repeaters: list[Repeater] = []
-        self._looked_at = (timers.now(), _boot_clock())
+        self._freezes = FreezeWatch(timers, self.log, self._thawed)
         self._has_told_any = False
         self.is_stopping = False
 
@@ -220,10 +216,10 @@
         host, port = split_address(self._settings.peers)
         self._ports.append(self._reactor.listenUDP(port, self._peers, interface=host))
         self._follower.start()
+        self._freezes.start()
         self._registration.start()
         self._orders.start()
         self._repeaters = [
-            Repeater(self._timers, FREEZE_LOOK, self._look_for_freeze),
             Repeater(self._timers, TELL_INTERVAL, self._tell_in_flight),
             Repeater(self._timers, RELOAD_INTERVAL, self.reload),
         ]
@@ -245,6 +241,7 @@
         if self._factory.connections:
             self.log.write(LogEvent.STOP_TIMEOUT, in_work=self.forwarder.in_work)
         self._follower.stop()
+        self._freezes.stop()
         for repeater in self._repeaters:
             repeater.cancel()
         self.log.write(LogEvent.STOPPED)
@@ -318,15 +315,8 @@
             self._peers.tell(InFlight(self._settings.instance, counts))
         self._has_told_any = bool(counts)
 
-    def _look_for_freeze(self) -> None:
-        """Notice that the process stood still, and read the store again."""
-        now, boot = self._timers.now(), _boot_clock()
-        before, boot_before = self._looked_at
-        self._looked_at = (now, boot)
-        stood = max(now - before, boot - boot_before) - FREEZE_LOOK
-        if stood < FREEZE:
-            return
-        self.log.write(LogEvent.FROZEN, seconds=round(stood, 3))
+    def _thawed(self) -> None:
+        """Read the store again before anything rests on older belief."""
         self._follower.restart()
         self._registration.check()
         self._orders.distrust()
@@ -366,8 +356,3 @@
     async def handle(self, http: HttpRequest, responder: CallerConnection) -> None:
         status, body = self._page()
         responder.answer(status, ((b"Content-Type", b"text/plain"),), body)
-
-
-def _boot_clock() -> float:
-    """Read the clock that goes on while the instance is suspended, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -160,7 +160,6 @@
             service=work.service,
             parts=request.parts,
             prompt_tokens=max(1, request.prompt_tokens),
-            priority=min(LEAST_URGENT, route.priority),
             size=size,
             arrived_at=arrived_at,
             latency_target=route.latency_target,
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import msgspec
@@ -12,6 +13,7 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
 from pimentolink.settings import split_address
+from pimentolink.timers import Timers
 
 # Largest datagram that no link on the way splits, in bytes.
 MOST_DATAGRAM = 1400
@@ -28,7 +30,6 @@
     ticket: str
     target_id: str
     tokens: int
-    priority: int
     parts: list[tuple[int, int]]
 
 
@@ -100,9 +101,7 @@
             return
         if isinstance(message, ReadingBegan):
             parts = [PromptPart(*part) for part in message.parts]
-            belief.begin_reading(
-                message.ticket, message.tokens, message.priority, parts, now
-            )
+            belief.begin_reading(message.ticket, message.tokens, parts, now)
         elif isinstance(message, RoleChanging):
             belief.changing_until = now + message.seconds
         else:
@@ -127,20 +126,25 @@
     """Datagrams between gateways; a lost one costs a guess, never an answer."""
 
     def __init__(
-        self, book: PeerBook, on_news: Any, now: Any, log: Log, metrics: Metrics
+        self,
+        book: PeerBook,
+        on_news: Callable[[], object],
+        timers: Timers,
+        log: Log,
+        metrics: Metrics,
     ) -> None:
         """
         Prepare.
 
         :param book: takes what others tell.
         :param on_news: called after each message.
-        :param now: reads the clock, in seconds.
+        :param timers: the timer service.
         :param log: where events go.
         :param metrics: where figures go.
         """
         self._book = book
         self._on_news = on_news
-        self._now = now
+        self._timers = timers
         self._log = log
         self._metrics = metrics
         self._decoder = msgspec.msgpack.Decoder(Message)
@@ -168,5 +172,5 @@
             self._metrics.count("peer_messages", "invalid")
             self._log.write(LogEvent.PEER_MESSAGE_INVALID, detail=str(error))
             return
-        self._book.take(message, self._now())
+        self._book.take(message, self._timers.now())
         self._on_news()
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -47,7 +47,6 @@
     service: str
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
-    priority: int
     size: float
     arrived_at: float
     latency_target: float
--- a/pimentolink/platform/documents.py
+++ b/pimentolink/platform/documents.py
@@ -54,10 +54,8 @@
 
 
 class _Engine(msgspec.Struct, rename="camel"):
-    slots: int
     kv_tokens: int
     role_switch_s: float = 3.0
-    kv_ttl_s: float = 5.0
     kv_bytes: float = 20_000.0
     link_mbps: float = 100_000.0
 
@@ -94,7 +92,6 @@
     zone: str
     slots: int = 1
     state: str = "ready"
-    cold_remaining_ms: float = 0.0
     phase: str | None = None
 
 
@@ -125,10 +122,8 @@
     model = None
     if engine is not None:
         model = EngineModel(
-            slots=engine.slots,
             cache_tokens=engine.kv_tokens,
             switch_time=engine.role_switch_s,
-            handle_time=engine.kv_ttl_s,
             copy_rate=engine.link_mbps * 1e6 / 8 / max(1.0, engine.kv_bytes),
         )
     return Service(found.name, found.max_connections, model)
@@ -188,7 +183,6 @@
                 data_centre=found.zone,
                 slots=found.slots,
                 is_leaving=found.state == _LEAVING,
-                cold_time=found.cold_remaining_ms / 1000,
                 role=_ROLES.get(found.phase or "", EngineRole.NONE),
             )
         )
--- a/pimentolink/process.py
+++ b/pimentolink/process.py
@@ -9,6 +9,8 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure as TwistedFailure
 
+from pimentolink import logs
+
 EXIT_SLOT_TAKEN = 3
 EXIT_FAILED = 1
 
@@ -70,7 +72,10 @@
             self._reactor.stop()
 
     def _broke(self, failure: TwistedFailure) -> None:
-        failure.printTraceback()
+        # A start or stop that fails is a fault of the process itself; without this line
+        # it would end without a word.
+        traceback = failure.getTraceback()
+        logs.Log().write(logs.LogEvent.UNHANDLED_ERROR, traceback=traceback)
         self.exit_code = EXIT_FAILED
         if not self._is_stopping:
             self._reactor.stop()
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -115,11 +115,11 @@
     def _begin(self, prompt: WaitingPrompt, placement: Placement, now: float) -> Ticket:
         name = f"{self._gateway}-{next(self._numbers)}"
         belief = placement.belief
-        tokens, priority = placement.tokens, prompt.priority
-        belief.begin_reading(name, tokens, priority, prompt.parts, now)
+        tokens = placement.tokens
+        belief.begin_reading(name, tokens, prompt.parts, now)
         target_id = belief.target.target_id
         parts = parts_of(prompt.parts)
-        self._news.tell(ReadingBegan(name, target_id, tokens, priority, parts))
+        self._news.tell(ReadingBegan(name, target_id, tokens, parts))
         self._log.write(
             LogEvent.PROMPT_PLACED,
             request=prompt.request_id,
--- a/pimentolink/routes.py
+++ b/pimentolink/routes.py
@@ -70,17 +70,13 @@
     """
     What is told of a service's engines.
 
-    :ivar slots: requests in one batch.
     :ivar cache_tokens: tokens that its memory holds.
     :ivar switch_time: seconds that a change of role takes.
-    :ivar handle_time: seconds that a read prompt waits to be fetched.
     :ivar copy_rate: tokens a second that go over the link between two engines.
     """
 
-    slots: int
     cache_tokens: int
     switch_time: float
-    handle_time: float
     copy_rate: float
 
 
--- a/pimentolink/timers.py
+++ b/pimentolink/timers.py
@@ -37,6 +37,13 @@
         :returns: seconds since 1970.
         """
 
+    def boot_time(self) -> float:
+        """
+        Read the clock that goes on while the instance is suspended.
+
+        :returns: seconds since an arbitrary start.
+        """
+
     def call_later(self, delay: float, callback: Callable[[], object]) -> Timer:
         """
         Subscribe to one moment.
@@ -146,6 +153,10 @@
         """Read the calendar clock, in seconds since 1970."""
         return time.time()
 
+    def boot_time(self) -> float:
+        """Read the clock that goes on in a suspension, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def call_later(self, delay: float, callback: Callable[[], object]) -> Timer:
         """Subscribe to one moment ``delay`` seconds away."""
         return _ReactorTimer(self._reactor.callLater(delay, callback))
@@ -167,6 +178,7 @@
     def __init__(self) -> None:
         """Start at zero."""
         self._now = 0.0
+        self.suspended = 0.0
         self._order = itertools.count()
         self._heap: list[tuple[float, int, _ManualTimer]] = []
 
@@ -178,6 +190,14 @@
         """Read the virtual calendar, which starts in 2027."""
         return 1_800_000_000.0 + self._now
 
+    def boot_time(self) -> float:
+        """Read the virtual clock with the suspensions, in seconds."""
+        return self._now + self.suspended
+
+    def suspend(self, seconds: float) -> None:
+        """Let time pass that the monotonic clock does not count."""
+        self.suspended += seconds
+
     def call_later(self, delay: float, callback: Callable[[], object]) -> Timer:
         """Subscribe to one virtual moment ``delay`` seconds away."""
         timer = _ManualTimer(callback)
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -14,10 +14,8 @@
 from pimentolink.routes import EngineModel, Repeatability, Route, WeightedService
 
 MODEL = EngineModel(
-    slots=64,
     cache_tokens=100_000,
     switch_time=3.0,
-    handle_time=5.0,
     copy_rate=1_000_000.0,
 )
 
@@ -47,7 +45,6 @@
         data_centre="north",
         slots=64,
         is_leaving=False,
-        cold_time=0.0,
         role=role,
     )._replace(**changes)
 
@@ -89,7 +86,6 @@
         service="s",
         parts=tuple(parts),
         prompt_tokens=sum(part.tokens for part in parts),
-        priority=1,
         size=size,
         arrived_at=at,
         latency_target=latency_target,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -274,6 +274,19 @@
         assert world.request("/read/x")[0].status == 200
 
 
+class TestStart:
+    def test_start_that_fails_is_told(self, fleet):
+        world = PlatformWorld(fleet)
+        taken = fleet.address("store")
+        process = fleet.start_gateway("gateway", readiness=taken)
+        assert process.popen.wait(10) == 1
+        text = process.log_path.read_text()
+        assert "unhandled_error" in text
+        assert "CannotListenError" in text
+        fleet.processes_by_name.pop("gateway")
+        assert world.fleet is fleet
+
+
 class TestStop:
     def test_stop_finishes_what_is_under_way(self, world):
         world.target("slow-1", "plain", gap=1.5)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -15,7 +15,7 @@
     while (chosen := queue.next(now)) is not None:
         waiting, placement = chosen
         placement.belief.begin_reading(
-            waiting.request_id, placement.tokens, 1, waiting.parts, now
+            waiting.request_id, placement.tokens, waiting.parts, now
         )
         placed.append((waiting.request_id, placement.belief.target.target_id))
     return placed
@@ -39,7 +39,7 @@
         queue.add(prompt("first", 500, SHARED), 0.0)
         ((_, home),) = place_all(queue, found)
         found.targets_by_id[home].end_reading("first", is_good=True)
-        found.targets_by_id[home].begin_reading("long", 30_000, 1, (), 0.0)
+        found.targets_by_id[home].begin_reading("long", 30_000, (), 0.0)
         assert queue.add(prompt("second", 500, SHARED), 0.0) is None
         _, placement = queue.next(0.0)
         assert placement.belief.target.target_id != home
@@ -116,7 +116,7 @@
     def test_busy_writer_is_spared_from_reading(self):
         found = fleet(*engines(1, 1))
         found.targets_by_id["writer-0"].in_flight = 20
-        found.targets_by_id["reader-0"].begin_reading("r", 4_000, 1, (), 0.0)
+        found.targets_by_id["reader-0"].begin_reading("r", 4_000, (), 0.0)
         queue = queue_over(found, late_factor=9.0)
         queue.add(prompt("p", 2_000), 0.0)
         placement = queue._placer.best(prompt("p", 2_000), 0.0)
@@ -181,7 +181,7 @@
     found = fleet(*engines(1, 0))
     belief = found.targets_by_id["reader-0"]
     for number in range(count):
-        belief.begin_reading(str(number), 1_000, 1, (), 0.0)
+        belief.begin_reading(str(number), 1_000, (), 0.0)
     assert belief.backlog(0.0) == pytest.approx(count * belief.work_time(1_000))
     belief.end_reading("0", is_good=True)
     assert belief.backlog(0.0) == pytest.approx((count - 1) * belief.work_time(1_000))
@@ -190,6 +190,6 @@
 def test_reading_whose_end_was_never_told_is_forgotten():
     found = fleet(*engines(1, 0))
     belief = found.targets_by_id["reader-0"]
-    belief.begin_reading("lost", 1_000, 1, (), 0.0)
+    belief.begin_reading("lost", 1_000, (), 0.0)
     assert belief.backlog(1.0) > 0
     assert belief.backlog(9.0) == 0
