--- a/pimentolink/cli.py
+++ b/pimentolink/cli.py
@@ -16,6 +16,7 @@
 from pimentolink import porcelain
 from pimentolink.configuration import Configuration
 from pimentolink.errors import ConfigurationInvalid, Failure
+from pimentolink.gatewaysettings import GatewaySettings
 from pimentolink.settings import (
     EntrySettings,
     PlatformSettings,
@@ -152,6 +153,7 @@
         self.target = TargetCommands()
         self.plan = PlanCommands()
         self.request = RequestCommands()
+        self.gateway = GatewayCommands()
 
     def entry(self, settings: str, *overlays: str) -> None:
         """Run an entry until SIGTERM."""
@@ -188,6 +190,28 @@
             print(line)
 
 
+class GatewayCommands:
+    """Run a gateway on the users' platform, or check what it would run on."""
+
+    def run(self, settings: str) -> None:
+        """Run a gateway until SIGTERM."""
+        from pimentolink.platform.edge import run
+
+        sys.exit(run(settings))
+
+    def check(self, settings: str, configuration: str = "") -> None:
+        """Check settings, and a configuration of the platform, without any call."""
+        _read(GatewaySettings, [settings])
+        if configuration:
+            found = porcelain.check_platform_configuration(configuration)
+            if isinstance(found, Err):
+                _end(EXIT_INVALID, str(found.err_value))
+            table = found.ok_value
+            routes = len(table.routes_by_name)
+            print(f"version {table.version}, {routes} routes")
+        print("ok")
+
+
 class _Platform:
     """The platform's services, used for one command on a loop of its own."""
 
--- a/pimentolink/platform/edge.py
+++ b/pimentolink/platform/edge.py
@@ -43,16 +43,13 @@
     )
 
 
-def main() -> int:
+def run(path: str) -> int:
     """
-    Run until told to stop.
-
-    The settings file is the first argument, or else what the platform's variable
-    names.
+    Run a gateway until told to stop.
 
+    :param path: of the settings file.
     :returns: the exit code.
     """
-    path = sys.argv[1] if len(sys.argv) > 1 else os.environ[SETTINGS_VARIABLE]
     settings = read_settings(GatewaySettings, [path])
     if isinstance(settings, Err):
         print(settings.err_value, file=sys.stderr)
@@ -68,5 +65,15 @@
     return process.exit_code
 
 
+def main() -> int:
+    """
+    Run with the settings file that the first argument or the platform names.
+
+    :returns: the exit code.
+    """
+    path = sys.argv[1] if len(sys.argv) > 1 else os.environ[SETTINGS_VARIABLE]
+    return run(path)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/pimentolink/porcelain.py
+++ b/pimentolink/porcelain.py
@@ -4,6 +4,7 @@
 
 import json
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Any, NamedTuple
 from uuid import uuid4
 
@@ -22,6 +23,7 @@
 from pimentolink.errors import (
     ConfigurationConflict,
     ConfigurationInvalid,
+    DocumentInvalid,
     Failure,
     ReferenceUnknown,
 )
@@ -29,6 +31,7 @@
 from pimentolink.instances import ENTRY, InstanceList
 from pimentolink.kvstore import KeyValueStore
 from pimentolink.plan import decode_plan, groups_of
+from pimentolink.routes import RoutingTable
 from pimentolink.settings import merge_documents
 
 CHANGE_TRIES = 5
@@ -42,6 +45,23 @@
     after: Any
 
 
+def check_platform_configuration(path: str) -> Result[RoutingTable, DocumentInvalid]:
+    """
+    Check a configuration of the users' platform, as its operator writes it.
+
+    :param path: of the document.
+    :returns: the routes that a gateway would follow, or what is wrong.
+    """
+    # Imported here: other commands do not need the platform's formats.
+    from pimentolink.platform.documents import PlatformDocuments
+
+    try:
+        document = Path(path).read_bytes()
+    except OSError as error:
+        return Err(DocumentInvalid(f"{path}: {error}"))
+    return PlatformDocuments().read_configuration(document)
+
+
 def check_configuration(
     base: str, overlays: list[str]
 ) -> Result[Configuration, ConfigurationInvalid]:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -87,3 +87,25 @@
         assert done.stderr.startswith("key_value_unavailable")
     finally:
         call(platform.url("key_value", "/faults"), "PUT", {"down": False})
+
+
+class TestGateway:
+    def test_settings_and_configuration_are_checked_without_a_call(self, fleet):
+        told = {
+            "instance": "g",
+            "data_centre": "north",
+            "listen": "127.0.0.1:1",
+            "readiness": "127.0.0.1:2",
+            "peers": "127.0.0.1:3",
+            "metrics": "127.0.0.1:4",
+            "store": {"address": "127.0.0.1:5"},
+        }
+        settings = str(fleet.write("gateway", told))
+        document = str(fleet.write("config", {"version": 7, "routes": []}))
+        done = fleet.command("gateway", "check", settings, "--configuration", document)
+        assert done.returncode == 0
+        assert done.stdout == "version 7, 0 routes\nok\n"
+
+    def test_faults_end_with_their_own_exit_code(self, fleet):
+        settings = str(fleet.write("gateway", {"instance": "g"}))
+        assert fleet.command("gateway", "check", settings).returncode == 2
