Forgive targets the failures that a freeze of the gateway explains

Ruled out: sick targets (no other gateway ejected them).

Change: after a freeze, failures are forgotten and for a second not counted.

Measured: tests/test_placement.py has the case; the gateway's tests pass.

--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -25,6 +25,8 @@
 LOST_END = 2.0
 
 
+# Seconds after a freeze in which failures are taken for its consequences.
+THAW_GRACE = 1.0
 # Seconds that fetching parts from another engine takes besides their tokens.
 COPY_OVERHEAD = 0.015
 
@@ -231,6 +233,13 @@
             self._failures = 0
             self._ejections = 0
 
+    def forgive(self) -> None:
+        """Forget failures and what followed from them."""
+        self.failure_share = 0.0
+        self._failures = 0
+        self._ejections = 0
+        self.ejected_until = 0.0
+
     def failed(self, now: float, settings: EjectionSettings) -> bool:
         """
         Count a failure.
@@ -263,6 +272,7 @@
         self._ejection = ejection
         self.targets_by_id: dict[str, TargetBelief] = {}
         self._models_by_service: dict[str, EngineModel | None] = {}
+        self._forgiven_until = 0.0
 
     def set_models(self, models_by_service: dict[str, EngineModel | None]) -> None:
         """Learn which services have engines, and of which model."""
@@ -317,12 +327,25 @@
         least = len(group) * (1 - self._ejection.most_share)
         return healthy if len(healthy) >= least else group
 
+    def forgive(self, now: float) -> None:
+        """
+        Forget failures, and count none for a while: this process stood still.
+
+        Its own timeouts ran out meanwhile and its connections were given up; without
+        this a gateway that stood still for 7 s ejected every target it knew.
+        """
+        self._forgiven_until = now + THAW_GRACE
+        for belief in self.targets_by_id.values():
+            belief.forgive()
+
     def failed(self, belief: TargetBelief, now: float) -> bool:
         """
         Count a failure of a target.
 
         :returns: whether it is ejected.
         """
+        if now < self._forgiven_until:
+            return False
         return belief.failed(now, self._ejection)
 
     def usual_rate(self, service: str) -> float:
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -317,6 +317,7 @@
 
     def _thawed(self) -> None:
         """Read the store again before anything rests on older belief."""
+        self.fleet.forgive(self._timers.now())
         self._follower.restart()
         self._registration.check()
         self._orders.distrust()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -167,6 +167,17 @@
             found.failed(writer, 0.0)
         assert queue_over(found)._placer.writer("s", "north", 0.1) is writer
 
+    def test_failures_that_a_freeze_explains_are_forgiven(self):
+        found = fleet(*engines(4, 0))
+        belief = found.targets_by_id["reader-0"]
+        for _ in range(3):
+            found.failed(belief, 0.0)
+        found.forgive(0.1)
+        assert len(found.usable("s", 0.2)) == 4
+        assert not any(found.failed(belief, 0.5) for _ in range(5))
+        assert len(found.usable("s", 0.6)) == 4
+        assert any(found.failed(belief, 2.0) for _ in range(3))
+
     def test_ejected_engine_returns(self):
         found = fleet(*engines(4, 0))
         belief = found.targets_by_id["reader-0"]
