Say once how a failed sending is booked, and drop what nothing uses

Cause, by reading the whole change again: whether a failed sending may have run was booked in the same four lines for plain calls and for generations; a closing flag of the forwarder was never set, so the refusal behind it could not happen; an alias of end_to_end, two counters and two attributes were read by nobody.

Change: Attempts.failed; the dead code is gone. Behaviour stays, tests are untouched.

--- a/pimentolink/attempts.py
+++ b/pimentolink/attempts.py
@@ -53,6 +53,17 @@
         self.tried_target_ids.append(target_id)
         self._in_doubt = target_id
 
+    def failed(self, failure: Failure) -> None:
+        """
+        Learn how the last sending failed.
+
+        :param failure: its ``ran`` tells whether the request may have run.
+        """
+        if failure.ran:
+            self.ran()
+        else:
+            self.not_run()
+
     def not_run(self) -> None:
         """Learn that the last sending did not run."""
         self._in_doubt = ""
--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -23,8 +23,6 @@
 # Seconds after which a reading that another gateway told of, and whose end was never
 # told, no longer counts, beyond its own work.
 LOST_END = 2.0
-
-
 # Seconds after a freeze in which failures are taken for its consequences.
 THAW_GRACE = 1.0
 # Seconds that fetching parts from another engine takes besides their tokens.
--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -12,7 +12,6 @@
 from pimentolink.dialect import CallerRequest, Dialect
 from pimentolink.errors import (
     CannotBeInTime,
-    Draining,
     Failure,
     InvalidRequest,
     NoConfiguration,
@@ -142,7 +141,6 @@
         self._log = log
         self._metrics = metrics
         self.in_work = 0
-        self.is_closing = False
 
     async def handle(self, http: HttpRequest, responder: Responder) -> None:
         """
@@ -164,12 +162,10 @@
 
     def _admit(
         self, http: HttpRequest, responder: Responder
-    ) -> Result[Work, InvalidRequest | NoConfiguration | RouteUnknown | Draining]:
+    ) -> Result[Work, InvalidRequest | NoConfiguration | RouteUnknown]:
         current = self._tables.current()
         if isinstance(current, Err):
             return current
-        if self.is_closing:
-            return Err(Draining("this gateway is about to end", USUAL_PAUSE))
         found = self._dialect.read_request(http, self._timers.now())
         if isinstance(found, Err):
             return found
@@ -259,11 +255,6 @@
     responder.answer(failure.status, tuple(headers), f"{failure}\n".encode())
 
 
-def passed_on(reply_headers: Headers) -> Headers:
-    """Keep the headers of a target's answer that the caller gets."""
-    return end_to_end(reply_headers)
-
-
 def pass_on(responder: Responder, reply: HttpReply) -> None:
     """Give a target's whole answer to the caller."""
-    responder.answer(reply.head.status, passed_on(reply.head.headers), reply.body)
+    responder.answer(reply.head.status, end_to_end(reply.head.headers), reply.body)
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -80,7 +80,6 @@
         self._settings = settings
         self._read_settings = read_settings
         self._timers = timers
-        self._keyspace = keyspace
         self._life = uuid4().hex[:8]
         self.log = Log(instance=settings.instance, life=self._life)
         self.metrics = Metrics()
@@ -175,7 +174,6 @@
         generations = Generations(
             self._caller,
             self._dialect,
-            self.fleet,
             self.readings,
             placer,
             self.budgets,
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -17,9 +17,9 @@
     StreamBroken,
 )
 from pimentolink.eventstream import EventSplitter, is_after
-from pimentolink.fleet import Fleet, TargetBelief
-from pimentolink.forwarder import USUAL_PAUSE, Work, pass_on, passed_on
-from pimentolink.httptypes import HttpReply
+from pimentolink.fleet import TargetBelief
+from pimentolink.forwarder import USUAL_PAUSE, Work, pass_on
+from pimentolink.httptypes import HttpReply, end_to_end
 from pimentolink.logs import Log, LogEvent
 from pimentolink.placement import MOST_SIZE, Placer, SizeScale, WaitingPrompt
 from pimentolink.readings import Readings, Ticket
@@ -58,7 +58,6 @@
         self,
         caller: Caller,
         dialect: Dialect,
-        fleet: Fleet,
         readings: Readings,
         placer: Placer,
         budgets: SharedBudgets,
@@ -70,7 +69,6 @@
 
         :param caller: makes calls.
         :param dialect: reads answers.
-        :param fleet: the engines.
         :param readings: where prompts wait.
         :param placer: chooses engines that write.
         :param budgets: bound repeated attempts.
@@ -79,7 +77,6 @@
         """
         self._caller = caller
         self._dialect = dialect
-        self._fleet = fleet
         self._readings = readings
         self._placer = placer
         self._budgets = budgets
@@ -256,10 +253,7 @@
         try:
             call = await self._caller.begin(work.request, belief, sending, is_once)
         except Failure as failure:
-            if failure.ran:
-                work.attempts.ran()
-            else:
-                work.attempts.not_run()
+            work.attempts.failed(failure)
             raise
         work.attempts.ran()
         return call
@@ -347,4 +341,4 @@
         self.has_begun = True
         self._work.first_event_at = self._timers.now()
         responder = self._work.responder
-        responder.begin(call.head.status, passed_on(call.head.headers))
+        responder.begin(call.head.status, end_to_end(call.head.headers))
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -109,10 +109,7 @@
             else:
                 reply = await self._exchange(work, belief)
         except Failure as failure:
-            if failure.ran:
-                work.attempts.ran()
-            else:
-                work.attempts.not_run()
+            work.attempts.failed(failure)
             return failure
         work.attempts.ran()
         return reply
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -76,7 +76,6 @@
         self._has_ended = False
         self.is_open = False
         self.is_reusable = False
-        self.exchanges = 0
         self.idle_limit = settings.idle
         self.idle_since = timers.now()
         self.on_closed: Callable[[TargetConnection], None] = lambda connection: None
@@ -96,7 +95,6 @@
         :raises ConnectionBroken: if it breaks; the request may have been taken.
         :raises ReplyInvalid: if what comes is no HTTP.
         """
-        self.exchanges += 1
         self.is_reusable = False
         self._has_ended = False
         self._request = request
@@ -298,7 +296,6 @@
         self._timer: Timer | None = None
         self.is_closed = False
         self.most = settings.most
-        self.opened = 0
         self.count = 0
 
     async def acquire(self, most_idle: float | None = None) -> TargetConnection:
@@ -325,7 +322,6 @@
 
     async def _open(self) -> TargetConnection:
         self.count += 1
-        self.opened += 1
         factory = _ConnectionFactory(self._settings, self._timers)
         try:
             connection: TargetConnection = await self._endpoint.connect(factory)
