Refuse what comes too late in a stop to be finished

Ruled out: closing the port sooner (callers that the balancer still sends would be turned away without an answer, where a refusal tells them when and that nothing ran).

Change: 2.9 s after a stop begins, requests are refused as not run with Retry-After.

--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -12,6 +12,7 @@
 from pimentolink.dialect import CallerRequest, Dialect
 from pimentolink.errors import (
     CannotBeInTime,
+    Draining,
     Failure,
     InvalidRequest,
     NoConfiguration,
@@ -141,6 +142,7 @@
         self._log = log
         self._metrics = metrics
         self.in_work = 0
+        self.is_closing = False
 
     async def handle(self, http: HttpRequest, responder: Responder) -> None:
         """
@@ -162,10 +164,12 @@
 
     def _admit(
         self, http: HttpRequest, responder: Responder
-    ) -> Result[Work, InvalidRequest | NoConfiguration | RouteUnknown]:
+    ) -> Result[Work, InvalidRequest | NoConfiguration | RouteUnknown | Draining]:
         current = self._tables.current()
         if isinstance(current, Err):
             return current
+        if self.is_closing:
+            return Err(Draining("this gateway is about to end", USUAL_PAUSE))
         found = self._dialect.read_request(http, self._timers.now())
         if isinstance(found, Err):
             return found
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -45,6 +45,9 @@
 # Seconds after a stop's begin until idle connections are closed: the balancer takes
 # this long to notice that the gateway is not ready.
 LEAVE_TIME = 2.5
+# Seconds beyond it until no new request is taken: one that comes later could not be
+# finished before the bound on the stop, and is refused as not run instead of cut off.
+LAST_WORK = 0.4
 # Seconds before the bound on a stop at which work that is left is cut off.
 CUT_BEFORE = 0.5
 
@@ -233,6 +236,8 @@
         self._orders.stop()
         await pause(self._timers, LEAVE_TIME)
         self._factory.close_idle()
+        await pause(self._timers, LAST_WORK)
+        self.forwarder.is_closing = True
         bound = began_at + self._settings.stop_within - CUT_BEFORE
         while self._factory.connections and self._timers.now() < bound:
             await pause(self._timers, 0.05)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -307,6 +307,27 @@
         assert answers[0].status == 200
         assert gateway.popen.wait(10) == 0
 
+    def test_request_that_comes_too_late_to_be_finished_is_refused_unrun(self, world):
+        world.gateway("second", stop_within=8.0)
+        world.target("slow-1", "plain", gap=2.8)
+        for name in ("plain-1", "plain-2"):
+            world.remove(f"servers/{name}")
+        time.sleep(0.4)
+        gateway = world.fleet.processes_by_name["second"]
+        gateway.send(signal.SIGTERM)
+        time.sleep(1.5)
+        asking = threading.Thread(
+            target=lambda: world.request("/read/x", gateway="second")
+        )
+        asking.start()
+        time.sleep(1.7)
+        found, name = world.request("/read/x", gateway="second")
+        assert found.status == 503
+        assert float(found.headers["retry-after"]) > 0
+        assert found.headers["connection"] == "close"
+        assert name not in world.runs("slow-1")["runs"]
+        asking.join(10)
+
     def test_open_connections_are_answered_and_then_told_to_close(self, world):
         connection = world.connection()
         headers = {"Host": HOST, "Pimentolink-Request-Id": "aa"}
