Look once more before an idle caller's connection is closed

Ruled out: the 408 being lost on the way (with the process paused for 1.3 s the answer is empty, without a pause it never was); the order of the two timers (the later one only ends what the earlier has answered).

Change: an idle connection is closed only after one more look 0.1 s later, in which bytes that waited are read; a request under way is left to its own deadline.

The new test in test_callers fails before, passes after.

--- a/pimentolink/callers.py
+++ b/pimentolink/callers.py
@@ -5,12 +5,13 @@
 import hmac
 import math
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 from uuid import uuid4
 
 import msgspec
 from result import Err
 from twisted.internet.interfaces import IPushProducer
+from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 from twisted.web.server import Request as WebRequest
@@ -29,6 +30,7 @@
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 PASSED_HEADERS = frozenset({"content-type", "accept"})
 JSON = b"application/json"
+LAST_LOOK = 0.1  # seconds; several turns of the loop, each of which reads what has come
 
 
 class BoundedRequest(WebRequest):
@@ -94,6 +96,32 @@
         return self.channel.transport
 
 
+class CallerChannel(HTTPChannel):
+    """
+    A connection of a caller, closed when it stays idle.
+
+    The time that an entry itself stood still does not make a connection idle: a caller
+    whose bytes wait to be read would lose the connection without an answer.
+    """
+
+    _has_looked_again = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes, after which the connection is not idle."""
+        self._has_looked_again = False
+        super().dataReceived(data)
+
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close an idle connection once a last look has found no bytes."""
+        if self.requests:
+            return  # the request under way has a deadline of its own
+        if self._has_looked_again:
+            super().timeoutConnection()
+            return
+        self._has_looked_again = True
+        self.setTimeout(LAST_LOOK)
+
+
 class CallerInterface(Resource):
     """Answers every path that callers and operators may ask for."""
 
@@ -431,6 +459,9 @@
     """
     bounds = {"limits": limits, "timers": timers}
     request_type = type("CallerRequest", (BoundedRequest,), bounds)
-    site = Site(interface, requestFactory=request_type, timeout=limits.request_head)
+    site: Any = Site(
+        interface, requestFactory=request_type, timeout=limits.request_head
+    )
+    site.protocol = CallerChannel
     site.displayTracebacks = False
-    return site
+    return cast(Site, site)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,7 +5,13 @@
 import time
 
 import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.web.resource import Resource
 
+from pimentolink.callers import make_site
+from pimentolink.settings import CallerLimits
+from pimentolink.timers import ManualTimers
 from tests.builders import TARGETS, configuration, start_targets
 from tools.fleet import Fleet, call, wait_until
 
@@ -57,6 +63,42 @@
         assert read_all(connection).startswith(b"HTTP/1.1 408")
 
 
+class TestIdleConnection:
+    """A connection whose entry stood still past the idle limit, in virtual time."""
+
+    def channel(self):
+        limits = CallerLimits(request_head=1.0)
+        self.timers = ManualTimers()
+        self.clock = Clock()
+        site = make_site(Resource(), limits, self.timers)
+        site.reactor = self.clock
+        channel = site.buildProtocol(None)
+        self.transport = StringTransport()
+        channel.makeConnection(self.transport)
+        return channel
+
+    def test_bytes_that_waited_to_be_read_are_answered(self):
+        channel = self.channel()
+        self.clock.advance(1.3)
+        assert not self.transport.disconnecting
+        channel.dataReceived(b"POST /a HTTP/1.1\r\ncontent-length: 9\r\n\r\n")
+        self.clock.advance(1.0)
+        self.timers.advance(1.0)
+        assert self.transport.value().startswith(b"HTTP/1.1 408")
+
+    def test_connection_without_bytes_is_closed(self):
+        self.channel()
+        self.clock.advance(1.0)
+        assert not self.transport.disconnecting
+        self.clock.advance(0.2)
+        assert self.transport.disconnecting
+
+
+def test_idle_connection_is_closed(fleet):
+    with connect(fleet) as connection:
+        assert read_all(connection) == b""
+
+
 def test_flood_of_headers_is_refused(fleet):
     with connect(fleet) as connection:
         lines = b"".join(b"x-%d: %s\r\n" % (n, b"y" * 100) for n in range(1000))
