Tell other gateways in gathered datagrams, and forget the load of silent ones

Cause, from reading the code for the load of 29 gateways: nothing ever dropped what a gateway that was killed or replaced had told to have under way (PeerBook.forget had no caller), so its load stayed on targets for good; and each message was a datagram of its own to each other gateway, ten a second and gateway besides a fifth-second's counts.

Ruled out: dropping counts when the store no longer lists the gateway (its entry outlives it by 10 s, and a stopped store would keep it).

Change: messages are gathered for 20 ms and take the counts along; counts are told on change, each second otherwise, and forgotten after 3.5 s of silence.

--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -27,7 +27,7 @@
 from pimentolink.membership import Documents, Membership
 from pimentolink.metrics import Metrics
 from pimentolink.orderholder import OrderHolder
-from pimentolink.peers import InFlight, PeerBook, PeerProtocol
+from pimentolink.peers import PeerProtocol
 from pimentolink.placement import Placer, ReadingQueue
 from pimentolink.plaincalls import PlainCalls
 from pimentolink.readings import Readings
@@ -38,8 +38,6 @@
 from pimentolink.settings import split_address
 from pimentolink.timers import Repeater, Timers, pause
 
-# Seconds between two tellings of requests under way to the other gateways.
-TELL_INTERVAL = 0.2
 # Seconds between two looks at the settings file, which may change without a signal.
 RELOAD_INTERVAL = 5.0
 # Seconds after a stop's begin until idle connections are closed: the balancer takes
@@ -101,9 +99,8 @@
         )
         self._caller.most_connections = self._most_connections
         self._dialect = dialect
-        self._book = PeerBook(self.fleet)
         self._peers = PeerProtocol(
-            self._book, self._news, timers, self.log, self.metrics
+            settings.instance, self.fleet, self._news, timers, self.log, self.metrics
         )
         placer = Placer(settings.placement, self.fleet, settings.data_centre)
         self.readings = Readings(
@@ -167,9 +164,8 @@
             self.metrics,
         )
         self._ports: list[Any] = []
-        self._repeaters: list[Repeater] = []
+        self._reloading: Repeater | None = None
         self._freezes = FreezeWatch(timers, self.log, self._thawed)
-        self._has_told_any = False
         self.is_stopping = False
 
     def _make_forwarder(self, placer: Placer) -> Forwarder:
@@ -220,10 +216,8 @@
         self._freezes.start()
         self._registration.start()
         self._orders.start()
-        self._repeaters = [
-            Repeater(self._timers, TELL_INTERVAL, self._tell_in_flight),
-            Repeater(self._timers, RELOAD_INTERVAL, self.reload),
-        ]
+        self._peers.start()
+        self._reloading = Repeater(self._timers, RELOAD_INTERVAL, self.reload)
         self.log.write(LogEvent.STARTED, settings=msgspec.to_builtins(self._settings))
 
     async def stop(self) -> None:
@@ -245,8 +239,9 @@
             self.log.write(LogEvent.STOP_TIMEOUT, in_work=self.forwarder.in_work)
         self._follower.stop()
         self._freezes.stop()
-        for repeater in self._repeaters:
-            repeater.cancel()
+        self._peers.stop()
+        if self._reloading is not None:
+            self._reloading.cancel()
         self.log.write(LogEvent.STOPPED)
 
     def reload(self) -> None:
@@ -308,16 +303,6 @@
     def _news(self) -> None:
         self.readings.look()
 
-    def _tell_in_flight(self) -> None:
-        counts = {
-            belief.target.target_id: belief.in_flight
-            for belief in self.fleet.targets_by_id.values()
-            if belief.in_flight
-        }
-        if counts or self._has_told_any:
-            self._peers.tell(InFlight(self._settings.instance, counts))
-        self._has_told_any = bool(counts)
-
     def _thawed(self) -> None:
         """Read the store again before anything rests on older belief."""
         self.fleet.forgive(self._timers.now())
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,138 @@
+"""What gateways tell each other, on one virtual wire."""
+
+import pytest
+
+from pimentolink.dialect import PromptPart
+from pimentolink.fleet import EngineRole
+from pimentolink.logs import Log
+from pimentolink.metrics import Metrics
+from pimentolink.peers import (
+    COUNTS_LAST,
+    MOST_DATAGRAM,
+    PeerOutbox,
+    PeerProtocol,
+    ReadingBegan,
+    ReadingEnded,
+)
+from pimentolink.timers import ManualTimers
+from tests.gatewayparts import fleet, target
+
+
+class Wire:
+    """Carries datagrams to the other gateway at once, and counts them."""
+
+    def __init__(self):
+        self.other = None
+        self.datagrams = []
+
+    def write(self, datagram, address):
+        self.datagrams.append(datagram)
+        if self.other is not None:
+            self.other.datagramReceived(datagram, address)
+
+
+class Pair:
+    """Two gateways with their beliefs of one engine."""
+
+    def __init__(self):
+        self.timers = ManualTimers()
+        self.fleets = [fleet(target("e", EngineRole.WRITER)) for _ in range(2)]
+        self.wires = [Wire(), Wire()]
+        self.peers = [
+            PeerProtocol(
+                name, known, lambda: None, self.timers, Log(instance=name), Metrics()
+            )
+            for name, known in zip("ab", self.fleets, strict=True)
+        ]
+        for index, peer in enumerate(self.peers):
+            peer.transport = self.wires[index]
+            self.wires[index].other = self.peers[1 - index]
+            peer.addresses_by_gateway = {"other": "127.0.0.1:1"}
+            peer.start()
+
+    def engine(self, index):
+        return self.fleets[index].targets_by_id["e"]
+
+
+@pytest.fixture
+def pair():
+    return Pair()
+
+
+class TestInFlight:
+    def test_load_of_another_gateway_is_known_within_a_turn(self, pair):
+        pair.engine(0).in_flight = 3
+        pair.timers.advance(0.2)
+        assert pair.engine(1).load() == 3
+
+    def test_load_that_ends_is_known_too(self, pair):
+        pair.engine(0).in_flight = 3
+        pair.timers.advance(0.2)
+        pair.engine(0).in_flight = 0
+        pair.timers.advance(0.2)
+        assert pair.engine(1).load() == 0
+
+    def test_lost_datagram_is_made_up_for_within_a_second(self, pair):
+        pair.wires[0].other = None
+        pair.engine(0).in_flight = 3
+        pair.timers.advance(0.2)
+        pair.wires[0].other = pair.peers[1]
+        pair.timers.advance(1.2)
+        assert pair.engine(1).load() == 3
+
+    def test_load_of_a_gateway_that_was_killed_is_forgotten(self, pair):
+        pair.engine(0).in_flight = 3
+        pair.timers.advance(0.2)
+        pair.peers[0].stop()
+        pair.timers.advance(COUNTS_LAST - 0.3)
+        assert pair.engine(1).load() == 3
+        pair.timers.advance(0.6)
+        assert pair.engine(1).load() == 0
+
+    def test_steady_load_is_told_once_a_second(self, pair):
+        pair.engine(0).in_flight = 3
+        pair.timers.advance(10.0)
+        assert 9 <= len(pair.wires[0].datagrams) <= 11
+
+    def test_idle_gateway_tells_nothing(self, pair):
+        pair.timers.advance(10.0)
+        assert pair.wires[0].datagrams == []
+
+
+class TestReadings:
+    def test_other_gateway_counts_a_reading_until_its_end(self, pair):
+        pair.peers[0].tell(ReadingBegan("t", "e", 5000, [(1, 5000)]))
+        pair.timers.advance(0.05)
+        assert pair.engine(1).backlog(pair.timers.now()) > 0
+        pair.peers[0].tell(ReadingEnded("t", "e", True, 9000.0))
+        pair.timers.advance(0.05)
+        assert pair.engine(1).backlog(pair.timers.now()) == 0
+        assert pair.engine(1).fetchable.held_tokens([PromptPart(1, 5000)]) == 5000
+
+    def test_messages_of_one_moment_share_a_datagram(self, pair):
+        for number in range(5):
+            pair.peers[0].tell(ReadingBegan(f"t{number}", "e", 5000, []))
+        pair.timers.advance(0.05)
+        assert len(pair.wires[0].datagrams) == 1
+
+
+class TestOutbox:
+    def test_no_datagram_is_too_large(self):
+        outbox = PeerOutbox()
+        for number in range(100):
+            parts = [(number, 1)] * (number % 40)
+            assert outbox.add(ReadingBegan(f"t{number}", "e", 1, parts))
+        datagrams = outbox.take()
+        assert len(datagrams) > 1
+        assert all(len(datagram) <= MOST_DATAGRAM for datagram in datagrams)
+        assert outbox.take() == []
+
+    def test_message_that_fits_into_no_datagram_is_not_taken(self):
+        outbox = PeerOutbox()
+        assert not outbox.add(ReadingBegan("t" * MOST_DATAGRAM, "e", 1, []))
+        assert outbox.take() == []
+
+
+def test_bytes_that_are_no_message_are_dropped(pair):
+    pair.peers[0].datagramReceived(b"\x93\x01", ("127.0.0.1", 1))
+    assert pair.engine(0).load() == 0
