Write a gateway's bytes to sockets at once

Change: gateways use the connections that write at once, which links between entry and sidecar use already; an empty queue is not looked at.

--- a/pimentolink/directwrite.py
+++ b/pimentolink/directwrite.py
@@ -119,3 +119,25 @@
     connector = _DirectConnector(host, port, factory, timeout, None, reactor)
     connector.connect()
     return connector
+
+
+class DirectEndpointReactor:
+    """
+    What an endpoint needs of a loop, for connections that write at once.
+
+    :source: ``IReactorTCP.connectTCP`` of Twisted.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        """
+        Wrap a loop.
+
+        :param reactor: the loop.
+        """
+        self._reactor = reactor
+
+    def connectTCP(  # noqa: N802
+        self, host: str, port: int, factory: Any, timeout: float, **unused: Any
+    ) -> Any:
+        """Connect as the loop would; endpoints of this product bind no address."""
+        return connect(self._reactor, host, port, factory, timeout)
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -10,6 +10,7 @@
 import msgspec
 from result import Err, Result
 
+from pimentolink import directwrite
 from pimentolink.cachelearning import CacheLearning
 from pimentolink.callerhttp import CallerConnection, CallerFactory
 from pimentolink.calls import Caller
@@ -89,7 +90,7 @@
         self.fleet = Fleet(settings.placement, settings.ejection)
         self.budgets = SharedBudgets(settings.budget, timers)
         self._caller = Caller(
-            reactor,
+            directwrite.DirectEndpointReactor(reactor),
             settings.connections,
             self.fleet,
             dialect,
@@ -208,7 +209,7 @@
         ):
             host, port = split_address(address)
             self._ports.append(
-                self._reactor.listenTCP(port, factory, backlog=512, interface=host)
+                directwrite.listen(self._reactor, host, port, factory, backlog=512)
             )
         host, port = split_address(self._settings.peers)
         self._ports.append(self._reactor.listenUDP(port, self._peers, interface=host))
--- a/pimentolink/platform/edge.py
+++ b/pimentolink/platform/edge.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from pimentolink import logs
+from pimentolink.directwrite import DirectEndpointReactor
 from pimentolink.gateway import Gateway
 from pimentolink.gatewaysettings import GatewaySettings
 from pimentolink.platform import documents
@@ -31,7 +32,8 @@
     :param path: of the file that holds them.
     """
     timers = ReactorTimers(reactor)
-    store = PlatformStore(reactor, settings.store, settings.connections, timers)
+    direct = DirectEndpointReactor(reactor)
+    store = PlatformStore(direct, settings.store, settings.connections, timers)
     return Gateway(
         reactor,
         settings,
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -96,6 +96,8 @@
 
     def look(self) -> None:
         """Send what has room, turn away what has become hopeless."""
+        if not self._waiters_by_id:
+            return
         now = self._timers.now()
         for prompt in self._queue.hopeless(now):
             failure = CannotBeInTime("the engines fell behind", 0.3)
