Let entries and sidecars use the gateways' store, show its state, demonstrate it

Cause: the product's own key-value port and the keyspace of gateways stood apart, each with a suite of its own; operators could not ask how a deployment of gateways stands; nothing showed a gateway at work without the users' bench.

Ruled out: the service of the product's own build-up behind the keyspace's port (it tells neither removals nor a history).

Change: KeyspaceStore, so that one suite of the port runs over memory, HTTP, a keyspace in memory and the users' store; gateway status; make demo-platform (tests/platformworld is now tools/platformworld).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: environment test demo bench capacity experiment generate soak
+.PHONY: environment test demo demo-platform bench capacity experiment generate soak
 
 environment: .venv/installed
 
@@ -20,6 +20,9 @@
 demo: environment
 	$(BIN)/python -m tools.demo
 
+demo-platform: environment
+	$(BIN)/python -m tools.demo_platform
+
 bench: environment
 	$(BIN)/python -m tools.bench
 
--- a/pimentolink/cli.py
+++ b/pimentolink/cli.py
@@ -211,6 +211,32 @@
             print(f"version {table.version}, {routes} routes")
         print("ok")
 
+    def status(self, settings: str, json: bool = False) -> None:
+        """Show what the store of a gateway's settings tells of the deployment."""
+        from twisted.internet import reactor as default_reactor
+
+        from pimentolink.platform.edge import make_store
+
+        reactor: Any = default_reactor
+        store, documents = make_store(reactor, _read(GatewaySettings, [settings]))
+        found = _run(reactor, porcelain.deployment_status(store, documents))
+        targets = [
+            target._asdict() | {"role": target.role.value} for target in found.targets
+        ]
+        gateways = [gateway._asdict() for gateway in found.gateways]
+        if json:
+            rows = {"targets": targets, "gateways": gateways}
+            _print_json(found._asdict() | rows)
+            return
+        print(f"configuration: version {found.version}, {found.routes} routes")
+        print(f"orders are given by: {found.order_holder or 'nobody'}")
+        print("\ntargets")
+        _print_rows(targets)
+        print("\ngateways")
+        _print_rows(gateways)
+        for line in found.unreadable:
+            print(line)
+
 
 class _Platform:
     """The platform's services, used for one command on a loop of its own."""
@@ -230,25 +256,30 @@
 
     def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
         """Run to the end; a failure ends the process with its text."""
-        from twisted.internet.defer import Deferred
+        return _run(self._reactor, coroutine)
 
-        outcome: list[Any] = []
-        failures: list[BaseException] = []
 
-        def begin() -> None:
-            pending: Any = Deferred.fromCoroutine(coroutine)
-            pending.addCallbacks(
-                outcome.append, lambda failure: failures.append(failure.value)
-            )
-            pending.addBoth(lambda _: self._reactor.stop())
+def _run(reactor: Any, coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run the loop until a coroutine ends; a failure ends the process with its text."""
+    from twisted.internet.defer import Deferred
+
+    outcome: list[Any] = []
+    failures: list[BaseException] = []
+
+    def begin() -> None:
+        pending: Any = Deferred.fromCoroutine(coroutine)
+        pending.addCallbacks(
+            outcome.append, lambda failure: failures.append(failure.value)
+        )
+        pending.addBoth(lambda _: reactor.stop())
 
-        self._reactor.callWhenRunning(begin)
-        self._reactor.run()
-        if failures and isinstance(failures[0], Failure):
-            _end(EXIT_FAILED, str(failures[0]))
-        if failures:
-            raise failures[0]
-        return outcome[0]
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    if failures and isinstance(failures[0], Failure):
+        _end(EXIT_FAILED, str(failures[0]))
+    if failures:
+        raise failures[0]
+    return outcome[0]
 
 
 def _checked(base: str, overlays: tuple[str, ...]) -> Configuration:
@@ -294,7 +325,7 @@
     print(json.dumps(value, indent=2))
 
 
-def _print_rows(rows: list[dict[str, Any]], is_json: bool) -> None:
+def _print_rows(rows: list[dict[str, Any]], is_json: bool = False) -> None:
     if is_json:
         _print_json(rows)
         return
--- a/pimentolink/orderholder.py
+++ b/pimentolink/orderholder.py
@@ -46,7 +46,7 @@
 SETTLE_TIME = 2.0
 
 
-class _Holder(msgspec.Struct):
+class Holder(msgspec.Struct):
     """Who may give orders: one life of one gateway."""
 
     instance: str
@@ -102,7 +102,7 @@
         self._random = random
         self._log = log
         self._lease_time = settings.order_lease_ms / 1000
-        self._me = msgspec.json.encode(_Holder(settings.instance, life))
+        self._me = msgspec.json.encode(Holder(settings.instance, life))
         self._name = f"{settings.instance}-{life}"
         self._holder: bytes | None = None
         self._is_known = False
--- a/pimentolink/platform/edge.py
+++ b/pimentolink/platform/edge.py
@@ -12,8 +12,8 @@
 from pimentolink.directwrite import DirectEndpointReactor
 from pimentolink.gateway import Gateway
 from pimentolink.gatewaysettings import GatewaySettings
-from pimentolink.platform import documents
 from pimentolink.platform.dialect import PlatformDialect
+from pimentolink.platform.documents import PlatformDocuments
 from pimentolink.platform.store import PlatformStore
 from pimentolink.process import Process
 from pimentolink.settings import read_settings
@@ -23,6 +23,21 @@
 EXIT_INVALID = 2
 
 
+def make_store(
+    reactor: Any, settings: GatewaySettings
+) -> tuple[PlatformStore, PlatformDocuments]:
+    """
+    Make what reads the platform's store; no call is made yet.
+
+    :param reactor: the loop.
+    :param settings: of a gateway, which name the store.
+    """
+    direct = DirectEndpointReactor(reactor)
+    timers = ReactorTimers(reactor)
+    store = PlatformStore(direct, settings.store, settings.connections, timers)
+    return store, PlatformDocuments()
+
+
 def make_gateway(reactor: Any, settings: GatewaySettings, path: str) -> Gateway:
     """
     Make a gateway that speaks the platform's protocols.
@@ -31,16 +46,14 @@
     :param settings: of the gateway.
     :param path: of the file that holds them.
     """
-    timers = ReactorTimers(reactor)
-    direct = DirectEndpointReactor(reactor)
-    store = PlatformStore(direct, settings.store, settings.connections, timers)
+    store, documents = make_store(reactor, settings)
     return Gateway(
         reactor,
         settings,
         store,
         PlatformDialect(),
-        documents.PlatformDocuments(),
-        timers,
+        documents,
+        ReactorTimers(reactor),
         lambda: read_settings(GatewaySettings, [path]),
     )
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -17,8 +17,8 @@
 from uuid import uuid4
 
 from tests.faultproxy import GOOD, MODES
-from tests.platformworld import HOST, PARTS, PlatformWorld
 from tools.fleet import Fleet, call, free_port, wait_until
+from tools.platformworld import HOST, PARTS, PlatformWorld
 
 PIECES = 6
 FAULTS_FOR = 6.0
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tests.builders import configuration
-from tools.fleet import Fleet, call
+from tools.fleet import Fleet, call, wait_until
+from tools.platformworld import PlatformWorld
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
@@ -109,3 +110,36 @@
     def test_faults_end_with_their_own_exit_code(self, fleet):
         settings = str(fleet.write("gateway", {"instance": "g"}))
         assert fleet.command("gateway", "check", settings).returncode == 2
+
+    def test_status_tells_what_the_store_lists(self, fleet):
+        world = PlatformWorld(fleet)
+        world.start_usual()
+        settings = str(fleet.folder / "gateway.json")
+
+        def listed():
+            done = fleet.command("gateway", "status", settings, "--json")
+            assert done.returncode == 0, done.stderr
+            found = json.loads(done.stdout)
+            return found if found["gateways"] else None
+
+        wait_until(listed, what="the gateway to be listed")
+        found = listed()
+        assert (found["version"], found["routes"]) == (1, 5)
+        assert {target["target_id"] for target in found["targets"]} == {
+            "reader",
+            "writer",
+            "plain-1",
+            "plain-2",
+        }
+        assert [item["name"] for item in found["gateways"]] == ["gateway"]
+        shown = fleet.command("gateway", "status", settings).stdout
+        assert shown.startswith("configuration: version 1, 5 routes\n")
+
+    def test_status_says_that_the_store_does_not_answer(self, fleet):
+        world = PlatformWorld(fleet)
+        world.configure(1)
+        fleet.start_gateway("gateway")
+        world.fault("store", down="reset")
+        done = fleet.command("gateway", "status", str(fleet.folder / "gateway.json"))
+        assert done.returncode == 1
+        assert done.stderr.startswith("key_value_unavailable")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from tests.platformworld import HOST, PlatformWorld
 from tools.fleet import call, wait_until
+from tools.platformworld import HOST, PlatformWorld
 
 
 @pytest.fixture
--- a/tests/test_kvstore.py
+++ b/tests/test_kvstore.py
@@ -1,4 +1,4 @@
-"""One suite over the key-value service in memory and over HTTP."""
+"""One suite over every store that entries, sidecars and operators can use."""
 
 import threading
 
@@ -7,8 +7,13 @@
 from twisted.internet.defer import Deferred
 
 from pimentolink.errors import KeyValueUnavailable
+from pimentolink.gatewaysettings import ConnectionSettings, StoreSettings
+from pimentolink.keyspacestore import KeyspaceStore
 from pimentolink.kvstore import HttpStore, MemoryStore
+from pimentolink.memorykeyspace import MemoryKeyspace
+from pimentolink.platform.store import PlatformStore
 from pimentolink.settings import PlatformSettings
+from pimentolink.timers import ReactorTimers
 from tools.fleet import Fleet, call
 
 
@@ -16,6 +21,7 @@
 def service():
     with Fleet() as fleet:
         fleet.start("key_value", "standins.key_value")
+        fleet.start("store", "standins.platform_store")
         fleet.settle()
         yield fleet
 
@@ -52,17 +58,50 @@
         return self.wait(lambda: self.store.compare_and_swap(key, data, revision))
 
 
-@pytest.fixture(params=["memory", "http"])
-def calls(request, loop):
-    if request.param == "memory":
-        store = MemoryStore()
+def calls_in_memory():
+    store = MemoryStore()
+
+    def lose():
+        store.answers_to_lose = 1
+
+    return Calls(store, store.set_down, lose)
+
+
+def calls_of_a_keyspace_in_memory():
+    timers = ReactorTimers(reactor)
+    keyspace = MemoryKeyspace(timers)
+
+    def lose():
+        keyspace.answers_to_lose = 1
 
-        def lose():
-            store.answers_to_lose = 1
+    return Calls(KeyspaceStore(keyspace, timers), keyspace.set_down, lose)
 
-        yield Calls(store, store.set_down, lose)
+
+def calls_of_the_platform(fleet):
+    timers = ReactorTimers(reactor)
+    settings = StoreSettings(address=fleet.address("store"), timeout=0.5)
+    keyspace = PlatformStore(reactor, settings, ConnectionSettings(), timers)
+    faults = fleet.url("store", "/faults")
+    return Calls(
+        KeyspaceStore(keyspace, timers),
+        lambda is_down: call(faults, "PUT", {"down": "reset" if is_down else ""}),
+        lambda: call(faults, "PUT", {"lose_answers": 1}),
+    )
+
+
+@pytest.fixture(params=["memory", "http", "keyspace", "platform"])
+def calls(request, loop):
+    if request.param == "memory":
+        yield calls_in_memory()
+        return
+    if request.param == "keyspace":
+        yield calls_of_a_keyspace_in_memory()
         return
     fleet = request.getfixturevalue("service")
+    if request.param == "platform":
+        yield calls_of_the_platform(fleet)
+        call(fleet.url("store", "/faults"), "PUT", {"down": "", "lose_answers": 0})
+        return
     settings = PlatformSettings(
         key_value=fleet.address("key_value"), instance_list="127.0.0.1:1"
     )
@@ -111,6 +150,29 @@
 
         assert calls.wait(watch).data == b"2"
 
+    def test_watch_is_not_ended_by_keys_that_begin_alike(self, calls):
+        calls.swap("a/alike", b"1", 0)
+        known = calls.get("a/alike")
+        swap = calls.store.compare_and_swap
+
+        def watch():
+            pending = calls.store.watch("a/alike", known.service_index, 5.0)
+            reactor.callLater(0.05, swap, "a/alike/other", b"9", 0)
+            reactor.callLater(0.1, swap, "a/alike", b"2", known.revision)
+            return pending
+
+        assert calls.wait(watch).data == b"2"
+
+    def test_absent_key_is_told_once_it_is_written(self, calls):
+        known = calls.get("a/later")
+
+        def watch():
+            pending = calls.store.watch("a/later", known.service_index, 5.0)
+            reactor.callLater(0.05, calls.store.compare_and_swap, "a/later", b"1", 0)
+            return pending
+
+        assert calls.wait(watch).data == b"1"
+
     def test_outage_raises(self, calls):
         calls.set_down(True)
         with pytest.raises(KeyValueUnavailable):
--- a/tests/platformworld.py
+++ b/tools/platformworld.py
@@ -1,12 +1,15 @@
 """A small deployment of the users' platform, of stand-ins, on loopback."""
 
+from __future__ import annotations
+
 import base64
 import http.client
 import json
 import socket
+from typing import Any
 from uuid import uuid4
 
-from tools.fleet import Fleet, call, wait_until
+from tools.fleet import Fleet, Reply, call, wait_until
 
 HOST = "h.example"
 PARTS = "aa:1000,bb:200"
@@ -16,17 +19,22 @@
     """Store, engines, plain targets and gateways as processes."""
 
     def __init__(self, fleet: Fleet) -> None:
+        """Start the store."""
         self.fleet = fleet
         fleet.start("store", "standins.platform_store")
         fleet.settle()
 
-    def target(self, name: str, service: str, phase: str = "", **options) -> None:
+    def target(self, name: str, service: str, phase: str = "", **options: Any) -> None:
+        """Start a target and have it listed."""
         words = [f"--{key}={value}" for key, value in options.items()]
         words += [f"--instance={name}"] + ([f"--phase={phase}"] if phase else [])
         self.fleet.start(name, "standins.platform_engine", *words)
         self.list_target(name, service, phase)
 
-    def list_target(self, name, service, phase="", state="ready") -> None:
+    def list_target(
+        self, name: str, service: str, phase: str = "", state: str = "ready"
+    ) -> None:
+        """Write the entry of a target."""
         entry = {
             "service": service,
             "address": self.fleet.address(name),
@@ -37,16 +45,20 @@
         }
         self.put(f"servers/{name}", entry | ({"phase": phase} if phase else {}))
 
-    def put(self, key: str, value) -> None:
+    def put(self, key: str, value: Any) -> None:
+        """Write a key as the operator or a target does."""
         body = {"value": base64.b64encode(json.dumps(value).encode()).decode()}
         path = f"/operator?key={key}"
         call(self.fleet.url("store", path), "PUT", body)
 
     def remove(self, key: str) -> None:
+        """Remove a key."""
         call(self.fleet.url("store", f"/operator?key={key}"), "PUT", b"null")
 
-    def configure(self, version: int, **extra_routes) -> None:
-        def route(name, kind, service, **more):
+    def configure(self, version: int, **extra_routes: str) -> None:
+        """Write a configuration; further routes are named with their service."""
+
+        def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
             told = {
                 "name": name,
                 "host": HOST,
@@ -88,16 +100,25 @@
         self.configure(1)
         self.gateway("gateway")
 
-    def gateway(self, name: str, **extra) -> None:
+    def gateway(self, name: str, **extra: Any) -> None:
+        """Start a gateway and wait until it is ready."""
         self.fleet.start_gateway(name, **extra)
         self.fleet.settle()
         wait_until(lambda: self.is_ready(name), what=f"{name} to be ready")
 
     def is_ready(self, name: str) -> bool:
+        """Ask a gateway whether it is ready."""
         url = f"http://{self.fleet.readiness_by_gateway[name]}/readyz"
         return call(url).status == 200
 
-    def request(self, path, method="POST", body=b"x", headers=None, gateway="gateway"):
+    def request(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"x",
+        headers: dict[str, str] | None = None,
+        gateway: str = "gateway",
+    ) -> tuple[Reply, str]:
         """Make one request; return the answer and its id."""
         name = uuid4().hex[:16]
         told = {
@@ -109,7 +130,8 @@
         found = call(self.fleet.url(gateway, path), method, body, told)
         return found, name
 
-    def generate(self, path, **headers):
+    def generate(self, path: str, **headers: str) -> tuple[Reply, str]:
+        """Ask a model for an answer; return it and its id."""
         return self.request(
             path,
             headers={
@@ -120,13 +142,15 @@
             },
         )
 
-    def fault(self, name: str, **faults) -> None:
+    def fault(self, name: str, **faults: Any) -> None:
+        """Switch faults of a stand-in on or off."""
         call(self.fleet.url(name, "/faults"), "PUT", faults)
 
-    def runs(self, name: str) -> dict:
+    def runs(self, name: str) -> Any:
+        """Ask a target what it ran."""
         return call(self.fleet.url(name, "/runs")).json
 
-    def raw(self, data: bytes, gateway="gateway", within=5.0) -> bytes:
+    def raw(self, data: bytes, gateway: str = "gateway", within: float = 5.0) -> bytes:
         """Send bytes and read until the gateway closes or falls silent."""
         host, _, port = self.fleet.address(gateway).rpartition(":")
         with socket.create_connection((host, int(port)), timeout=within) as found:
@@ -139,11 +163,13 @@
                 pass
             return received
 
-    def connection(self, gateway="gateway") -> http.client.HTTPConnection:
+    def connection(self, gateway: str = "gateway") -> http.client.HTTPConnection:
+        """Make a connection to a gateway."""
         host, _, port = self.fleet.address(gateway).rpartition(":")
         return http.client.HTTPConnection(host, int(port), timeout=10)
 
-    def logged(self, gateway: str, request_id: str) -> list[dict]:
+    def logged(self, gateway: str, request_id: str) -> list[dict[str, Any]]:
+        """Read the lines that a gateway logged of a request."""
         text = self.fleet.processes_by_name[gateway].log_path.read_text()
         lines = [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
         return [line for line in lines if line.get("request") == request_id]
