Read heads and crossed answers that are cut between packets at any place

Cause, found by the new cases for the parsers of requests and answers (10,000 each): a head of which just whole lines had come was refused as having a bare line end, with 400 (the last byte was left out of the check whatever it was); and an answer to another request that came in a packet of its own ended the exchange, since handing the parser no bytes tells it that the connection has ended.

Ruled out: the parser itself (it takes the same bytes in one piece).

Change: only a last CR is left out of the check; nothing is handed on where nothing is left.

--- a/pimentolink/httphead.py
+++ b/pimentolink/httphead.py
@@ -32,7 +32,7 @@
     if end >= 0:
         return Ok(end + len(HEAD_END))
     # A last byte of CR may still get its LF.
-    if _BARE_LINE_END.search(received[:-1]):
+    if _BARE_LINE_END.search(received.removesuffix(b"\r")):
         return Err(InvalidRequest("a line ends with a bare CR or LF"))
     return Ok(0)
 
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -217,7 +217,8 @@
         may_go_on = self._parser.their_state is h11.DONE
         if self._is_skipping and may_go_on:
             self._start_parser(self._request)
-            self._parser.receive_data(rest)
+            if rest:  # no bytes would tell the parser that the connection ended
+                self._parser.receive_data(rest)
             return
         self._parser = None
         if self._is_skipping:
--- a/tests/test_httphead.py
+++ b/tests/test_httphead.py
@@ -21,7 +21,8 @@
         assert split_head(GOOD + b"abc", 1000) == Ok(len(GOOD))
 
     def test_part_of_a_head_is_waited_for(self):
-        assert split_head(GOOD[:-1], 1000) == Ok(0)
+        for length in range(len(GOOD)):
+            assert split_head(GOOD[:length], 1000) == Ok(0)
 
     def test_head_over_the_bound_is_refused_before_its_end(self):
         found = split_head(b"GET / HTTP/1.1\r\nX: " + b"a" * 1000, 500)
--- a/tests/test_targethttp.py
+++ b/tests/test_targethttp.py
@@ -1,10 +1,14 @@
 """Connections to targets, in virtual time and without sockets."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.testing import MemoryReactor, StringTransport
+from twisted.python.failure import Failure
 
-from pimentolink.errors import ConnectionsExhausted
+from pimentolink.errors import ConnectionBroken, ConnectionsExhausted, ReplyInvalid
 from pimentolink.gatewaysettings import ConnectionSettings
 from pimentolink.httptypes import HttpRequest
 from pimentolink.targethttp import ConnectionPool, TargetConnection
@@ -26,6 +30,121 @@
         pass
 
 
+HEAD = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n"
+FRAMINGS = ("length", "chunks", "end")
+CUTS = st.lists(st.integers(0, 400), max_size=8)
+
+
+def reply(framing, pieces, name=b"mine"):
+    """Encode an answer in one of the ways that HTTP/1.1 knows."""
+    body = b"".join(pieces)
+    head = HEAD % name
+    if framing == "length":
+        return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+    if framing == "end":
+        return head + b"\r\n" + body
+    chunks = [b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces]
+    head += b"Transfer-Encoding: chunked\r\n\r\n"
+    return head + b"".join(chunks) + b"0\r\n\r\n"
+
+
+class Exchange:
+    """One request on a connection, with what came of it."""
+
+    def __init__(self):
+        self.connection = TargetConnection(ConnectionSettings(), ManualTimers())
+        self.connection.makeConnection(Transport())
+        self.outcome = None
+        pending = Deferred.fromCoroutine(self._run())
+        pending.addErrback(self._failed)
+
+    async def _run(self):
+        await self.connection.send(REQUEST, lambda head: head.header(b"x-id") != b"old")
+        self.outcome = await self.connection.read_all(100_000)
+
+    def _failed(self, failure):
+        # Any other error is a fault of the parser.
+        failure.trap(ConnectionBroken, ReplyInvalid)
+        self.outcome = failure.value
+
+    def receive(self, data, cuts=()):
+        ends = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
+        for start, end in zip(ends, ends[1:], strict=False):
+            if self.connection.is_open:
+                self.connection.dataReceived(data[start:end])
+
+    def close(self, is_reset=False):
+        reason = ConnectionLost() if is_reset else ConnectionDone()
+        self.connection.connectionLost(Failure(reason))
+
+
+PIECES = st.lists(st.binary(min_size=1, max_size=40), max_size=5)
+
+
+@settings(max_examples=10_000, deadline=None)
+@given(framing=st.sampled_from(FRAMINGS), pieces=PIECES, cuts=CUTS, old=st.booleans())
+def test_any_pieces_give_the_same_answer(framing, pieces, cuts, old):
+    """An answer to an earlier request may come before; it is read over."""
+    exchange = Exchange()
+    before = reply("length", [b"stale"], b"old") if old else b""
+    exchange.receive(before + reply(framing, pieces), cuts)
+    exchange.close()
+    assert exchange.outcome == b"".join(pieces)
+
+
+@settings(max_examples=10_000, deadline=None)
+@given(
+    framing=st.sampled_from(FRAMINGS),
+    pieces=PIECES,
+    cuts=CUTS,
+    missing=st.integers(1, 200),
+    is_reset=st.booleans(),
+)
+def test_part_of_an_answer_never_looks_whole(framing, pieces, cuts, missing, is_reset):
+    """Only an answer that ends with its connection is whole at a clean end."""
+    exchange = Exchange()
+    whole = reply(framing, pieces)
+    part = whole[: max(0, len(whole) - missing)]
+    exchange.receive(part, cuts)
+    exchange.close(is_reset)
+    if framing == "end" and not is_reset and b"\r\n\r\n" in part:
+        assert exchange.outcome == part.partition(b"\r\n\r\n")[2]
+    else:
+        assert isinstance(exchange.outcome, ConnectionBroken | ReplyInvalid)
+
+
+@settings(max_examples=10_000, deadline=None)
+@given(
+    framing=st.sampled_from(FRAMINGS),
+    pieces=PIECES,
+    cuts=CUTS,
+    noise=st.binary(min_size=1, max_size=8),
+    at=st.integers(0, 300),
+)
+def test_damaged_answer_is_told_or_read(framing, pieces, cuts, noise, at):
+    """Whatever comes ends in an answer or in a typed error."""
+    exchange = Exchange()
+    whole = reply(framing, pieces)
+    exchange.receive(whole[:at] + noise + whole[at:], cuts)
+    exchange.close()
+    assert exchange.outcome is not None
+
+
+class TestExtraBytes:
+    def test_bytes_that_nobody_asked_for_end_the_connection(self):
+        exchange = Exchange()
+        exchange.receive(reply("length", [b"a"]) + b"HTTP/1.1 200 OK\r\n")
+        assert exchange.outcome == b"a"
+        assert not exchange.connection.is_reusable
+
+    def test_bytes_on_an_idle_connection_end_it(self):
+        exchange = Exchange()
+        exchange.receive(reply("length", [b"a"]))
+        assert exchange.connection.is_reusable
+        exchange.receive(b"x")
+        assert not exchange.connection.is_open
+
+
 @pytest.fixture
 def timers():
     return ManualTimers()
