--- a/pimentolink/calls.py
+++ b/pimentolink/calls.py
@@ -7,11 +7,12 @@
 
 from pimentolink.dialect import CallerRequest, Dialect, Sending, Verdict
 from pimentolink.errors import Failure, OtherInstance, RejectedUnrun, TargetFailed
-from pimentolink.fleet import Fleet, TargetBelief
+from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import ConnectionSettings
 from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
+from pimentolink.targetbelief import TargetBelief
 from pimentolink.targethttp import ConnectionPool, TargetConnection, exchange
 from pimentolink.timers import Timers
 
--- a/pimentolink/dialect.py
+++ b/pimentolink/dialect.py
@@ -11,7 +11,7 @@
 from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
 
 if TYPE_CHECKING:
-    from pimentolink.fleet import EngineReport, EngineRole, TargetBelief
+    from pimentolink.targetbelief import EngineReport, EngineRole, TargetBelief
 
 
 class PromptPart(NamedTuple):
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -17,7 +17,6 @@
     StreamBroken,
 )
 from pimentolink.eventstream import EventSplitter, is_after
-from pimentolink.fleet import TargetBelief
 from pimentolink.forwarder import USUAL_PAUSE, Work, pass_on
 from pimentolink.httptypes import HttpReply, end_to_end
 from pimentolink.logs import Log, LogEvent
@@ -25,6 +24,7 @@
 from pimentolink.readings import Readings, Ticket
 from pimentolink.retry import SharedBudgets
 from pimentolink.routes import Repeatability
+from pimentolink.targetbelief import TargetBelief
 from pimentolink.timers import Timers, with_timeout
 
 # A reading that takes this many times what was predicted, and this many seconds more,
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -9,13 +9,14 @@
 from result import Err, Result
 
 from pimentolink.errors import DocumentInvalid
-from pimentolink.fleet import Fleet, Target
+from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import StoreSettings
 from pimentolink.keyspace import Change
 from pimentolink.logs import Log, LogEvent
 from pimentolink.orderholder import HOLDER_KEY
 from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
 from pimentolink.routes import RoutingTable, RoutingTables
+from pimentolink.targetbelief import Target
 from pimentolink.timers import Timers
 
 
--- a/pimentolink/orderholder.py
+++ b/pimentolink/orderholder.py
@@ -17,13 +17,14 @@
     LeaseLost,
     OrderLost,
 )
-from pimentolink.fleet import EngineReport, Fleet, TargetBelief
+from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import GatewaySettings
 from pimentolink.httptypes import HttpReply, HttpRequest
 from pimentolink.keyspace import Change, Keyspace, Write
 from pimentolink.logs import Log, LogEvent
 from pimentolink.peers import PeerNews, RoleChanging
 from pimentolink.rolebalance import RoleBalancer, RoleChange
+from pimentolink.targetbelief import EngineReport, TargetBelief
 from pimentolink.timers import Timers, pause, with_timeout
 
 HOLDER_KEY = "pimentolink/orders"
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -6,8 +6,9 @@
 
 from pimentolink.dialect import PromptPart
 from pimentolink.errors import CannotBeInTime, Failure, NoTarget
-from pimentolink.fleet import EngineRole, Fleet, TargetBelief
+from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import PlacementSettings
+from pimentolink.targetbelief import EngineRole, TargetBelief
 
 # Worth of a generation by its size against the mean of its route: a fixed part and
 # one that grows with the size, up to a bound.
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -7,12 +7,13 @@
 from pimentolink.calls import Caller
 from pimentolink.dialect import Dialect, Sending, Verdict
 from pimentolink.errors import Failure, NoTarget, ReplyInvalid, RetryBudgetSpent
-from pimentolink.fleet import Fleet, TargetBelief
+from pimentolink.fleet import Fleet
 from pimentolink.forwarder import Work, pass_on
 from pimentolink.gatewaysettings import PlacementSettings
 from pimentolink.httptypes import HttpReply
 from pimentolink.retry import SharedBudgets
 from pimentolink.routes import Repeatability
+from pimentolink.targetbelief import TargetBelief
 from pimentolink.timers import Timers
 
 # Weight of a target's share of failures against its load, in full queues.
--- a/pimentolink/platform/dialect.py
+++ b/pimentolink/platform/dialect.py
@@ -13,7 +13,6 @@
     Verdict,
 )
 from pimentolink.errors import InvalidRequest, OrderRefused, ReplyInvalid
-from pimentolink.fleet import EngineReport, EngineRole, TargetBelief
 from pimentolink.httptypes import (
     Headers,
     HttpReply,
@@ -22,6 +21,7 @@
     end_to_end,
     header_value,
 )
+from pimentolink.targetbelief import EngineReport, EngineRole, TargetBelief
 
 REQUEST_ID = b"Pimentolink-Request-Id"
 DEADLINE = b"Pimentolink-Deadline-Ms"
--- a/pimentolink/platform/documents.py
+++ b/pimentolink/platform/documents.py
@@ -6,7 +6,6 @@
 from result import Err, Ok, Result
 
 from pimentolink.errors import DocumentInvalid
-from pimentolink.fleet import EngineRole, Target
 from pimentolink.routes import (
     CallerBounds,
     EngineModel,
@@ -16,6 +15,7 @@
     Service,
     WeightedService,
 )
+from pimentolink.targetbelief import EngineRole, Target
 
 CONFIGURATION_KEY = "op/config"
 TARGET_PREFIX = "servers/"
--- a/pimentolink/porcelain.py
+++ b/pimentolink/porcelain.py
@@ -27,7 +27,6 @@
     Failure,
     ReferenceUnknown,
 )
-from pimentolink.fleet import Target
 from pimentolink.httpclient import HttpClient
 from pimentolink.instances import ENTRY, InstanceList
 from pimentolink.keyspace import Keyspace
@@ -38,6 +37,7 @@
 from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
 from pimentolink.routes import RoutingTable
 from pimentolink.settings import merge_documents
+from pimentolink.targetbelief import Target
 
 CHANGE_TRIES = 5
 
--- a/pimentolink/rolebalance.py
+++ b/pimentolink/rolebalance.py
@@ -5,8 +5,9 @@
 import math
 from typing import NamedTuple
 
-from pimentolink.fleet import EngineRole, Fleet, TargetBelief
+from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import RoleSettings
+from pimentolink.targetbelief import EngineRole, TargetBelief
 
 
 class RoleChange(NamedTuple):
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from pimentolink.dialect import PromptPart
-from pimentolink.fleet import EngineRole, Fleet, Target
+from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import (
     EjectionSettings,
     GatewaySettings,
@@ -12,6 +12,7 @@
 )
 from pimentolink.placement import Placer, ReadingQueue, WaitingPrompt
 from pimentolink.routes import EngineModel, Repeatability, Route, WeightedService
+from pimentolink.targetbelief import EngineRole, Target
 
 MODEL = EngineModel(
     cache_tokens=100_000,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pimentolink.fleet import EngineRole, Fleet
+from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
 from pimentolink.keyspacefollower import KeyspaceFollower
 from pimentolink.logs import Log
@@ -13,6 +13,7 @@
 from pimentolink.memorykeyspace import MemoryKeyspace
 from pimentolink.platform.documents import PlatformDocuments
 from pimentolink.routes import RoutingTables
+from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
 from tests.gatewayparts import gateway_settings
 
--- a/tests/test_orderholder.py
+++ b/tests/test_orderholder.py
@@ -6,7 +6,6 @@
 import pytest
 
 from pimentolink.errors import NotConnected
-from pimentolink.fleet import EngineRole
 from pimentolink.httptypes import HttpReply, ReplyHead
 from pimentolink.keyspace import Change
 from pimentolink.logs import Log
@@ -14,6 +13,7 @@
 from pimentolink.orderholder import HOLDER_KEY, IN_DOUBT, OrderHolder
 from pimentolink.platform.dialect import PlatformDialect
 from pimentolink.rolebalance import RoleBalancer
+from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
 from tests.gatewayparts import engines, fleet, gateway_settings
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,7 +3,6 @@
 import pytest
 
 from pimentolink.dialect import PromptPart
-from pimentolink.fleet import EngineRole
 from pimentolink.logs import Log
 from pimentolink.metrics import Metrics
 from pimentolink.peers import (
@@ -14,6 +13,7 @@
     ReadingBegan,
     ReadingEnded,
 )
+from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
 from tests.gatewayparts import fleet, target
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pimentolink.errors import CannotBeInTime, NoTarget
-from pimentolink.fleet import EngineRole
+from pimentolink.targetbelief import EngineRole
 from tests.gatewayparts import engines, fleet, prompt, queue_over, target
 
 SHARED = (77, 8_000)
--- a/tests/test_rolebalance.py
+++ b/tests/test_rolebalance.py
@@ -1,8 +1,8 @@
 """Swings of the mix replayed against the decision on roles."""
 
-from pimentolink.fleet import EngineRole
 from pimentolink.gatewaysettings import RoleSettings
 from pimentolink.rolebalance import RoleBalancer
+from pimentolink.targetbelief import EngineRole
 from tests.gatewayparts import engines, fleet
 
 
