Predict a bounded number of waiting prompts, send nothing whose time is over

For each prompt that came, and at each message of another gateway, every waiting prompt's place was predicted anew; the loop ran over a second late, and so did the timer that ends a request.

Ruled out: the closing of callers' connections (they were closed in time; it was read late).

Change: predictions are kept; one prompt more costs one, a choice 16, a look for hopeless ones 8, and none while every engine is full. A call whose time is over is not sent.

--- a/pimentolink/calls.py
+++ b/pimentolink/calls.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from pimentolink.dialect import CallerRequest, Dialect, Sending, Verdict
-from pimentolink.errors import Failure, OtherInstance, RejectedUnrun, TargetFailed
+from pimentolink.errors import (
+    CannotBeInTime,
+    Failure,
+    OtherInstance,
+    RejectedUnrun,
+    TargetFailed,
+)
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import ConnectionSettings
 from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
@@ -17,6 +23,8 @@
 from pimentolink.timers import Timers
 
 MOST_ANSWER_BYTES = 8_000_000
+# Seconds after which a caller is asked to return whose time ran out at this gateway.
+LATE_PAUSE = 0.3
 
 
 class Call:
@@ -153,6 +161,9 @@
         :raises Failure: if there is none; its ``ran`` tells whether the request may
             have run.
         """
+        if sending.time_left is not None and sending.time_left <= 0:
+            # The timer that ends the request is late, as the loop is.
+            raise CannotBeInTime("its time was over before it was sent", LATE_PAUSE)
         message = self._dialect.sending(request, sending)
         return await self.send(request, belief, message, is_once)
 
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+from heapq import nsmallest
 from typing import NamedTuple
 
 from pimentolink.dialect import PromptPart
@@ -25,8 +27,11 @@
 LEAST_COPY = 512
 # Weight of one request in a route's mean size.
 SIZE_SMOOTHING = 0.05
-# Waiting prompts looked at for one decision; those beyond are worth less.
-MOST_LOOKED_AT = 64
+# Waiting prompts whose place is predicted anew to choose the next one; those beyond
+# are worth less.
+MOST_LOOKED_AT = 16
+# Waiting prompts whose place is predicted anew to find hopeless ones, in one look.
+MOST_CHECKED = 8
 # Shortest and longest pause, in seconds, after which a caller is asked to return.
 LEAST_PAUSE = 0.1
 MOST_PAUSE = 2.0
@@ -206,6 +211,27 @@
         return cost
 
 
+class _Waiting:
+    """
+    A waiting prompt with what was last predicted of it.
+
+    :ivar rank: its place in the order; the least goes first.
+    :ivar work: seconds of an engine that its reading takes.
+    """
+
+    def __init__(self, prompt: WaitingPrompt, placement: Placement) -> None:
+        self.prompt = prompt
+        self.predict(placement)
+
+    def predict(self, placement: Placement) -> None:
+        """Take a newer prediction."""
+        self.work = placement.belief.work_time(placement.tokens)
+        worth = self.prompt.size
+        if placement.done_at > self.prompt.on_time_until:
+            worth *= LATE_WORTH
+        self.rank = (-worth / self.work, self.prompt.arrived_at)
+
+
 class ReadingQueue:
     """
     Prompts that wait at this gateway.
@@ -213,6 +239,10 @@
     Load pattern: more prompts than the engines read in time. Engines are sent little
     ahead of need, so that what waits can be reordered; what brings the most worth for
     its engine time goes first, what can still be on time before what is late.
+
+    Predictions are kept and made anew for a few prompts a look: at four times the
+    usual load, with all of them made anew, a gateway's loop ran over a second late and
+    sent requests whose callers had left.
     """
 
     def __init__(self, settings: PlacementSettings, placer: Placer) -> None:
@@ -224,7 +254,11 @@
         """
         self._settings = settings
         self._placer = placer
-        self.prompts_by_id: dict[str, WaitingPrompt] = {}
+        self._waiting_by_id: OrderedDict[str, _Waiting] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Count the prompts that wait."""
+        return len(self._waiting_by_id)
 
     def add(self, prompt: WaitingPrompt, now: float) -> Failure | None:
         """
@@ -235,23 +269,22 @@
         placement = self._placer.best(prompt, now)
         if placement is None:
             return NoTarget(f"no engine of {prompt.service} takes work", 1.0)
-        done_at = placement.done_at + self._work_ahead(prompt, placement, now)
+        waiting = _Waiting(prompt, placement)
+        done_at = placement.done_at + self._work_ahead(waiting, now)
         failure = self._refusal(prompt, placement, done_at, now)
         if failure is None:
-            self.prompts_by_id[prompt.request_id] = prompt
+            self._waiting_by_id[prompt.request_id] = waiting
         return failure
 
-    def _work_ahead(
-        self, prompt: WaitingPrompt, placement: Placement, now: float
-    ) -> float:
+    def _work_ahead(self, waiting: _Waiting, now: float) -> float:
         """Predict how long the prompts that go first keep the engines busy."""
-        worth = self._order(prompt, placement, now)
-        ahead = 0.0
-        for other in self.prompts_by_id.values():
-            found = self._placer.best(other, now)
-            if found is not None and self._order(other, found, now) <= worth:
-                ahead += found.belief.work_time(found.tokens)
-        return ahead / max(1, len(self._placer.engines(prompt.service, now)))
+        ahead = sum(
+            other.work
+            for other in self._waiting_by_id.values()
+            if other.rank <= waiting.rank
+        )
+        engines = self._placer.engines(waiting.prompt.service, now)
+        return ahead / max(1, len(engines))
 
     def _refusal(
         self, prompt: WaitingPrompt, placement: Placement, done_at: float, now: float
@@ -274,43 +307,62 @@
             pause,
         )
 
-    def _order(
-        self, prompt: WaitingPrompt, placement: Placement, now: float
-    ) -> tuple[float, float]:
-        """Rank a prompt; the least goes first."""
-        work = placement.belief.work_time(placement.tokens)
-        worth = prompt.size
-        if placement.done_at > prompt.on_time_until:
-            worth *= LATE_WORTH
-        return (-worth / work, prompt.arrived_at)
-
     def next(self, now: float) -> tuple[WaitingPrompt, Placement] | None:
         """
         Take the next prompt that an engine has room for.
 
         :returns: the prompt, which waits no more, and its place.
         """
-        found = [
-            (self._order(prompt, placement, now), prompt, placement)
-            for prompt in list(self.prompts_by_id.values())[:MOST_LOOKED_AT]
-            if (placement := self._placer.best(prompt, now)) is not None
-        ]
-        for _, prompt, placement in sorted(found, key=lambda item: item[0]):
+        if not self._waiting_by_id or not self._has_room(now):
+            return None
+        first = nsmallest(
+            MOST_LOOKED_AT, self._waiting_by_id.values(), key=lambda item: item.rank
+        )
+        found: list[tuple[_Waiting, Placement]] = []
+        for waiting in first:
+            placement = self._placer.best(waiting.prompt, now)
+            if placement is not None:
+                waiting.predict(placement)
+                found.append((waiting, placement))
+        for waiting, placement in sorted(found, key=lambda item: item[0].rank):
             if placement.belief.backlog(now) <= self._settings.depth:
-                del self.prompts_by_id[prompt.request_id]
-                return prompt, placement
+                del self._waiting_by_id[waiting.prompt.request_id]
+                return waiting.prompt, placement
         return None
 
+    def _has_room(self, now: float) -> bool:
+        services = {item.prompt.service for item in self._waiting_by_id.values()}
+        return any(
+            engine.backlog(now) <= self._settings.depth
+            for service in services
+            for engine in self._placer.engines(service, now)
+        )
+
     def hopeless(self, now: float) -> list[WaitingPrompt]:
-        """Take out the prompts that cannot be read before they are due."""
-        hopeless = []
-        for prompt in list(self.prompts_by_id.values()):
-            placement = self._placer.best(prompt, now)
-            if placement is None or placement.done_at > prompt.due_at:
-                hopeless.append(prompt)
-                del self.prompts_by_id[prompt.request_id]
-        return hopeless
+        """
+        Take out prompts that cannot be read before they are due.
+
+        Those whose own reading takes too long by now are all found; how long they
+        wait for their engine is predicted anew for a few, in turn.
+        """
+        hopeless = [
+            waiting.prompt
+            for waiting in self._waiting_by_id.values()
+            if now + waiting.work > waiting.prompt.due_at
+        ]
+        for request_id in list(self._waiting_by_id)[:MOST_CHECKED]:
+            self._waiting_by_id.move_to_end(request_id)
+            waiting = self._waiting_by_id[request_id]
+            placement = self._placer.best(waiting.prompt, now)
+            if placement is None or placement.done_at > waiting.prompt.due_at:
+                hopeless.append(waiting.prompt)
+            else:
+                waiting.predict(placement)
+        found = {prompt.request_id: prompt for prompt in hopeless}
+        for request_id in found:
+            del self._waiting_by_id[request_id]
+        return list(found.values())
 
     def drop(self, request_id: str) -> None:
         """Let a prompt wait no more."""
-        self.prompts_by_id.pop(request_id, None)
+        self._waiting_by_id.pop(request_id, None)
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -18,6 +18,8 @@
 # Seconds between two looks at the queue when nothing happens; predictions shift with
 # time alone.
 LOOK_INTERVAL = 0.05
+# Seconds after which a caller whose prompt became hopeless is asked to return.
+USUAL_PAUSE = 0.3
 
 
 class Ticket:
@@ -95,14 +97,10 @@
         return waiter
 
     def look(self) -> None:
-        """Send what has room, turn away what has become hopeless."""
+        """Send what has room."""
         if not self._waiters_by_id:
             return
         now = self._timers.now()
-        for prompt in self._queue.hopeless(now):
-            failure = CannotBeInTime("the engines fell behind", 0.3)
-            self._tell_refusal(prompt, failure)
-            self._waiters_by_id.pop(prompt.request_id).errback(failure)
         while (found := self._queue.next(now)) is not None:
             prompt, placement = found
             ticket = self._begin(prompt, placement, now)
@@ -112,8 +110,15 @@
 
     def _look_again(self) -> None:
         self._timer = None
+        self._refuse_hopeless()
         self.look()
 
+    def _refuse_hopeless(self) -> None:
+        for prompt in self._queue.hopeless(self._timers.now()):
+            failure = CannotBeInTime("the engines fell behind", USUAL_PAUSE)
+            self._tell_refusal(prompt, failure)
+            self._waiters_by_id.pop(prompt.request_id).errback(failure)
+
     def _begin(self, prompt: WaitingPrompt, placement: Placement, now: float) -> Ticket:
         name = f"{self._gateway}-{next(self._numbers)}"
         belief = placement.belief
@@ -132,7 +137,7 @@
             copied=placement.copied_tokens,
             waited=round(now - prompt.arrived_at, 3),
             predicted=round(placement.done_at - now, 3),
-            waiting=len(self._queue.prompts_by_id),
+            waiting=len(self._queue),
             list_age=round(self.belief_age(), 3),
         )
         return Ticket(name, placement, now)
@@ -163,7 +168,7 @@
             code=failure.code,
             detail=failure.detail,
             waited=round(self._timers.now() - prompt.arrived_at, 3),
-            waiting=len(self._queue.prompts_by_id),
+            waiting=len(self._queue),
             list_age=round(self.belief_age(), 3),
         )
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,8 @@
 import pytest
 
 from pimentolink.errors import CannotBeInTime, NoTarget
+from pimentolink.gatewaysettings import PlacementSettings
+from pimentolink.placement import Placer, ReadingQueue
 from pimentolink.targetbelief import EngineRole
 from tests.gatewayparts import engines, fleet, prompt, queue_over, target
 
@@ -107,6 +109,64 @@
         assert [item.request_id for item in queue.hopeless(0.9)] == ["p"]
 
 
+class CountingPlacer(Placer):
+    """Counts predictions, which are what a look at the queue costs."""
+
+    predictions = 0
+
+    def best(self, prompt, now):
+        self.predictions += 1
+        return super().best(prompt, now)
+
+
+class TestManyWaiting:
+    """Pattern: four times the usual load, hundreds of prompts wait at one gateway."""
+
+    WAITING = 400
+
+    def queue(self, found):
+        settings = PlacementSettings(first_rate=10_000, late_factor=999.0)
+        self.placer = CountingPlacer(settings, found, "north")
+        queue = ReadingQueue(settings, self.placer)
+        for number in range(self.WAITING):
+            waiting = prompt(f"p{number}", 100 + number, patience=900.0)
+            assert queue.add(waiting, 0.0) is None
+        return queue
+
+    def test_taking_one_in_costs_one_prediction(self):
+        self.queue(fleet(*engines(2, 1)))
+        assert self.placer.predictions == self.WAITING
+
+    def test_choosing_the_next_costs_a_bounded_number(self):
+        queue = self.queue(fleet(*engines(2, 1)))
+        self.placer.predictions = 0
+        waiting, _ = queue.next(0.0)
+        assert waiting.request_id == "p0"
+        assert self.placer.predictions <= 16
+
+    def test_full_engines_cost_nothing(self):
+        found = fleet(*engines(2, 1))
+        queue = self.queue(found)
+        for belief in found.of_service("s"):
+            belief.begin_reading("r", 50_000, (), 0.0)
+        self.placer.predictions = 0
+        assert queue.next(0.0) is None
+        assert self.placer.predictions == 0
+
+    def test_hopeless_ones_are_found_in_turn(self):
+        found = fleet(*engines(2, 1))
+        queue = self.queue(found)
+        for belief in found.of_service("s"):
+            belief.begin_reading("r", 50_000_000, (), 0.0)
+        self.placer.predictions = 0
+        looks = 0
+        while len(queue):
+            queue.hopeless(0.0)
+            looks += 1
+        assert looks <= self.WAITING / 8
+        assert self.placer.predictions <= self.WAITING
+
+
 class TestRoles:
     def test_no_writer_means_that_nothing_can_be_served(self):
         found = fleet(*engines(2, 0))
