--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 
-.PHONY: environment test demo demo-platform bench capacity experiment generate soak
+.PHONY: environment test demo demo-platform bench capacity experiment generate soak days
 
 environment: .venv/installed
 
@@ -40,3 +40,8 @@
 
 soak: environment
 	$(BIN)/python -m tests.soak --seeds $(SEEDS) --first $(FIRST)
+
+JOBS ?= 3
+
+days: environment
+	$(BIN)/python -m tests.playdays --bench $(BENCH) --site $(SITE) --jobs $(JOBS)
--- /dev/null
+++ b/tests/test_playdays.py
@@ -0,0 +1,38 @@
+"""Days of our own are well formed, and what the bench prints of them is read."""
+
+import tomllib
+
+import pytest
+
+from tests.playdays import DAYS, Played, read
+
+TABLE = "day   own/srv  score  worth served refused failed  weakest part\n"
+
+
+class TestDays:
+    def test_each_is_one_day_named_like_its_file_with_a_seed_of_its_own(self):
+        seeds = set()
+        for path in DAYS.glob("*.toml"):
+            (day,) = tomllib.loads(path.read_text())["day"]
+            assert day["name"] == path.stem
+            assert day.keys() & {"plan", "faults", "closing"}
+            seeds.add(day["seed"])
+        assert len(seeds) == len(list(DAYS.glob("*.toml")))
+
+
+class TestReading:
+    def test_day_without_a_broken_rule(self):
+        text = (
+            TABLE + "burst    14/12   0.43  0.432  0.666   0.132  0.054  worst class\n"
+        )
+        assert read("burst", text) == Played("burst", 0.432, 0.666, "")
+
+    def test_broken_rules_are_named(self):
+        line = (
+            "burst 14/12 0.00 0.114 0.550 0.027 0.285  worst  BROKEN: GONE 2 (else 0.1)"
+        )
+        assert read("burst", TABLE + line).broken == "GONE 2"
+
+    def test_day_that_was_not_played_is_an_error(self):
+        with pytest.raises(ValueError, match="burst was not played: no such day"):
+            read("burst", "no such day")
