Specify what a gateway may say of a call it sent, and which configuration it acts on

Cause: two promises on the users' platform had tests but no search of all orders of events: refusals that say not run, and that no version reverts within one life.

Change: specs/attempts.py (breaks, rejections, failures of a target's own, late copies, time that runs out) and specs/versions.py (answers that overtake each other, restarts).

Measured: tests/test_specs.py: both hold with all guards; each of the six guards, taken out, gives a counterexample.

--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -3,10 +3,10 @@
 import pytest
 from minicheck import check_safety
 
-from specs import authority, claims, holder
+from specs import attempts, authority, claims, holder, versions
 
 MOST_STATES = 3_000_000
-SPECIFICATIONS = [authority, claims, holder]
+SPECIFICATIONS = [attempts, authority, claims, holder, versions]
 GUARDS = [
     (specification, guard)
     for specification in SPECIFICATIONS
