Split counts that fit into no datagram, give all up at once without engines

Change: counts go out forty to a message; unreadable entries are logged and passed over; all waiting prompts of a service without engines are given up in one look; deploymentstatus.

Measured: the new tests in test_peers, test_membership and test_placement fail before, pass after.

--- /dev/null
+++ b/pimentolink/deploymentstatus.py
@@ -0,0 +1,114 @@
+"""What the store tells of a deployment that gateways serve."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+from result import Err
+
+from pimentolink.keyspace import Item, Snapshot
+from pimentolink.membership import Documents
+from pimentolink.orderholder import HOLDER_KEY, Holder
+from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
+from pimentolink.targetbelief import Target
+
+
+class ListedGateway(NamedTuple):
+    """
+    A gateway as the store lists it.
+
+    :ivar address: for datagrams of the others.
+    :ivar life: of its process.
+    """
+
+    name: str
+    address: str
+    life: str
+
+
+class DeploymentStatus(NamedTuple):
+    """
+    How a deployment stands.
+
+    :ivar revision: of the store.
+    :ivar version: of the configuration; 0 before the first one.
+    :ivar routes: that it has.
+    :ivar order_holder: instance that may give orders to engines; empty if none may.
+    :ivar unreadable: keys whose documents have faults, with the fault.
+    """
+
+    revision: int
+    version: int
+    routes: int
+    targets: list[Target]
+    gateways: list[ListedGateway]
+    order_holder: str
+    unreadable: list[str]
+
+
+class StatusReader:
+    """Reads the documents of a store one after the other."""
+
+    def __init__(self, documents: Documents) -> None:
+        """
+        Start with nothing read.
+
+        :param documents: reads operators' and targets' documents.
+        """
+        self._documents = documents
+        self._version = 0
+        self._routes = 0
+        self._targets: list[Target] = []
+        self._gateways: list[ListedGateway] = []
+        self._order_holder = ""
+        self._unreadable: list[str] = []
+
+    def read(self, snapshot: Snapshot) -> DeploymentStatus:
+        """Read all keys of a store."""
+        for item in snapshot.items:
+            self._take(item)
+        return DeploymentStatus(
+            snapshot.revision,
+            self._version,
+            self._routes,
+            self._targets,
+            self._gateways,
+            self._order_holder,
+            self._unreadable,
+        )
+
+    def _take(self, item: Item) -> None:
+        if item.key == self._documents.configuration_key:
+            self._take_configuration(item)
+        elif item.key.startswith(self._documents.target_prefix):
+            self._take_target(item)
+        elif item.key.startswith(GATEWAY_PREFIX) or item.key == HOLDER_KEY:
+            try:
+                self._take_own(item)
+            except msgspec.DecodeError as error:
+                self._unreadable.append(f"{item.key}: {error}")
+
+    def _take_configuration(self, item: Item) -> None:
+        found = self._documents.read_configuration(item.value)
+        if isinstance(found, Err):
+            self._unreadable.append(f"{item.key}: {found.err_value}")
+            return
+        self._version = found.ok_value.version
+        self._routes = len(found.ok_value.routes_by_name)
+
+    def _take_target(self, item: Item) -> None:
+        found = self._documents.read_target(item.key, item.value)
+        if isinstance(found, Err):
+            self._unreadable.append(f"{item.key}: {found.err_value}")
+            return
+        self._targets.append(found.ok_value)
+
+    def _take_own(self, item: Item) -> None:
+        if item.key == HOLDER_KEY:
+            holder = msgspec.json.decode(item.value, type=Holder)
+            self._order_holder = holder.instance
+            return
+        entry = msgspec.json.decode(item.value, type=GatewayEntry)
+        name = item.key.removeprefix(GATEWAY_PREFIX)
+        self._gateways.append(ListedGateway(name, entry.address, entry.life))
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -185,7 +185,12 @@
             if self.gateways_by_name.pop(name, None) is not None:
                 self._log.write(LogEvent.PEER_LISTED, peer=name, listed=False)
             return
-        entry = msgspec.json.decode(change.value, type=GatewayEntry)
+        try:
+            entry = msgspec.json.decode(change.value, type=GatewayEntry)
+        except msgspec.DecodeError as error:
+            detail = f"{change.key}: {error}"
+            self._log.write(LogEvent.PEER_MESSAGE_INVALID, detail=detail)
+            return
         if self.gateways_by_name.get(name) != entry:
             self._log.write(LogEvent.PEER_LISTED, peer=name, listed=True)
         self.gateways_by_name[name] = entry
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -28,6 +28,9 @@
 # Seconds after which what a silent gateway had under way no longer counts; three
 # datagrams in a row may be lost. Its process ended, or the link to it is cut.
 COUNTS_LAST = 3.5
+# Targets of which one message tells the counts, so that it fits into a datagram; names
+# of targets have up to 24 bytes.
+MOST_COUNTS = 40
 # Gateways that one gateway tells. What one sends and takes grows with them: 300 told
 # each other 105 KB a second each, at 36 % of a core.
 MOST_PEERS = 32
@@ -322,7 +325,7 @@
         if now - self._told_whole_at >= REPEAT_INTERVAL:
             self._told_whole_at = now
             self._is_whole_known = True
-            self._add(InFlight(self._gateway, counts, is_whole=True))
+            self._add_counts(counts, is_whole=True)
             return
         changed = {
             target_id: counts.get(target_id, 0)
@@ -331,7 +334,15 @@
         }
         if changed:
             self._is_whole_known = False
-            self._add(InFlight(self._gateway, changed, is_whole=False))
+            self._add_counts(changed, is_whole=False)
+
+    def _add_counts(self, counts: dict[str, int], is_whole: bool) -> None:
+        listed = list(counts.items())
+        first, rest = listed[:MOST_COUNTS], listed[MOST_COUNTS:]
+        self._add(InFlight(self._gateway, dict(first), is_whole))
+        while rest:
+            first, rest = rest[:MOST_COUNTS], rest[MOST_COUNTS:]
+            self._add(InFlight(self._gateway, dict(first), is_whole=False))
 
     def _add(self, message: Message) -> None:
         if not self._outbox.add(message):
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -342,26 +342,34 @@
         """
         Take out prompts that cannot be read before they are due.
 
-        Those whose own reading takes too long by now are all found; how long they
-        wait for their engine is predicted anew for a few, in turn.
+        Those whose own reading takes too long by now are all found, and all of a
+        service without engines; how long they wait for their engine is predicted
+        anew for a few, in turn.
         """
-        hopeless = [
-            waiting.prompt
-            for waiting in self._waiting_by_id.values()
+        hopeless = {
+            request_id
+            for request_id, waiting in self._waiting_by_id.items()
             if now + waiting.work > waiting.prompt.due_at
-        ]
+        }
         for request_id in list(self._waiting_by_id)[:MOST_CHECKED]:
             self._waiting_by_id.move_to_end(request_id)
             waiting = self._waiting_by_id[request_id]
             placement = self._placer.best(waiting.prompt, now)
-            if placement is None or placement.done_at > waiting.prompt.due_at:
-                hopeless.append(waiting.prompt)
+            if placement is None:
+                hopeless |= self._of_service(waiting.prompt.service)
+            elif placement.done_at > waiting.prompt.due_at:
+                hopeless.add(request_id)
             else:
                 waiting.predict(placement)
-        found = {prompt.request_id: prompt for prompt in hopeless}
-        for request_id in found:
-            del self._waiting_by_id[request_id]
-        return list(found.values())
+        found = [name for name in self._waiting_by_id if name in hopeless]
+        return [self._waiting_by_id.pop(name).prompt for name in found]
+
+    def _of_service(self, service: str) -> set[str]:
+        return {
+            request_id
+            for request_id, waiting in self._waiting_by_id.items()
+            if waiting.prompt.service == service
+        }
 
     def drop(self, request_id: str) -> None:
         """Let a prompt wait no more."""
--- a/pimentolink/porcelain.py
+++ b/pimentolink/porcelain.py
@@ -20,6 +20,7 @@
     differences,
     read_documents,
 )
+from pimentolink.deploymentstatus import DeploymentStatus, StatusReader
 from pimentolink.errors import (
     ConfigurationConflict,
     ConfigurationInvalid,
@@ -32,12 +33,9 @@
 from pimentolink.keyspace import Keyspace
 from pimentolink.kvstore import KeyValueStore
 from pimentolink.membership import Documents
-from pimentolink.orderholder import HOLDER_KEY, Holder
 from pimentolink.plan import decode_plan, groups_of
-from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
 from pimentolink.routes import RoutingTable
 from pimentolink.settings import merge_documents
-from pimentolink.targetbelief import Target
 
 CHANGE_TRIES = 5
 
@@ -168,39 +166,6 @@
     return outcome
 
 
-class ListedGateway(NamedTuple):
-    """
-    A gateway as the store lists it.
-
-    :ivar address: for datagrams of the others.
-    :ivar life: of its process.
-    """
-
-    name: str
-    address: str
-    life: str
-
-
-class DeploymentStatus(NamedTuple):
-    """
-    What the store tells of a deployment that gateways serve.
-
-    :ivar revision: of the store.
-    :ivar version: of the configuration; 0 before the first one.
-    :ivar routes: that it has.
-    :ivar order_holder: instance that may give orders to engines; empty if none may.
-    :ivar unreadable: keys whose documents have faults, with the fault.
-    """
-
-    revision: int
-    version: int
-    routes: int
-    targets: list[Target]
-    gateways: list[ListedGateway]
-    order_holder: str
-    unreadable: list[str]
-
-
 async def deployment_status(
     keyspace: Keyspace, documents: Documents
 ) -> DeploymentStatus:
@@ -211,35 +176,7 @@
     :param documents: reads its documents.
     :raises KeyValueUnavailable: without an answer.
     """
-    snapshot = await keyspace.read_all("")
-    version, routes = 0, 0
-    targets: list[Target] = []
-    gateways: list[ListedGateway] = []
-    unreadable: list[str] = []
-    holder = ""
-    for item in snapshot.items:
-        if item.key == documents.configuration_key:
-            read = documents.read_configuration(item.value)
-            if isinstance(read, Err):
-                unreadable.append(f"{item.key}: {read.err_value}")
-            else:
-                table = read.ok_value
-                version, routes = table.version, len(table.routes_by_name)
-        elif item.key.startswith(documents.target_prefix):
-            found = documents.read_target(item.key, item.value)
-            if isinstance(found, Err):
-                unreadable.append(f"{item.key}: {found.err_value}")
-            else:
-                targets.append(found.ok_value)
-        elif item.key.startswith(GATEWAY_PREFIX):
-            entry = msgspec.json.decode(item.value, type=GatewayEntry)
-            name = item.key.removeprefix(GATEWAY_PREFIX)
-            gateways.append(ListedGateway(name, entry.address, entry.life))
-        elif item.key == HOLDER_KEY:
-            holder = msgspec.json.decode(item.value, type=Holder).instance
-    return DeploymentStatus(
-        snapshot.revision, version, routes, targets, gateways, holder, unreadable
-    )
+    return StatusReader(documents).read(await keyspace.read_all(""))
 
 
 class PlannedTarget(NamedTuple):
--- a/tests/test_largefleet.py
+++ b/tests/test_largefleet.py
@@ -4,6 +4,7 @@
 
 from pimentolink.dialect import PromptPart
 from pimentolink.fleet import MOST_COMPARED
+from pimentolink.gatewaysettings import PlacementSettings
 from pimentolink.placement import Placer, WaitingPrompt
 from pimentolink.targetbelief import EngineRole
 from tests.gatewayparts import MODEL, fleet, target
@@ -50,7 +51,7 @@
     def test_engine_that_holds_the_prompt_is_always_compared(self, known):
         known.targets_by_id["r1234"].begin_reading("t", 5_100, PARTS, 0.0)
         known.targets_by_id["r1234"].end_reading("t", is_good=True)
-        placer = Placer(known._placement, known, "north")
+        placer = Placer(PlacementSettings(), known, "north")
         for _ in range(50):
             placement = placer.best(prompt(), 0.0)
             assert placement.held_tokens == 5_099
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -175,3 +175,9 @@
         world.store.remove("pimentolink/gateways/two")
         world.timers.advance(0.3)
         assert world.membership.gateways_by_name == {}
+
+    def test_entry_that_cannot_be_read_stops_nothing(self, world):
+        world.store.put("pimentolink/gateways/two", b"{")
+        world.store.put("servers/a", entry())
+        assert world.usable() == {"a"}
+        assert world.membership.gateways_by_name == {}
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -106,6 +106,17 @@
         assert pair.engine(1).load() == 3
         assert len(pair.wires[0].datagrams[-1]) < whole / 10
 
+    def test_counts_of_many_targets_are_told_in_several_messages(self, pair):
+        for known in pair.fleets:
+            for number in range(300):
+                known.put(target(f"engine-of-some-length-{number}"))
+        for belief in pair.fleets[0].targets_by_id.values():
+            belief.in_flight = 2
+        pair.timers.advance(0.2)
+        loads = [belief.load() for belief in pair.fleets[1].targets_by_id.values()]
+        assert loads == [2] * 301
+        assert all(len(data) <= MOST_DATAGRAM for data in pair.wires[0].datagrams)
+
     def test_load_of_a_gateway_that_was_killed_is_forgotten(self, pair):
         pair.engine(0).in_flight = 3
         pair.timers.advance(0.2)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -166,6 +166,14 @@
         assert looks <= self.WAITING / 8
         assert self.placer.predictions <= self.WAITING
 
+    def test_all_are_given_up_at_once_when_no_engine_is_left(self):
+        found = fleet(*engines(2, 1))
+        queue = self.queue(found)
+        for belief in found.of_service("s"):
+            belief.missing_since = 0.0
+        assert len(queue.hopeless(0.0)) == self.WAITING
+        assert len(queue) == 0
+
 
 class TestRoles:
     def test_no_writer_means_that_nothing_can_be_served(self):
