--- a/pimentolink/daemon.py
+++ b/pimentolink/daemon.py
@@ -10,7 +10,8 @@
 from twisted.internet import asyncioreactor
 
 from pimentolink import logs
-from pimentolink.callers import CallerInterface, make_site
+from pimentolink.callers import CallerInterface
+from pimentolink.callersite import make_site
 from pimentolink.directwrite import listen
 from pimentolink.engines import HttpEngineControl
 from pimentolink.entry import Entry, EntryPorts
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -9,7 +9,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.web.resource import Resource
 
-from pimentolink.callers import make_site
+from pimentolink.callersite import make_site
 from pimentolink.settings import CallerLimits
 from pimentolink.timers import ManualTimers
 from tests.builders import TARGETS, configuration, start_targets
