Say once how long a caller waits who is told nothing better, and share a test's transport

Cause, by reading the whole change again: the usual pause of 0.3 s stood in forwarder, readings and, under another name, calls; two test modules each had the same transport.

Change: USUAL_PAUSE in errors; SocketTransport in tests/gatewayparts. Behaviour and the tests' assertions stay.

--- a/pimentolink/calls.py
+++ b/pimentolink/calls.py
@@ -7,6 +7,7 @@
 
 from pimentolink.dialect import CallerRequest, Dialect, Sending, Verdict
 from pimentolink.errors import (
+    USUAL_PAUSE,
     CannotBeInTime,
     Failure,
     OtherInstance,
@@ -23,8 +24,6 @@
 from pimentolink.timers import Timers
 
 MOST_ANSWER_BYTES = 8_000_000
-# Seconds after which a caller is asked to return whose time ran out at this gateway.
-LATE_PAUSE = 0.3
 
 
 class Call:
@@ -163,7 +162,7 @@
         """
         if sending.time_left is not None and sending.time_left <= 0:
             # The timer that ends the request is late, as the loop is.
-            raise CannotBeInTime("its time was over before it was sent", LATE_PAUSE)
+            raise CannotBeInTime("its time was over before it was sent", USUAL_PAUSE)
         message = self._dialect.sending(request, sending)
         return await self.send(request, belief, message, is_once)
 
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+# Seconds after which a caller is asked to return when nothing better is known.
+USUAL_PAUSE = 0.3
+
 
 class Failure(Exception):
     """
--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -11,6 +11,7 @@
 from pimentolink.attempts import Attempts
 from pimentolink.dialect import CallerRequest, Dialect
 from pimentolink.errors import (
+    USUAL_PAUSE,
     CannotBeInTime,
     Draining,
     Failure,
@@ -25,9 +26,6 @@
 from pimentolink.routes import Route, RoutingTable, RoutingTables
 from pimentolink.timers import Timers, with_timeout
 
-# Retry-After, in seconds, of a refusal that gives none of its own.
-USUAL_PAUSE = 0.3
-
 
 class Responder(Protocol):
     """The caller's connection, for one answer."""
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -9,6 +9,7 @@
 from pimentolink.calls import Call, Caller
 from pimentolink.dialect import Dialect, ReadPrompt, Sending, Verdict
 from pimentolink.errors import (
+    USUAL_PAUSE,
     ConnectionBroken,
     Failure,
     NoTarget,
@@ -17,7 +18,7 @@
     StreamBroken,
 )
 from pimentolink.eventstream import EventSplitter, is_after
-from pimentolink.forwarder import USUAL_PAUSE, Work, pass_on
+from pimentolink.forwarder import Work, pass_on
 from pimentolink.httptypes import HttpReply, end_to_end
 from pimentolink.logs import Log, LogEvent
 from pimentolink.placement import MOST_SIZE, Placer, SizeScale, WaitingPrompt
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from pimentolink.dialect import PromptPart
-from pimentolink.errors import CannotBeInTime, Failure
+from pimentolink.errors import USUAL_PAUSE, CannotBeInTime, Failure
 from pimentolink.fleet import Fleet
 from pimentolink.logs import Log, LogEvent
 from pimentolink.peers import PeerNews, ReadingBegan, ReadingEnded
@@ -18,8 +18,6 @@
 # Seconds between two looks at the queue when nothing happens; predictions shift with
 # time alone.
 LOOK_INTERVAL = 0.05
-# Seconds after which a caller whose prompt became hopeless is asked to return.
-USUAL_PAUSE = 0.3
 
 
 class Ticket:
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -3,6 +3,8 @@
 from random import Random
 from typing import Any
 
+from twisted.internet.testing import StringTransport
+
 from pimentolink.dialect import PromptPart
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import (
@@ -109,3 +111,16 @@
             **changes,
         }
     )
+
+
+class SocketTransport(StringTransport):
+    """A transport that accepts socket options and tells of an abort."""
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        pass
+
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def setsockopt(self, *option):
+        pass
--- a/tests/test_callerhttp.py
+++ b/tests/test_callerhttp.py
@@ -3,26 +3,19 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from twisted.internet.testing import StringTransport
 
 from pimentolink.callerhttp import CallerFactory
 from pimentolink.logs import Log
 from pimentolink.metrics import Metrics
 from pimentolink.routes import CallerBounds
 from pimentolink.timers import ManualTimers
+from tests.gatewayparts import SocketTransport
 
 HEAD = b"POST /p HTTP/1.1\r\nHost: x\r\n"
 PIECES = st.lists(st.binary(min_size=1, max_size=40), max_size=5)
 CUTS = st.lists(st.integers(0, 400), max_size=8)
 
 
-class Transport(StringTransport):
-    """A transport that accepts socket options and tells of an abort."""
-
-    def setTcpNoDelay(self, enabled):  # noqa: N802
-        pass
-
-
 class Handler:
     """Takes requests and answers each at once."""
 
@@ -49,7 +42,7 @@
             Log(instance="g"),
             Metrics(),
         )
-        self.transport = Transport()
+        self.transport = SocketTransport()
         self.connection = factory.buildProtocol(None)
         self.connection.makeConnection(self.transport)
 
--- a/tests/test_targethttp.py
+++ b/tests/test_targethttp.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone, ConnectionLost
-from twisted.internet.testing import MemoryReactor, StringTransport
+from twisted.internet.testing import MemoryReactor
 from twisted.python.failure import Failure
 
 from pimentolink.errors import ConnectionBroken, ConnectionsExhausted, ReplyInvalid
@@ -13,23 +13,11 @@
 from pimentolink.httptypes import HttpRequest
 from pimentolink.targethttp import ConnectionPool, TargetConnection
 from pimentolink.timers import ManualTimers
+from tests.gatewayparts import SocketTransport
 
 REQUEST = HttpRequest(b"GET", b"/", ((b"Host", b"a"),))
 
 
-class Transport(StringTransport):
-    """A transport that accepts socket options and tells of an abort."""
-
-    def setTcpNoDelay(self, enabled):  # noqa: N802
-        pass
-
-    def getHandle(self):  # noqa: N802
-        return self
-
-    def setsockopt(self, *option):
-        pass
-
-
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n"
 FRAMINGS = ("length", "chunks", "end")
 CUTS = st.lists(st.integers(0, 400), max_size=8)
@@ -53,7 +41,7 @@
 
     def __init__(self):
         self.connection = TargetConnection(ConnectionSettings(), ManualTimers())
-        self.connection.makeConnection(Transport())
+        self.connection.makeConnection(SocketTransport())
         self.outcome = None
         pending = Deferred.fromCoroutine(self._run())
         pending.addErrback(self._failed)
@@ -158,7 +146,7 @@
 def used_connection(pool, timers, keep_alive=b"timeout=10"):
     """A connection that carried one exchange and was given back."""
     connection = TargetConnection(pool._settings, timers)
-    connection.makeConnection(Transport())
+    connection.makeConnection(SocketTransport())
     pool.count += 1
     connection.on_closed = pool._closed
     connection.send(REQUEST, lambda head: True)
