Read what callers, engines, the store and gateways send with bounds, or refuse it

Cause: 10,000 cases at each of the smaller parsers (headers, answers of engines, documents, answers of the store, datagrams) found values that ended a request with status 500 or the following of the store for good: names over 64 bits, numbers that only Python takes for such, names that fit into no header, values that are no base64, nesting deeper than the interpreter allows, routes whose shares add up to 0. Ruled out: catching every error where it arrives; it would hide which value was bad. Change: one reader of JSON documents, bounds in the types, the same address type for settings, entries of targets and of gateways.

--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import msgspec
 from result import Err, Result
 
 from pimentolink.errors import DocumentInvalid
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import StoreSettings
+from pimentolink.jsondocument import read_json
 from pimentolink.keyspace import Change
 from pimentolink.logs import Log, LogEvent
 from pimentolink.orderholder import HOLDER_KEY
@@ -185,12 +185,12 @@
             if self.gateways_by_name.pop(name, None) is not None:
                 self._log.write(LogEvent.PEER_LISTED, peer=name, listed=False)
             return
-        try:
-            entry = msgspec.json.decode(change.value, type=GatewayEntry)
-        except msgspec.DecodeError as error:
-            detail = f"{change.key}: {error}"
+        found = read_json(change.value, GatewayEntry)
+        if isinstance(found, Err):
+            detail = f"{change.key}: {found.err_value.detail}"
             self._log.write(LogEvent.PEER_MESSAGE_INVALID, detail=detail)
             return
+        entry = found.ok_value
         if self.gateways_by_name.get(name) != entry:
             self._log.write(LogEvent.PEER_LISTED, peer=name, listed=True)
         self.gateways_by_name[name] = entry
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Annotated, Any, Protocol
 from zlib import crc32
 
 import msgspec
@@ -34,6 +34,19 @@
 # Gateways that one gateway tells. What one sends and takes grows with them: 300 told
 # each other 105 KB a second each, at 36 % of a core.
 MOST_PEERS = 32
+# Longest time, in seconds, for which a role change that another gateway told of keeps
+# an engine from work; a hundred times what the slowest known takes.
+MOST_CHANGING = 600.0
+
+# Fastest reading that is believed of an engine, in tokens a second; a thousand times
+# the fastest known.
+MOST_RATE = 1e8
+
+# Bounds on what another gateway tells. A faulty one would otherwise make a target look
+# idle, busy or changing for good.
+_Natural = Annotated[int, msgspec.Meta(ge=0)]
+_Rate = Annotated[float, msgspec.Meta(ge=1, le=MOST_RATE)]
+_Changing = Annotated[float, msgspec.Meta(ge=0, le=MOST_CHANGING)]
 
 
 class ReadingBegan(msgspec.Struct, tag="b", array_like=True):
@@ -46,8 +59,8 @@
 
     ticket: str
     target_id: str
-    tokens: int
-    parts: list[tuple[int, int]]
+    tokens: _Natural
+    parts: list[tuple[_Natural, _Natural]]
 
 
 class ReadingEnded(msgspec.Struct, tag="e", array_like=True):
@@ -61,7 +74,7 @@
     ticket: str
     target_id: str
     is_good: bool
-    rate: float
+    rate: _Rate
 
 
 class InFlight(msgspec.Struct, tag="f", array_like=True):
@@ -74,7 +87,7 @@
     """
 
     gateway: str
-    counts_by_target: dict[str, int]
+    counts_by_target: dict[str, _Natural]
     is_whole: bool
 
 
@@ -86,7 +99,7 @@
     """
 
     target_id: str
-    seconds: float
+    seconds: _Changing
 
 
 Message = ReadingBegan | ReadingEnded | InFlight | RoleChanging
--- a/pimentolink/platform/dialect.py
+++ b/pimentolink/platform/dialect.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -21,6 +24,7 @@
     end_to_end,
     header_value,
 )
+from pimentolink.jsondocument import read_json
 from pimentolink.targetbelief import EngineReport, EngineRole, TargetBelief
 
 REQUEST_ID = b"Pimentolink-Request-Id"
@@ -58,13 +62,28 @@
 # A target counts the time that it is handed from the request's arrival there; this is
 # left for the answer's way back, in seconds.
 ANSWER_WAY = 0.01
+# Tokens of a prompt or an answer beyond which a request is taken for malformed; the
+# largest engine holds under a million.
+MOST_TOKENS = 1_000_000_000
+# Longest time that a caller may say it waits, in seconds.
+MOST_PATIENCE = 1_000_000.0
+# Bits by which parts are told apart; gateways tell each other numbers of this size.
+PART_BITS = 64
+
+_WHOLE = re.compile(r"[0-9]{1,10}")
+_DECIMAL = re.compile(r"[0-9]{1,10}(\.[0-9]{1,9})?")
+_HEXADECIMAL = re.compile(r"[0-9A-Fa-f]{1,200}")
+
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=MOST_TOKENS)]
+# What fits into a header and a path as one word.
+_Handle = Annotated[str, msgspec.Meta(pattern=r"^[!$&-.0-9:;=@-Z_a-z~]{1,200}\Z")]
 
 
 class _ReadAnswer(msgspec.Struct, rename="camel"):
     """Answer to a reading: ``kv_handle`` names the KV cache at that engine."""
 
-    kv_handle: str
-    tokens: int = 0
+    kv_handle: _Handle
+    tokens: _Tokens = 0
 
 
 def read_request(
@@ -79,17 +98,14 @@
     request_id = request.header(REQUEST_ID.lower())
     if not request_id:
         return Err(InvalidRequest(f"no {REQUEST_ID.decode()}"))
-    deadline = request.header(DEADLINE.lower())
     try:
-        patience = None if deadline is None else float(deadline) / 1000
+        patience = _read_patience(request.header(DEADLINE.lower()))
         parts = _read_parts(request.header(PROMPT_PARTS.lower()))
         prompt_tokens, output_tokens = _read_counts(
             request.header(TOKEN_COUNTS.lower())
         )
     except ValueError as error:
         return Err(InvalidRequest(f"a header that cannot be read: {error}"))
-    if patience is not None and not 0 <= patience < 1e6:
-        return Err(InvalidRequest("the time allowed is out of range"))
     host = (header_value(request.headers, b"host") or b"").decode("latin-1")
     return Ok(
         CallerRequest(
@@ -107,21 +123,47 @@
     )
 
 
+def _read_patience(value: bytes | None) -> float | None:
+    """Read the milliseconds that a caller waits, as seconds."""
+    if value is None:
+        return None
+    text = value.decode("latin-1").strip()
+    if _DECIMAL.fullmatch(text) is None:
+        raise ValueError(f"{text[:40]!r} is no time in milliseconds")
+    patience = float(text) / 1000
+    if patience >= MOST_PATIENCE:
+        raise ValueError(f"{text[:40]!r} is over {MOST_PATIENCE:g} s")
+    return patience
+
+
+def _read_tokens(text: str) -> int:
+    if _WHOLE.fullmatch(text) is None or int(text) > MOST_TOKENS:
+        raise ValueError(f"{text[:40]!r} is no number of tokens")
+    return int(text)
+
+
+def _read_part_id(text: str) -> int:
+    """Read a part's name, of which the last bits tell it from others."""
+    if _HEXADECIMAL.fullmatch(text) is None:
+        raise ValueError(f"{text[:40]!r} names no part of a prompt")
+    return int(text, 16) % 2**PART_BITS
+
+
 def _read_parts(value: bytes | None) -> tuple[PromptPart, ...]:
     if not value:
         return ()
     parts = []
     for entry in value.decode("latin-1").split(","):
         name, _, tokens = entry.strip().partition(":")
-        parts.append(PromptPart(int(name, 16), max(0, int(tokens))))
+        parts.append(PromptPart(_read_part_id(name), _read_tokens(tokens)))
     return tuple(parts)
 
 
 def _read_counts(value: bytes | None) -> tuple[int, int]:
     if not value:
         return 0, 0
-    prompt, _, output = value.partition(b",")
-    return max(0, int(prompt)), max(0, int(output or b"0"))
+    prompt, _, output = value.decode("latin-1").partition(",")
+    return _read_tokens(prompt.strip()), _read_tokens(output.strip() or "0")
 
 
 _PHASES_BY_ROLE = {EngineRole.READER: "prefill", EngineRole.WRITER: "decode"}
@@ -145,7 +187,7 @@
 class _HeldParts(msgspec.Struct):
     """Parts in an engine's memory, each as empty text, id, tokens and model."""
 
-    held: list[tuple[str, str, int, str]]
+    held: list[tuple[str, str, _Tokens, str]]
 
 
 class _Order(msgspec.Struct, rename="camel"):
@@ -223,11 +265,11 @@
 
     def read_prompt(self, reply: HttpReply) -> Result[ReadPrompt, ReplyInvalid]:
         """Read the answer to a reading."""
-        try:
-            found = msgspec.json.decode(reply.body, type=_ReadAnswer)
-        except msgspec.DecodeError as error:
-            return Err(ReplyInvalid(f"a reading's answer: {error}"))
-        return Ok(ReadPrompt(found.kv_handle, found.tokens))
+        found = read_json(reply.body, _ReadAnswer)
+        if isinstance(found, Err):
+            return Err(ReplyInvalid(f"a reading's answer: {found.err_value.detail}"))
+        answer = found.ok_value
+        return Ok(ReadPrompt(answer.kv_handle, answer.tokens))
 
     def cache_source(self, address: str, prompt: ReadPrompt) -> str:
         """Name a KV cache for the engine that is to fetch it."""
@@ -246,12 +288,15 @@
         self, reply: HttpReply
     ) -> Result[tuple[PromptPart, ...], ReplyInvalid]:
         """Read what an engine's memory holds."""
+        found = read_json(reply.body, _HeldParts)
+        if isinstance(found, Err):
+            return Err(ReplyInvalid(f"a list of parts: {found.err_value.detail}"))
         try:
-            found = msgspec.json.decode(reply.body, type=_HeldParts)
             parts = tuple(
-                PromptPart(int(name, 16), tokens) for _, name, tokens, _ in found.held
+                PromptPart(_read_part_id(name), tokens)
+                for _, name, tokens, _ in found.ok_value.held
             )
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             return Err(ReplyInvalid(f"a list of parts: {error}"))
         return Ok(parts)
 
@@ -261,12 +306,12 @@
 
     def read_report(self, reply: HttpReply) -> Result[EngineReport, ReplyInvalid]:
         """Read an engine's report."""
-        try:
-            found = msgspec.json.decode(reply.body, type=_Report)
-        except msgspec.DecodeError as error:
-            return Err(ReplyInvalid(f"a report: {error}"))
-        role = _ROLES_BY_PHASE.get(found.phase, EngineRole.NONE)
-        return Ok(EngineReport(role, found.busy, found.sequence))
+        found = read_json(reply.body, _Report)
+        if isinstance(found, Err):
+            return Err(ReplyInvalid(f"a report: {found.err_value.detail}"))
+        report = found.ok_value
+        role = _ROLES_BY_PHASE.get(report.phase, EngineRole.NONE)
+        return Ok(EngineReport(role, report.busy, report.sequence))
 
     def change_role(
         self,
--- a/pimentolink/platform/documents.py
+++ b/pimentolink/platform/documents.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import math
+import re
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
 from pimentolink.errors import DocumentInvalid
+from pimentolink.jsondocument import read_json
 from pimentolink.routes import (
     CallerBounds,
     EngineModel,
@@ -15,6 +20,7 @@
     Service,
     WeightedService,
 )
+from pimentolink.settings import Address
 from pimentolink.targetbelief import EngineRole, Target
 
 CONFIGURATION_KEY = "op/config"
@@ -26,9 +32,14 @@
 _ROLES = {"prefill": EngineRole.READER, "decode": EngineRole.WRITER}
 
 
+_Share = Annotated[float, msgspec.Meta(ge=0)]
+# A target's name goes into a header as one word.
+_TARGET_ID = re.compile(r"[!-~]{1,200}")
+
+
 class _Backend(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Share
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -88,13 +99,19 @@
     """
 
     service: str
-    address: str
+    address: Address
     zone: str
     slots: int = 1
     state: str = "ready"
     phase: str | None = None
 
 
+def _leads_nowhere(route: _Route) -> bool:
+    """Tell whether none of the services that share a route has a share."""
+    shares = [item.weight for item in route.weighted_backends]
+    return bool(shares) and not 0 < sum(shares) < math.inf
+
+
 def _route_of(found: _Route) -> Route:
     services = tuple(
         WeightedService(item.service, item.weight) for item in found.weighted_backends
@@ -117,6 +134,12 @@
     )
 
 
+def _copy_rate(engine: _Engine) -> float:
+    """Tell the tokens a second that go over the link between two engines."""
+    bytes_a_second = engine.link_mbps * 1e6 / 8
+    return max(1.0, bytes_a_second / max(1.0, engine.kv_bytes))
+
+
 def _service_of(found: _Service) -> Service:
     engine = found.engine
     model = None
@@ -124,7 +147,7 @@
         model = EngineModel(
             cache_tokens=engine.kv_tokens,
             switch_time=engine.role_switch_s,
-            copy_rate=engine.link_mbps * 1e6 / 8 / max(1.0, engine.kv_bytes),
+            copy_rate=_copy_rate(engine),
         )
     return Service(found.name, found.max_connections, model)
 
@@ -154,10 +177,13 @@
 
         :param document: value of ``CONFIGURATION_KEY``.
         """
-        try:
-            found = msgspec.json.decode(document, type=_Configuration)
-        except msgspec.DecodeError as error:
-            return Err(DocumentInvalid(str(error)))
+        read = read_json(document, _Configuration)
+        if isinstance(read, Err):
+            return read
+        found = read.ok_value
+        for route in found.routes:
+            if _leads_nowhere(route):
+                return Err(DocumentInvalid(f"route {route.name}: no service"))
         routes = [_route_of(item) for item in found.routes]
         services = [_service_of(item) for item in found.services]
         return Ok(
@@ -171,13 +197,16 @@
         :param key: begins with ``TARGET_PREFIX``; the rest is the target's name.
         :param document: the entry.
         """
-        try:
-            found = msgspec.json.decode(document, type=_Server)
-        except msgspec.DecodeError as error:
-            return Err(DocumentInvalid(f"{key}: {error}"))
+        target_id = key.removeprefix(TARGET_PREFIX)
+        if _TARGET_ID.fullmatch(target_id) is None:
+            return Err(DocumentInvalid(f"{key!r} does not fit into a header"))
+        read = read_json(document, _Server)
+        if isinstance(read, Err):
+            return Err(DocumentInvalid(f"{key}: {read.err_value.detail}"))
+        found = read.ok_value
         return Ok(
             Target(
-                target_id=key.removeprefix(TARGET_PREFIX),
+                target_id=target_id,
                 service=found.service,
                 address=found.address,
                 data_centre=found.zone,
--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import base64
+import binascii
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
+from result import Err
 from twisted.internet.defer import CancelledError, Deferred
 
 from pimentolink.errors import Failure, HistoryLost, KeyValueUnavailable, LeaseLost
 from pimentolink.gatewaysettings import ConnectionSettings, StoreSettings
 from pimentolink.httptypes import Headers, HttpReply, HttpRequest
+from pimentolink.jsondocument import read_json
 from pimentolink.keyspace import Change, Changes, Item, Snapshot, Write
 from pimentolink.targethttp import ConnectionPool, exchange
 from pimentolink.timers import Timers, with_timeout
@@ -31,7 +34,7 @@
     value: str | None = None
 
     def data(self) -> bytes:
-        return base64.b64decode(self.value or "")
+        return _bytes_of(self.value or "")
 
 
 class _Page(msgspec.Struct, rename="camel"):
@@ -157,7 +160,7 @@
         if reply.head.status == 404:
             return None
         found = _decode(_checked(reply), _Single)
-        return Item(found.key, base64.b64decode(found.value), found.revision)
+        return Item(found.key, _bytes_of(found.value), found.revision)
 
     async def _write(self, write: Write) -> int | None:
         put: dict[str, object] = {
@@ -227,7 +230,16 @@
 
 
 def _decode(reply: HttpReply, kind: type[Decoded]) -> Decoded:
+    found = read_json(reply.body, kind)
+    if isinstance(found, Err):
+        detail = found.err_value.detail
+        raise KeyValueUnavailable(f"an answer that cannot be read: {detail}")
+    return found.ok_value
+
+
+def _bytes_of(text: str) -> bytes:
+    """Read a value; what follows the store would end with any other error."""
     try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as error:
-        raise KeyValueUnavailable(f"an answer that cannot be read: {error}") from error
+        return base64.b64decode(text, validate=True)
+    except binascii.Error as error:
+        raise KeyValueUnavailable(f"a value that cannot be read: {error}") from error
--- a/pimentolink/registration.py
+++ b/pimentolink/registration.py
@@ -12,6 +12,7 @@
 from pimentolink.keyspace import Keyspace, Write
 from pimentolink.logs import Log, LogEvent
 from pimentolink.retry import Backoff
+from pimentolink.settings import Address
 from pimentolink.timers import Timers, pause
 
 GATEWAY_PREFIX = "pimentolink/gateways/"
@@ -28,7 +29,7 @@
     :ivar data_centre: where it stands.
     """
 
-    address: str
+    address: Address
     life: str
     data_centre: str = ""
 
--- a/pimentolink/settings.py
+++ b/pimentolink/settings.py
@@ -17,7 +17,11 @@
 Count = Annotated[int, Meta(ge=1)]
 Ratio = Annotated[float, Meta(ge=0, le=1)]
 Address = Annotated[
-    str, Meta(pattern=r"^[0-9a-f.:\[\]]+:[0-9]+$", description="IP number and port")
+    str,
+    Meta(
+        pattern=r"^(\[[0-9a-f:.]+\]|[0-9]{1,3}(\.[0-9]{1,3}){3}):[0-9]{1,5}\Z",
+        description="IP number and port",
+    ),
 ]
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,6 +4,8 @@
 from random import Random
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
@@ -13,9 +15,11 @@
 from pimentolink.memorykeyspace import MemoryKeyspace
 from pimentolink.platform.documents import PlatformDocuments
 from pimentolink.routes import RoutingTables
+from pimentolink.settings import split_address
 from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
 from tests.gatewayparts import gateway_settings
+from tests.jsonvalues import DOCUMENTS, likely
 
 
 def entry(**changes):
@@ -181,3 +185,23 @@
         world.store.put("servers/a", entry())
         assert world.usable() == {"a"}
         assert world.membership.gateways_by_name == {}
+
+
+class TestAnyDocument:
+    @settings(max_examples=10_000, deadline=None)
+    @given(
+        key=st.sampled_from(
+            ["pimentolink/gateways/g", "servers/a", "op/config", "pimentolink/orders"]
+        ),
+        document=likely(
+            "version", "phase", address="10.0.0.1:80", life="l", service="s", zone="z"
+        )
+        | DOCUMENTS,
+    )
+    def test_whatever_is_written_the_follower_goes_on(self, key, document):
+        world = World()
+        world.store.put(key, document)
+        world.store.put("servers/b", entry())
+        assert "b" in world.usable()
+        for gateway in world.membership.gateways_by_name.values():
+            split_address(gateway.address)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,12 +1,16 @@
 """What gateways tell each other, on one virtual wire."""
 
+import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from pimentolink.dialect import PromptPart
 from pimentolink.logs import Log
 from pimentolink.metrics import Metrics
 from pimentolink.peers import (
     COUNTS_LAST,
+    MOST_CHANGING,
     MOST_DATAGRAM,
     MOST_PEERS,
     PeerOutbox,
@@ -19,6 +23,7 @@
 from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
 from tests.gatewayparts import fleet, target
+from tests.jsonvalues import VALUES
 
 
 class Wire:
@@ -205,3 +210,35 @@
 def test_bytes_that_are_no_message_are_dropped(pair):
     pair.peers[0].datagramReceived(b"\x93\x01", ("127.0.0.1", 1))
     assert pair.engine(0).load() == 0
+
+
+NUMBERS = st.floats() | st.integers(-(2**63), 2**63) | VALUES
+PARTS = st.lists(st.lists(st.integers(-9, 2**64 - 1), max_size=2), max_size=2)
+# Messages whose fields are right or have any value, and any other datagram.
+MESSAGES = st.one_of(
+    st.tuples(st.just("b"), st.just("t"), st.just("e"), NUMBERS, PARTS),
+    st.tuples(st.just("e"), st.just("t"), st.just("e"), st.booleans(), NUMBERS),
+    st.tuples(st.just("f"), st.just("g"), st.just({"e": 2}) | VALUES, st.booleans()),
+    st.tuples(
+        st.just("f"), st.just("g"), NUMBERS.map(lambda n: {"e": n}), st.booleans()
+    ),
+    st.tuples(st.just("r"), st.just("e"), NUMBERS),
+)
+DATAGRAMS = (
+    st.lists(MESSAGES.map(list), max_size=3).map(msgspec.msgpack.encode)
+    | VALUES.map(msgspec.msgpack.encode)
+    | st.binary(max_size=60)
+)
+
+
+class TestAnyDatagram:
+    @settings(max_examples=10_000, deadline=None)
+    @given(datagram=DATAGRAMS)
+    def test_any_datagram_leaves_beliefs_that_can_be_used(self, datagram):
+        pair = Pair()
+        pair.peers[0].datagramReceived(datagram, ("127.0.0.1", 1))
+        engine = pair.engine(0)
+        assert engine.backlog(0.0) >= 0
+        assert engine.load() >= 0
+        assert 0 < engine.work_time(1000) < 1000
+        assert engine.is_usable(MOST_CHANGING)
--- /dev/null
+++ b/tests/test_platform_dialect.py
@@ -0,0 +1,170 @@
+"""What callers and engines send, proper or not, at the platform's dialect."""
+
+import h11
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from pimentolink.dialect import PromptPart, Sending
+from pimentolink.errors import InvalidRequest, ReplyInvalid
+from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
+from pimentolink.peers import PeerOutbox, ReadingBegan
+from pimentolink.platform.dialect import (
+    DEADLINE,
+    PROMPT_PARTS,
+    REQUEST_ID,
+    TOKEN_COUNTS,
+    PlatformDialect,
+    read_request,
+)
+from pimentolink.readings import parts_of
+from tests.jsonvalues import DOCUMENTS, likely
+
+NUMBERS = st.one_of(
+    st.integers(-5, 20_000).map(str),
+    st.integers().map(str),
+    st.sampled_from(
+        ["", "1e3", "nan", "inf", "1_0", " 7", "7 ", "+7", "0x7", "9" * 30]
+    ),
+)
+NAMES = st.one_of(
+    st.integers(0, 2**32).map(lambda number: f"{number:x}"),
+    st.text("0123456789abcdefABCDEFx_-+ ", max_size=40),
+)
+PARTS = st.lists(st.tuples(NAMES, NUMBERS).map(":".join), max_size=4).map(",".join)
+RAW = st.binary(max_size=40)
+
+
+def request(**headers):
+    """Write a request with the headers that are given."""
+    names = {
+        "parts": PROMPT_PARTS,
+        "counts": TOKEN_COUNTS,
+        "deadline": DEADLINE,
+        "request_id": REQUEST_ID,
+    }
+    told = {"request_id": b"r"} | headers
+    items = [(names[name], value) for name, value in told.items()]
+    return HttpRequest(b"POST", b"/p/", ((b"Host", b"h.example"), *items), b"")
+
+
+def reply(body):
+    return HttpReply(ReplyHead(200, ()), body)
+
+
+class TestRequest:
+    def test_prompt_is_read(self):
+        http = request(parts=b"5c1e:800,91bd:410", counts=b"1210,80", deadline=b"900")
+        found = read_request(http, 3.0).unwrap()
+        assert found.parts == (PromptPart(0x5C1E, 800), PromptPart(0x91BD, 410))
+        assert (found.prompt_tokens, found.output_tokens) == (1210, 80)
+        assert (found.patience, found.arrived_at) == (0.9, 3.0)
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {"parts": b"5c1e"},
+            {"parts": b"5c1e:"},
+            {"parts": b"-5:800"},
+            {"parts": b"5_c:800"},
+            {"parts": b"5c1e:8_0"},
+            {"parts": b"5c1e:-800"},
+            {"parts": b"5c1e:99999999999999999999"},
+            {"counts": b"1_0,5"},
+            {"counts": b"-1,5"},
+            {"counts": b"99999999999999999999,5"},
+            {"deadline": b"nan"},
+            {"deadline": b"-1"},
+            {"request_id": b""},
+        ],
+    )
+    def test_what_cannot_be_meant_is_refused(self, headers):
+        found = read_request(request(**headers), 0.0)
+        assert isinstance(found.err(), InvalidRequest)
+
+    def test_long_names_of_parts_are_told_apart(self):
+        http = request(parts=b"aa" * 16 + b":7," + b"ab" * 16 + b":7")
+        first, second = read_request(http, 0.0).unwrap().parts
+        assert first.part_id != second.part_id
+
+    @settings(max_examples=10_000, deadline=None)
+    @given(
+        parts=PARTS.map(str.encode) | RAW,
+        counts=st.tuples(NUMBERS, NUMBERS).map(",".join).map(str.encode) | RAW,
+        deadline=NUMBERS.map(str.encode) | RAW,
+    )
+    def test_any_request_is_served_or_refused(self, parts, counts, deadline):
+        http = request(parts=parts, counts=counts, deadline=deadline)
+        found = read_request(http, 0.0)
+        if isinstance(found, Err):
+            assert isinstance(found.err_value, InvalidRequest)
+            return
+        asked = found.ok_value
+        assert asked.prompt_tokens >= 0
+        assert all(part.tokens >= 0 for part in asked.parts)
+        message = ReadingBegan("t", "e", asked.prompt_tokens, parts_of(asked.parts))
+        assert PeerOutbox().add(message)
+        PlatformDialect().sending(asked, Sending("e", asked.patience))
+
+
+class TestReply:
+    def test_cache_is_named(self):
+        found = PlatformDialect().read_prompt(reply(b'{"kvHandle":"3f","tokens":7}'))
+        name = PlatformDialect().cache_source("10.0.0.1:80", found.unwrap())
+        assert name == "10.0.0.1:80/3f"
+
+    @pytest.mark.parametrize("handle", ["", "a\r\nX: y", "a b", "a/b", "é", "a" * 500])
+    def test_name_that_fits_into_no_header_is_refused(self, handle):
+        body = msgspec.json.encode({"kvHandle": handle, "tokens": 1})
+        found = PlatformDialect().read_prompt(reply(body))
+        assert isinstance(found.err(), ReplyInvalid)
+
+    def test_deep_nesting_is_refused(self):
+        found = PlatformDialect().read_report(reply(b'{"x":' + b"[" * 100_000))
+        assert isinstance(found.err(), ReplyInvalid)
+
+    @settings(max_examples=10_000, deadline=None)
+    @given(body=likely("kvHandle", "tokens", "version") | DOCUMENTS)
+    def test_any_answer_to_a_reading_is_read_or_refused(self, body):
+        found = PlatformDialect().read_prompt(reply(body))
+        if isinstance(found, Ok):
+            name = PlatformDialect().cache_source("10.0.0.1:80", found.ok_value)
+            headers = [("Host", "x"), ("Source", name)]
+            h11.Request(method="GET", target="/", headers=headers)
+            h11.Request(**_head(PlatformDialect().drop_cache("x", found.ok_value)))
+        else:
+            assert isinstance(found.err_value, ReplyInvalid)
+
+    @settings(max_examples=10_000, deadline=None)
+    @given(body=likely("phase", "busy", "sequence") | DOCUMENTS)
+    def test_any_report_is_read_or_refused(self, body):
+        found = PlatformDialect().read_report(reply(body))
+        assert isinstance(found, Ok) or isinstance(found.err_value, ReplyInvalid)
+
+    @settings(max_examples=10_000, deadline=None)
+    @given(
+        body=st.lists(
+            st.tuples(st.just(""), NAMES, st.integers(), st.just("m")), max_size=3
+        ).map(
+            lambda held: msgspec.json.encode(
+                {"held": [list(map(str, e)) for e in held]}
+            )
+        )
+        | st.lists(
+            st.tuples(st.just(""), NAMES, st.integers(-9, 9999), st.just("m")),
+            max_size=3,
+        ).map(lambda held: msgspec.json.encode({"held": held}))
+        | DOCUMENTS
+    )
+    def test_any_list_of_parts_is_read_or_refused(self, body):
+        found = PlatformDialect().read_parts(reply(body))
+        if isinstance(found, Err):
+            assert isinstance(found.err_value, ReplyInvalid)
+            return
+        assert all(part.tokens >= 0 for part in found.ok_value)
+
+
+def _head(http):
+    return {"method": http.method, "target": http.path, "headers": list(http.headers)}
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,77 @@
+"""Answers of the platform's store, proper or not, without sockets."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred
+
+from pimentolink.errors import Failure, KeyValueUnavailable
+from pimentolink.gatewaysettings import ConnectionSettings, StoreSettings
+from pimentolink.httptypes import HttpReply, ReplyHead
+from pimentolink.keyspace import Write
+from pimentolink.platform import store as module
+from pimentolink.platform.store import PlatformStore
+from pimentolink.timers import ManualTimers
+from tests.jsonvalues import DOCUMENTS, VALUES, likely
+
+ITEM = {"key": "k", "revision": 3, "value": "YQ=="}
+ITEMS = st.lists(
+    st.fixed_dictionaries(
+        {}, optional={name: st.just(value) | VALUES for name, value in ITEM.items()}
+    ),
+    max_size=2,
+)
+ANSWERS = st.one_of(
+    likely("lease", "revision", **ITEM),
+    st.fixed_dictionaries(
+        {
+            "items": ITEMS,
+            "events": ITEMS,
+            "morePages": st.just(False),
+            "currentRev": st.just(5) | VALUES,
+        }
+    ).map(msgspec.json.encode),
+    DOCUMENTS,
+)
+CALLS = {
+    "read_all": lambda store: store.read_all("p"),
+    "changes": lambda store: store.changes("p", 1, 1.0),
+    "read": lambda store: store.read("k"),
+    "write": lambda store: store.write(Write("k", b"v", 0, 0)),
+    "grant": lambda store: store.grant(1.0),
+}
+
+
+def outcome(call, status, body):
+    """Make a call that is answered at once; return its value or its failure."""
+
+    async def answer(*arguments):
+        return HttpReply(ReplyHead(status, ()), body)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(module, "exchange", answer)
+        settings = StoreSettings(address="127.0.0.1:1")
+        store = PlatformStore(None, settings, ConnectionSettings(), ManualTimers())
+        found = []
+        pending: Deferred = CALLS[call](store)
+        pending.addBoth(found.append)
+    return found[0]
+
+
+class TestAnswers:
+    def test_value_that_is_no_base64_counts_as_no_answer(self):
+        body = msgspec.json.encode(ITEM | {"value": "a"})
+        failure = outcome("read", 200, body)
+        assert failure.check(KeyValueUnavailable)
+
+    @settings(max_examples=10_000, deadline=None)
+    @given(
+        call=st.sampled_from(sorted(CALLS)),
+        status=st.sampled_from([200, 200, 200, 404, 410, 412, 429, 503]),
+        body=ANSWERS,
+    )
+    def test_any_answer_is_read_or_fails_as_the_store_may(self, call, status, body):
+        found = outcome(call, status, body)
+        if hasattr(found, "check"):
+            assert found.check(Failure), found
