--- a/tests/test_playdays.py
+++ b/tests/test_playdays.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.playdays import DAYS, Played, read
+from tests.playdays import DAYS, NotOpen, Played, play, read
 
 TABLE = "day   own/srv  score  worth served refused failed  weakest part\n"
 
@@ -36,3 +36,11 @@
     def test_day_that_was_not_played_is_an_error(self):
         with pytest.raises(ValueError, match="burst was not played: no such day"):
             read("burst", "no such day")
+
+
+class TestPlay:
+    def test_day_that_the_site_does_not_have_is_told_apart(self, tmp_path):
+        bench = tmp_path / "bench"
+        bench.write_text("#!/bin/sh\necho 'bench: flap: contract health is not open'\n")
+        bench.chmod(0o755)
+        assert play(str(bench), "site", tmp_path / "flap.toml") == NotOpen("flap")
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,79 @@
+"""Load patterns replayed in virtual time, with a mechanism and without it."""
+
+from functools import lru_cache
+
+import pytest
+
+from tools.replay import LOADS, POLICIES, read_load, replay
+
+LOAD_NAMES = sorted(path.stem for path in LOADS.glob("*.json"))
+
+
+@lru_cache
+def played(load, policy):
+    return replay(read_load(load), policy)
+
+
+def gain(load, without):
+    """Tell how much worth is earned beyond another policy."""
+    return played(load, "current").worth - played(load, without).worth
+
+
+class TestLoads:
+    @pytest.mark.parametrize("load", LOAD_NAMES)
+    def test_a_replay_repeats(self, load):
+        assert replay(read_load(load), "current") == played(load, "current")
+
+    @pytest.mark.parametrize("load", LOAD_NAMES)
+    @pytest.mark.parametrize("baseline", ["round robin", "least in flight"])
+    def test_more_is_earned_than_by_a_baseline(self, load, baseline):
+        assert gain(load, baseline) > 0.15
+
+    @pytest.mark.parametrize("load", LOAD_NAMES)
+    def test_no_kind_and_no_size_is_starved(self, load):
+        found = played(load, "current")
+        assert min(found.worth_by_kind.values()) > 0.5 * found.worth
+        assert found.large_served > 0.5
+
+    @pytest.mark.parametrize("load", LOAD_NAMES)
+    def test_nothing_is_left_until_its_time_is_over(self, load):
+        crashed = 0.02 if load == "crash" else 0.0
+        assert played(load, "current").failed <= crashed
+
+
+class TestMechanisms:
+    def test_calm_load_is_served_nearly_whole(self):
+        found = played("calm", "current")
+        assert found.worth > 0.95
+        assert found.refused < 0.01
+
+    def test_waiting_here_earns_more_than_waiting_at_engines(self):
+        assert gain("overload", "nothing waits") > 0.07
+
+    @pytest.mark.parametrize("load", ["bursts", "crash", "overload"])
+    def test_refusing_in_time_earns_more_than_serving_late(self, load):
+        assert gain(load, "nothing refused") > 0.07
+
+    def test_a_price_on_engine_time_keeps_parts_where_they_are(self):
+        assert gain("crash", "no price on engine time") > 0.02
+
+    @pytest.mark.parametrize("load", LOAD_NAMES)
+    def test_gateways_that_tell_each_other_earn_more(self, load):
+        assert gain(load, "gateways tell nothing") > 0.15
+
+
+class TestManyGateways:
+    def test_shared_knowledge_loses_little_against_one_gateway(self):
+        load = read_load("many-gateways")
+        alone = replay(type(load)(**{**_fields(load), "gateways": 1}), "current")
+        assert played("many-gateways", "current").worth > alone.worth - 0.05
+
+
+def _fields(load):
+    return {name: getattr(load, name) for name in load.__struct_fields__}
+
+
+def test_every_policy_can_be_played():
+    load = read_load("calm")
+    for policy in POLICIES:
+        assert 0 <= replay(load, policy).worth <= 1
--- /dev/null
+++ b/tools/replay.py
@@ -0,0 +1,530 @@
+"""Replays load patterns in virtual time against the gateways' own decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from pimentolink.dialect import PromptPart
+from pimentolink.errors import USUAL_PAUSE, Failure
+from pimentolink.fleet import Fleet
+from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
+from pimentolink.logs import Log, LogEvent
+from pimentolink.peers import InFlight, Message, PeerBook, ReadingBegan, ReadingEnded
+from pimentolink.placement import (
+    Placement,
+    Placer,
+    ReadingQueue,
+    SizeScale,
+    WaitingPrompt,
+)
+from pimentolink.readings import Readings
+from pimentolink.routes import EngineModel
+from pimentolink.targetbelief import EngineRole, Target, TargetBelief
+from pimentolink.timers import ManualTimers, Repeater, pause, with_timeout
+from tools.enginemodel import EngineFigures, ModelEngine
+
+LOADS = Path(__file__).parent.parent / "tests" / "loads"
+SERVICE = "model"
+# Seconds until the entry of an engine that crashed is taken off the list: three of its
+# heartbeats.
+LAPSE = 3.6
+# Seconds that a datagram takes from one gateway to another.
+NEWS_DELAY = 0.0015
+# Seconds between two tellings of answers under way.
+COUNTS_INTERVAL = 0.2
+# Seconds after the last request until a replay ends.
+AFTERMATH = 8.0
+# Settings under which a prompt is sent on at once and never turned away.
+UNBOUNDED = 1e6
+
+
+class Kind(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    One kind of request.
+
+    :ivar rate: a second, outside of bursts.
+    :ivar shared: tokens of the part that requests of one topic share.
+    :ivar topics: how many such parts there are.
+    :ivar own: mean tokens of a request's own part.
+    :ivar output: tokens of its answer.
+    :ivar latency_target: seconds until its first token.
+    :ivar patience: seconds that its caller waits.
+    :ivar worth: of an answer on time.
+    :ivar late: of a late one.
+    """
+
+    rate: float
+    shared: int
+    topics: int
+    own: int
+    output: int
+    latency_target: float
+    patience: float
+    worth: float
+    late: float
+
+
+class Burst(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A kind that comes several times as often for a while, in seconds."""
+
+    kind: str
+    begins: float
+    ends: float
+    times: float
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    Trouble of engines.
+
+    :ivar at: seconds from the start.
+    :ivar engines: how many, the first of the list.
+    :ivar speed: share of their speed that is left; 0 is a crash.
+    """
+
+    at: float
+    engines: int
+    speed: float
+
+
+class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    A load pattern over a fleet.
+
+    :ivar why: what the pattern is meant to bring out.
+    :ivar lasts: seconds in which requests come.
+    """
+
+    why: str
+    gateways: int
+    readers: int
+    writers: int
+    lasts: float
+    engine: EngineFigures
+    kinds: dict[str, Kind]
+    bursts: list[Burst] = []
+    faults: list[Fault] = []
+
+
+class Request(NamedTuple):
+    """One request of a caller, with the parts of its prompt."""
+
+    kind: str
+    number: int
+    at: float
+    parts: tuple[PromptPart, ...]
+    size: float
+
+
+class Figures(NamedTuple):
+    """
+    What came of a load.
+
+    :ivar worth: share of the worth owed that was earned.
+    :ivar worth_by_kind: the same, by kind.
+    :ivar large_served: share of the largest tenth that was answered.
+    :ivar refused: share of requests that ended refused.
+    :ivar failed: share that ended unanswered otherwise.
+    :ivar reread: tokens of prompts read beyond what one engine would need.
+    """
+
+    worth: float
+    worth_by_kind: dict[str, float]
+    large_served: float
+    refused: float
+    failed: float
+    reread: int
+
+
+def requests_of(load: Load, seed: int) -> list[Request]:
+    """Draw the requests of a load, in order of time."""
+    random = Random(seed)
+    found: list[Request] = []
+    for kind_number, (name, kind) in enumerate(load.kinds.items()):
+        scale = SizeScale()
+        at = random.expovariate(kind.rate)
+        while at < load.lasts:
+            topic = random.randrange(kind.topics)
+            own = max(1, int(kind.own * random.lognormvariate(-0.125, 0.5)))
+            number = len(found) + 1
+            parts = (
+                PromptPart((kind_number + 1) * 1_000_000 + topic, kind.shared),
+                PromptPart(10_000_000 + number, own),
+            )
+            size = scale.worth(name, kind.shared + own, kind.output)
+            found.append(Request(name, number, at, parts, size))
+            at += random.expovariate(kind.rate * _times(load, name, at))
+    return sorted(found, key=lambda request: request.at)
+
+
+def _times(load: Load, kind: str, at: float) -> float:
+    times = [
+        burst.times
+        for burst in load.bursts
+        if burst.kind == kind and burst.begins <= at < burst.ends
+    ]
+    return max(times, default=1.0)
+
+
+class QuietLog(Log):
+    """Writes nothing."""
+
+    def write(self, event: LogEvent, **fields: object) -> None:
+        """Drop the event."""
+
+
+class Wire:
+    """Carries what gateways tell each other."""
+
+    def __init__(self, timers: ManualTimers, is_up: bool) -> None:
+        """
+        Start without gateways.
+
+        :param is_up: whether anything arrives.
+        """
+        self._timers = timers
+        self._is_up = is_up
+        self.books_by_gateway: dict[str, tuple[PeerBook, Callable[[], None]]] = {}
+
+    def tell(self, sender: str, message: Message) -> None:
+        """Carry a message to all other gateways."""
+        if not self._is_up:
+            return
+        for name, (book, look) in self.books_by_gateway.items():
+            if name != sender:
+                arrive = partial(self._arrive, book, look, message)
+                self._timers.call_later(NEWS_DELAY, arrive)
+
+    def _arrive(
+        self, book: PeerBook, look: Callable[[], None], message: Message
+    ) -> None:
+        book.take(message, self._timers.now())
+        if isinstance(message, ReadingBegan | ReadingEnded):
+            look()
+
+
+class Policy(NamedTuple):
+    """
+    How a gateway decides.
+
+    :ivar placer: chooses engines.
+    :ivar tells: whether gateways tell each other what they send.
+    """
+
+    settings: PlacementSettings
+    placer: type[Placer] = Placer
+    tells: bool = True
+
+
+class _Straight(Placer):
+    """Sends each prompt to an engine without regard to parts or backlog."""
+
+    def best(self, prompt: WaitingPrompt, now: float) -> Placement | None:
+        engines = self._fleet.usable(prompt.service, now)
+        if not engines:
+            return None
+        engine = self.pick(engines)
+        is_reader = engine.target.role is EngineRole.READER
+        return Placement(engine, prompt.prompt_tokens, 0, now, "", 0, is_reader)
+
+    def pick(self, engines: list[TargetBelief]) -> TargetBelief:
+        """Choose one."""
+        raise NotImplementedError
+
+
+class RoundRobin(_Straight):
+    """Baseline: engines in turn."""
+
+    _turn = 0
+
+    def pick(self, engines: list[TargetBelief]) -> TargetBelief:
+        """Choose the next one."""
+        self._turn += 1
+        return engines[self._turn % len(engines)]
+
+
+class LeastInFlight(_Straight):
+    """Baseline: the engine with the fewest requests under way."""
+
+    def pick(self, engines: list[TargetBelief]) -> TargetBelief:
+        """Choose the idlest."""
+        return min(
+            engines, key=lambda engine: engine.load() + len(engine.readings_by_ticket)
+        )
+
+
+_SENT_ON = PlacementSettings(depth=UNBOUNDED, late_factor=UNBOUNDED)
+
+POLICIES = {
+    "current": Policy(PlacementSettings()),
+    "round robin": Policy(_SENT_ON, RoundRobin),
+    "least in flight": Policy(_SENT_ON, LeastInFlight),
+    "nothing waits": Policy(PlacementSettings(depth=UNBOUNDED)),
+    "nothing refused": Policy(PlacementSettings(late_factor=UNBOUNDED)),
+    "no price on engine time": Policy(PlacementSettings(duplicate_cost=0.0)),
+    "gateways tell nothing": Policy(PlacementSettings(), tells=False),
+}
+
+
+class ModelGateway:
+    """One gateway's decisions, with modelled engines behind them."""
+
+    def __init__(self, name: str, policy: Policy, replay: Replay) -> None:
+        """Put the decisions together."""
+        self._name = name
+        self._replay = replay
+        timers = replay.timers
+        self.fleet = Fleet(policy.settings, EjectionSettings(), Random(name))
+        figures = replay.load.engine
+        model = EngineModel(figures.cache_tokens, 3.0, figures.copy_rate)
+        self.fleet.set_models({SERVICE: model})
+        for engine in replay.engines_by_name.values():
+            self.fleet.put(_listed(engine))
+        self.placer = policy.placer(policy.settings, self.fleet, "here")
+        queue = ReadingQueue(policy.settings, self.placer)
+        self.readings = Readings(queue, self.fleet, self, timers, QuietLog(), name)
+        book = PeerBook(self.fleet)
+        replay.wire.books_by_gateway[name] = (book, self.readings.look)
+        Repeater(timers, COUNTS_INTERVAL, self._tell_counts)
+
+    def tell(self, message: Message) -> None:
+        """Tell all other gateways."""
+        self._replay.wire.tell(self._name, message)
+
+    def _tell_counts(self) -> None:
+        counts = {
+            name: belief.in_flight
+            for name, belief in self.fleet.targets_by_id.items()
+            if belief.in_flight
+        }
+        self.tell(InFlight(self._name, counts, is_whole=True))
+
+    async def serve(self, request: Request, kind: Kind, due_at: float) -> float:
+        """
+        Have a request answered.
+
+        :returns: when its first token was out.
+        :raises Failure: if it was refused or its engine crashed.
+        """
+        now = self._replay.timers.now()
+        prompt = WaitingPrompt(
+            request_id=f"{request.number}-{now}",
+            service=SERVICE,
+            parts=request.parts,
+            prompt_tokens=sum(part.tokens for part in request.parts),
+            size=request.size,
+            arrived_at=now,
+            latency_target=kind.latency_target,
+            on_time_until=request.at + kind.latency_target,
+            due_at=due_at,
+        )
+        ticket = await self.readings.wait(prompt)
+        placement = ticket.placement
+        is_good = False
+        try:
+            reader = self._replay.engine(placement.belief)
+            source = self._replay.engine_at(placement.copy_from)
+            await self._on(placement.belief, reader.read(request.parts, source))
+            is_good = True
+        finally:
+            self.readings.end(ticket, is_good)
+        writer = placement.belief
+        if placement.is_reading_only:
+            writer = await self._hand_over(request, writer)
+        engine = self._replay.engine(writer)
+        await self._on(writer, engine.write(1))
+        first_at = self._replay.timers.now()
+        await self._on(writer, engine.write(kind.output - 1))
+        return first_at
+
+    async def _hand_over(self, request: Request, reader: TargetBelief) -> TargetBelief:
+        now = self._replay.timers.now()
+        near = reader.target.data_centre
+        writer = self.placer.writer(SERVICE, near, now)
+        if writer is None:
+            raise Failure("no engine writes")
+        await self._on(writer, self._replay.engine(writer).fetch(request.parts))
+        writer.fetched(request.parts)
+        return writer
+
+    async def _on(self, belief: TargetBelief, work: Awaitable[None]) -> None:
+        belief.in_flight += 1
+        try:
+            await work
+        except Failure:
+            self.fleet.failed(belief, self._replay.timers.now())
+            raise
+        finally:
+            belief.in_flight -= 1
+
+
+def _listed(engine: ModelEngine) -> Target:
+    return Target(
+        target_id=engine.name,
+        service=SERVICE,
+        address=engine.name,
+        data_centre="here",
+        slots=engine.figures.slots,
+        is_leaving=False,
+        role=engine.role,
+    )
+
+
+class Replay:
+    """One load, played once under one policy."""
+
+    def __init__(self, load: Load, policy: Policy, seed: int) -> None:
+        """
+        Set the fleet up.
+
+        :param seed: of the requests.
+        """
+        self.load = load
+        self.timers = ManualTimers()
+        self.wire = Wire(self.timers, policy.tells)
+        roles = [EngineRole.READER] * load.readers + [EngineRole.WRITER] * load.writers
+        self.engines_by_name = {
+            f"e{number}": ModelEngine(f"e{number}", role, load.engine, self.timers)
+            for number, role in enumerate(roles)
+        }
+        self._gateways = [
+            ModelGateway(f"g{number}", policy, self) for number in range(load.gateways)
+        ]
+        self._requests = requests_of(load, seed)
+        self._random = Random(seed)
+        self._first_at: dict[int, float] = {}
+        self._failures: dict[int, Failure] = {}
+
+    def engine(self, belief: TargetBelief) -> ModelEngine:
+        """Find the engine that a gateway believes in."""
+        return self.engines_by_name[belief.target.target_id]
+
+    def engine_at(self, address: str) -> ModelEngine | None:
+        """Find an engine by its address; ``None`` for an empty one."""
+        return self.engines_by_name.get(address)
+
+    def run(self) -> Figures:
+        """Play the load to its end."""
+        for request in self._requests:
+            self.timers.call_later(request.at, partial(self.ask, request))
+        for fault in self.load.faults:
+            self.timers.call_later(fault.at, partial(self.strike, fault))
+        self.timers.advance(self.load.lasts + AFTERMATH)
+        return self._figures()
+
+    def strike(self, fault: Fault) -> None:
+        """Let a fault begin."""
+        names = list(self.engines_by_name)[: fault.engines]
+        for name in names:
+            engine = self.engines_by_name[name]
+            engine.speed = max(fault.speed, 0.01)
+            if fault.speed == 0:
+                engine.lose()
+                self.timers.call_later(LAPSE, partial(self._lapse, name))
+
+    def _lapse(self, name: str) -> None:
+        for gateway in self._gateways:
+            gateway.fleet.remove(name)
+
+    def ask(self, request: Request) -> None:
+        """Let a caller ask."""
+        asking = Deferred.fromCoroutine(self._ask(request))
+        asking.addErrback(lambda failure: failure.trap(Failure, TimeoutError))
+
+    async def _ask(self, request: Request) -> None:
+        """Ask, and once more if refused: as told, within a third of the time left."""
+        kind = self.load.kinds[request.kind]
+        due_at = request.at + kind.patience
+        for tries_left in (1, 0):
+            left = due_at - self.timers.now()
+            gateway = self._random.choice(self._gateways)
+            serving = gateway.serve(request, kind, due_at)
+            try:
+                first_at = await with_timeout(self.timers, left, serving)
+            except TimeoutError:
+                self._failures[request.number] = Failure("its time was over")
+                return
+            except Failure as failure:
+                self._failures[request.number] = failure
+                if tries_left:
+                    told = failure.retry_after or USUAL_PAUSE
+                    left = due_at - self.timers.now()
+                    await pause(self.timers, min(told, left / 3))
+            else:
+                self._first_at[request.number] = first_at
+                return
+
+    def _figures(self) -> Figures:
+        owed = dict.fromkeys(self.load.kinds, 0.0)
+        earned = dict.fromkeys(self.load.kinds, 0.0)
+        for request in self._requests:
+            kind = self.load.kinds[request.kind]
+            owed[request.kind] += request.size * kind.worth
+            earned[request.kind] += request.size * self._worth(request, kind)
+        by_size = sorted(self._requests, key=lambda request: -request.size)
+        large = by_size[: max(1, len(by_size) // 10)]
+        served = [request for request in large if request.number in self._first_at]
+        unserved = [
+            self._failures.get(request.number)
+            for request in self._requests
+            if request.number not in self._first_at
+        ]
+        refused = [item for item in unserved if item is not None and item.retry_after]
+        return Figures(
+            worth=sum(earned.values()) / sum(owed.values()),
+            worth_by_kind={name: earned[name] / owed[name] for name in owed},
+            large_served=len(served) / len(large),
+            refused=len(refused) / len(self._requests),
+            failed=(len(unserved) - len(refused)) / len(self._requests),
+            reread=self._reread(),
+        )
+
+    def _worth(self, request: Request, kind: Kind) -> float:
+        first_at = self._first_at.get(request.number)
+        if first_at is None:
+            return 0.0
+        is_late = first_at > request.at + kind.latency_target
+        return kind.late if is_late else kind.worth
+
+    def _reread(self) -> int:
+        needed: dict[int, int] = {}
+        for request in self._requests:
+            needed.update((part.part_id, part.tokens) for part in request.parts)
+        read = sum(engine.tokens_read for engine in self.engines_by_name.values())
+        return max(0, read - sum(needed.values()))
+
+
+def read_load(name: str) -> Load:
+    """Read a load pattern by its name."""
+    return msgspec.json.decode((LOADS / f"{name}.json").read_bytes(), type=Load)
+
+
+def replay(load: Load, policy: str, seed: int = 1) -> Figures:
+    """Play a load under a policy of :data:`POLICIES`."""
+    return Replay(load, POLICIES[policy], seed).run()
+
+
+def main() -> None:
+    """Play all loads under all policies and print what came of them."""
+    for path in sorted(LOADS.glob("*.json")):
+        load = read_load(path.stem)
+        print(f"{path.stem}: {load.why}")
+        for policy in POLICIES:
+            found = replay(load, policy)
+            kinds = " ".join(f"{worth:.2f}" for worth in found.worth_by_kind.values())
+            print(
+                f"  {policy:24} worth {found.worth:.3f} ({kinds}) "
+                f"largest {found.large_served:.2f} refused {found.refused:.3f} "
+                f"failed {found.failed:.3f} read again {found.reread // 1000}k"
+            )
+
+
+if __name__ == "__main__":
+    main()
