Put a gateway together in parts, read own documents in one way

Change: parts are made by methods of their own; one reader of JSON. Behaviour is as before: tests of gateway, membership and command line pass.

--- a/pimentolink/deploymentstatus.py
+++ b/pimentolink/deploymentstatus.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
-import msgspec
 from result import Err
 
+from pimentolink.jsondocument import read_json
 from pimentolink.keyspace import Item, Snapshot
 from pimentolink.membership import Documents
 from pimentolink.orderholder import HOLDER_KEY, Holder
 from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
 from pimentolink.targetbelief import Target
 
+Read = TypeVar("Read")
+
 
 class ListedGateway(NamedTuple):
     """
@@ -84,10 +86,7 @@
         elif item.key.startswith(self._documents.target_prefix):
             self._take_target(item)
         elif item.key.startswith(GATEWAY_PREFIX) or item.key == HOLDER_KEY:
-            try:
-                self._take_own(item)
-            except msgspec.DecodeError as error:
-                self._unreadable.append(f"{item.key}: {error}")
+            self._take_own(item)
 
     def _take_configuration(self, item: Item) -> None:
         found = self._documents.read_configuration(item.value)
@@ -106,9 +105,17 @@
 
     def _take_own(self, item: Item) -> None:
         if item.key == HOLDER_KEY:
-            holder = msgspec.json.decode(item.value, type=Holder)
-            self._order_holder = holder.instance
+            holder = self._readable(item, Holder)
+            self._order_holder = holder.instance if holder is not None else ""
             return
-        entry = msgspec.json.decode(item.value, type=GatewayEntry)
-        name = item.key.removeprefix(GATEWAY_PREFIX)
-        self._gateways.append(ListedGateway(name, entry.address, entry.life))
+        entry = self._readable(item, GatewayEntry)
+        if entry is not None:
+            name = item.key.removeprefix(GATEWAY_PREFIX)
+            self._gateways.append(ListedGateway(name, entry.address, entry.life))
+
+    def _readable(self, item: Item, kind: type[Read]) -> Read | None:
+        found = read_json(item.value, kind)
+        if isinstance(found, Err):
+            self._unreadable.append(f"{item.key}: {found.err_value.detail}")
+            return None
+        return found.ok_value
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -104,32 +104,9 @@
             settings.instance, self.fleet, self._news, timers, self.log, self.metrics
         )
         placer = Placer(settings.placement, self.fleet, settings.data_centre)
-        queue = ReadingQueue(settings.placement, placer)
-        self._peers.waiting_work = queue.waiting_work
-        self.readings = Readings(
-            queue,
-            self.fleet,
-            self._peers,
-            timers,
-            self.log,
-            self._life,
-        )
+        self.readings = self._make_readings(placer)
         self.forwarder = self._make_forwarder(placer)
-        self.membership = Membership(
-            self.tables, self.fleet, documents, settings.store, timers, self.log
-        )
-        if not settings.is_first_start:
-            learning = CacheLearning(
-                dialect,
-                self.fleet,
-                self._caller.alone,
-                timers,
-                self._random,
-                self.log,
-            )
-            self.membership.on_first_read = learning.ask_all
-        self.membership.on_changed = self._fleet_changed
-        self.membership.on_gone = self._caller.forget
+        self.membership = self._make_membership(documents)
         self._follower = KeyspaceFollower(
             "",
             keyspace,
@@ -143,20 +120,7 @@
         self._registration = Registration(
             settings, self._life, keyspace, timers, self._random, self.log
         )
-        self._orders = OrderHolder(
-            settings,
-            self._life,
-            keyspace,
-            RoleBalancer(settings.roles, self.fleet),
-            self.fleet,
-            dialect,
-            self._caller.alone,
-            self._peers,
-            timers,
-            self._random,
-            self.log,
-        )
-        self._orders.services = self._engine_services
+        self._orders = self._make_orders(keyspace)
         self.membership.on_holder = self._orders.key_changed
         self._factory = CallerFactory(
             self.forwarder,
@@ -171,6 +135,49 @@
         self._freezes = FreezeWatch(timers, self.log, self._thawed)
         self.is_stopping = False
 
+    def _make_readings(self, placer: Placer) -> Readings:
+        queue = ReadingQueue(self._settings.placement, placer)
+        self._peers.waiting_work = queue.waiting_work
+        return Readings(
+            queue, self.fleet, self._peers, self._timers, self.log, self._life
+        )
+
+    def _make_membership(self, documents: Documents) -> Membership:
+        settings, timers = self._settings, self._timers
+        membership = Membership(
+            self.tables, self.fleet, documents, settings.store, timers, self.log
+        )
+        if not settings.is_first_start:
+            learning = CacheLearning(
+                self._dialect,
+                self.fleet,
+                self._caller.alone,
+                timers,
+                self._random,
+                self.log,
+            )
+            membership.on_first_read = learning.ask_all
+        membership.on_changed = self._fleet_changed
+        membership.on_gone = self._caller.forget
+        return membership
+
+    def _make_orders(self, keyspace: Keyspace) -> OrderHolder:
+        orders = OrderHolder(
+            self._settings,
+            self._life,
+            keyspace,
+            RoleBalancer(self._settings.roles, self.fleet),
+            self.fleet,
+            self._dialect,
+            self._caller.alone,
+            self._peers,
+            self._timers,
+            self._random,
+            self.log,
+        )
+        orders.services = self._engine_services
+        return orders
+
     def _make_forwarder(self, placer: Placer) -> Forwarder:
         settings, timers = self._settings, self._timers
         generations = Generations(
