Read the store anew after a renewal without an answer

Change: the lease is renewed each second, which costs a tenth of a read; the first renewal that is answered after one that was not makes the gateway read the store anew.

--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -120,6 +120,7 @@
         self._registration = Registration(
             settings, self._life, keyspace, timers, self._random, self.log
         )
+        self._registration.on_store_back = self._follower.restart
         self._orders = self._make_orders(keyspace)
         self.membership.on_holder = self._orders.key_changed
         self._factory = CallerFactory(
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -87,6 +87,16 @@
         "A target is missing from the list after an outage; it may come back.",
     )
     LEASE_LOST = ("E1208", logging.WARNING, "A lease of this process ended.")
+    RENEWAL_UNANSWERED = (
+        "E1212",
+        logging.WARNING,
+        "A renewal of this gateway's entry had no answer; its watch may be dead too.",
+    )
+    RENEWAL_ANSWERED = (
+        "E1213",
+        logging.INFO,
+        "A renewal was answered again; the store is read anew.",
+    )
     PEER_LISTED = ("E1209", logging.INFO, "Another gateway appeared or left.")
     PEER_MESSAGE_INVALID = (
         "E1210",
--- a/pimentolink/registration.py
+++ b/pimentolink/registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -16,8 +17,10 @@
 from pimentolink.timers import Timers, pause
 
 GATEWAY_PREFIX = "pimentolink/gateways/"
-# A lease is renewed this often within its time, so that one lost renewal ends nothing.
-RENEWALS = 3
+# Seconds between two renewals of the lease. They also tell whether the store answers: a
+# watch that it forgot in an outage looks like one without news, and configurations came
+# in force up to 20 s late. A renewal costs a tenth of a read.
+RENEWAL_INTERVAL = 1.0
 
 
 class GatewayEntry(msgspec.Struct):
@@ -35,7 +38,12 @@
 
 
 class Registration:
-    """An entry under a lease, written anew when the lease was lost."""
+    """
+    An entry under a lease, written anew when the lease was lost.
+
+    Its renewals are the gateway's check that the store answers: ``on_store_back`` is
+    called at the first one that does after one that did not.
+    """
 
     def __init__(
         self,
@@ -61,11 +69,13 @@
         self._timers = timers
         self._log = log
         store = settings.store
-        self._backoff = Backoff(store.backoff_most, 4 * store.backoff_most, random)
+        self._backoff = Backoff(store.backoff_first, store.backoff_most, random)
         self._entry = GatewayEntry(settings.peers, life, settings.data_centre)
         self._key = GATEWAY_PREFIX + settings.instance
         self._running: Deferred[None] | None = None
+        self._is_answered = True
         self.lease = 0
+        self.on_store_back: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Write the entry and keep it."""
@@ -91,17 +101,31 @@
         while True:
             try:
                 await self._step()
-                self._backoff.reset()
-                await pause(self._timers, self._settings.store.lease / RENEWALS)
+                self._answered()
+                await pause(self._timers, RENEWAL_INTERVAL)
             except LeaseLost as failure:
                 self._log.write(
                     LogEvent.LEASE_LOST, lease=self.lease, detail=str(failure)
                 )
                 self.lease = 0
-            except KeyValueUnavailable:
-                # The follower logs outages of the store.
+            except KeyValueUnavailable as failure:
+                self._unanswered(failure)
                 await pause(self._timers, self._backoff.next())
 
+    def _answered(self) -> None:
+        self._backoff.reset()
+        if not self._is_answered:
+            self._is_answered = True
+            self._log.write(LogEvent.RENEWAL_ANSWERED, lease=self.lease)
+            self.on_store_back()
+
+    def _unanswered(self, failure: KeyValueUnavailable) -> None:
+        if self._is_answered:
+            self._is_answered = False
+            self._log.write(
+                LogEvent.RENEWAL_UNANSWERED, lease=self.lease, detail=failure.detail
+            )
+
     async def _step(self) -> None:
         if self.lease:
             await self._keyspace.renew(self.lease)
