--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from result import Err, Ok, Result
+from twisted.internet.defer import CancelledError
 
 from pimentolink.attempts import Attempts
 from pimentolink.dialect import CallerRequest, Dialect
@@ -191,9 +192,27 @@
             self._fail(work, work.attempts.expired(unserved))
         except Failure as failure:
             self._fail(work, work.attempts.final(failure))
+        except CancelledError:
+            self._left(work)
+            raise
         else:
             self._answered(work)
 
+    def _left(self, work: Work) -> None:
+        """Tell where the work of a caller that left was, which explains its wait."""
+        now = self._timers.now()
+        self._log.write(
+            LogEvent.WORK_CANCELLED,
+            request=work.request.request_id,
+            route=work.route.name,
+            service=work.service,
+            version=work.table.version,
+            targets=work.attempts.tried_target_ids,
+            has_begun=work.responder.has_begun,
+            took=round(now - work.request.arrived_at, 3),
+            left=round(work.time_left(now), 3),
+        )
+
     def _answered(self, work: Work) -> None:
         now = self._timers.now()
         took = now - work.request.arrived_at
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -166,6 +166,11 @@
         logging.INFO,
         "A caller closed its connection before its answer was whole.",
     )
+    WORK_CANCELLED = (
+        "E1415",
+        logging.INFO,
+        "Work for a caller that left was ended; it was at the last of the targets.",
+    )
     BAD_REQUEST = (
         "E1410",
         logging.WARNING,
