Believe engines that start again anew, leave foreign entries unused

Cause: an engine may start again under its name; what was believed of its earlier life (parts, KV caches, readings and answers under way, failures, connections, changes of role) was kept, and a KV cache of that life could be named to the engine that writes. Entries of other writers with an unknown state or without fields were taken as ready targets.

Ruled out: telling lives apart by address or by refused connections; both come late and an address may stay.

Change: a target has the moment of its start; a later one replaces the belief, an earlier one changes nothing. Readings and role changes that gateways tell name the life that they mean; an order goes out only if the engine's report is of the life that is listed, and an order without an answer stays in doubt beyond a restart. A handle of an earlier life is neither used nor freed. An entry that cannot be read names no target, one log line for each content. test_unreadable_entry_changes_nothing is replaced: an engine whose entry was overwritten is left alone until its own is back, and what is believed of it is kept.

--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -110,8 +110,19 @@
         return self._models_by_service.get(service)
 
     def put(self, target: Target) -> TargetBelief:
-        """Take a target in, or what has changed of it."""
+        """
+        Take a target in, or what has changed of it.
+
+        A target that started again is believed anew from nothing: with the belief of
+        its earlier life, prompts were sent after parts and KV caches that were gone.
+        What an earlier life told late changes nothing.
+        """
         known = self.targets_by_id.get(target.target_id)
+        if known is not None and target.born < known.target.born:
+            return known
+        if known is not None and target.born > known.target.born:
+            self._replace(known)
+            known = None
         if known is None:
             known = TargetBelief(target, self._placement, self._index)
             known.set_model(self._models_by_service.get(target.service))
@@ -126,6 +137,12 @@
         self._group(target).add(known)
         return known
 
+    def _replace(self, belief: TargetBelief) -> None:
+        """Keep work that refers to a life that ended from using it."""
+        self.remove(belief.target.target_id)
+        belief.is_replaced = True
+        belief.missing_since = belief.missing_since or 0.0
+
     def remove(self, target_id: str) -> TargetBelief | None:
         """Forget a target that is gone."""
         belief = self.targets_by_id.pop(target_id, None)
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -13,6 +13,7 @@
     ConnectionBroken,
     Failure,
     NoTarget,
+    RejectedUnrun,
     ReplyInvalid,
     RetryBudgetSpent,
     StreamBroken,
@@ -219,6 +220,9 @@
         now = self._timers.now()
         writer = self._placer.writer(work.service, reader.target.data_centre, now)
         try:
+            if reader.is_replaced:
+                # Its next life may give the same name to another request's KV cache.
+                raise RejectedUnrun("the engine that read the prompt restarted")
             if writer is None:
                 raise NoTarget(f"no engine of {work.service} writes answers", 0.5)
             address = reader.target.address
@@ -260,8 +264,10 @@
         return call
 
     def _drop_cache(self, work: Work, prepared: _Prepared) -> None:
-        """Free a KV cache that nobody will fetch."""
+        """Free a KV cache that nobody will fetch, unless it went with its engine."""
         reader = prepared.reader
+        if reader.is_replaced:
+            return
         message = self._dialect.drop_cache(reader.target.address, prepared.prompt)
 
         async def drop() -> None:
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -58,7 +58,7 @@
     TARGET_UNREADABLE = (
         "E1103",
         logging.ERROR,
-        "An entry on the list of targets cannot be read; what was known stays.",
+        "An entry on the list names no target to use; told once for each content.",
     )
     KEY_VALUE_LOST = (
         "E1201",
@@ -86,6 +86,16 @@
         logging.WARNING,
         "A target is missing from the list after an outage; it may come back.",
     )
+    TARGET_RESTARTED = (
+        "E1214",
+        logging.INFO,
+        "A target started again under its name; all that was believed is forgotten.",
+    )
+    TARGET_OUTDATED = (
+        "E1215",
+        logging.INFO,
+        "An entry of an earlier life of a target came late and changes nothing.",
+    )
     LEASE_LOST = ("E1208", logging.WARNING, "A lease of this process ended.")
     RENEWAL_UNANSWERED = (
         "E1212",
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import xxhash
 from result import Err, Result
 
 from pimentolink.errors import DocumentInvalid
@@ -68,6 +69,8 @@
         self._settings = settings
         self._timers = timers
         self._log = log
+        # Digests of entries that cannot be read, so that each is logged once.
+        self._unreadable_by_id: dict[str, int] = {}
         self.gateways_by_name: dict[str, GatewayEntry] = {}
         self.is_known = False
         self.on_changed: Callable[[], None] = lambda: None
@@ -98,6 +101,8 @@
         for target_id in list(self._fleet.targets_by_id):
             if target_id not in listed:
                 self._target_missing(target_id)
+        for target_id in self._unreadable_by_id.keys() - listed:
+            del self._unreadable_by_id[target_id]
         for name in list(self.gateways_by_name):
             if GATEWAY_PREFIX + name not in keys:
                 del self.gateways_by_name[name]
@@ -130,17 +135,37 @@
     def _target_changed(self, change: Change) -> None:
         target_id = change.key.removeprefix(self._documents.target_prefix)
         if change.value is None:
+            self._unreadable_by_id.pop(target_id, None)
             self._target_gone(target_id, "removed")
             return
         found = self._documents.read_target(change.key, change.value)
         if isinstance(found, Err):
-            detail = str(found.err_value)
-            self._log.write(LogEvent.TARGET_UNREADABLE, detail=detail)
+            self._target_unreadable(target_id, change.value, str(found.err_value))
             return
+        self._unreadable_by_id.pop(target_id, None)
         target = found.ok_value
         known = self._fleet.targets_by_id.get(target_id)
         is_news = known is None or known.target != target
+        before = known.target.born if known is not None else target.born
+        if target.born < before:
+            self._log.write(
+                LogEvent.TARGET_OUTDATED,
+                target=target_id,
+                born=target.born,
+                known=before,
+                revision=change.revision,
+            )
+            return
         self._fleet.put(target)
+        if target.born > before:
+            self._log.write(
+                LogEvent.TARGET_RESTARTED,
+                target=target_id,
+                born=target.born,
+                before=before,
+                revision=change.revision,
+            )
+            self.on_gone(target_id)
         if is_news:
             self._log.write(
                 LogEvent.TARGET_LISTED,
@@ -149,9 +174,23 @@
                 address=target.address,
                 role=target.role.value,
                 leaving=target.is_leaving,
+                born=target.born,
                 revision=change.revision,
             )
 
+    def _target_unreadable(self, target_id: str, document: bytes, detail: str) -> None:
+        """
+        Keep an entry that names no target from use, and say so once for each content.
+
+        A target that was known under this name may write its own entry again.
+        """
+        digest = xxhash.xxh3_64_intdigest(document)
+        if self._unreadable_by_id.get(target_id) != digest:
+            self._unreadable_by_id[target_id] = digest
+            self._log.write(LogEvent.TARGET_UNREADABLE, target=target_id, detail=detail)
+        if target_id in self._fleet.targets_by_id:
+            self._target_missing(target_id)
+
     def _target_missing(self, target_id: str) -> None:
         """Keep a target from work until it is back, or for good."""
         belief = self._fleet.targets_by_id[target_id]
--- a/pimentolink/orderholder.py
+++ b/pimentolink/orderholder.py
@@ -201,8 +201,9 @@
     async def _order(self, service: str, change: RoleChange) -> None:
         report = await self._report(change)
         is_needed = report is not None and report.role is not change.role
-        if report is None or report.is_busy or not is_needed:
-            # The list tells a change of role late; it will catch up.
+        is_known = report is not None and report.is_of(change.belief.target)
+        if report is None or report.is_busy or not is_needed or not is_known:
+            # The list tells a change of role, or a restart, late; it will catch up.
             self._balancer.begun(service, self._timers.now())
             return
         asked_at = self._timers.now()
@@ -256,7 +257,8 @@
         seconds = switch_time + SETTLE_TIME
         belief = change.belief
         belief.changing_until = self._timers.now() + seconds
-        self._news.tell(RoleChanging(belief.target.target_id, seconds))
+        target = belief.target
+        self._news.tell(RoleChanging(target.target_id, seconds, target.born))
         self._tell(LogEvent.ORDER_DONE, change)
 
     def _tell(self, event: LogEvent, change: RoleChange, detail: str = "") -> None:
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -60,12 +60,14 @@
 
     :ivar ticket: names the reading.
     :ivar parts: of the prompt, as number and tokens.
+    :ivar born: which life of the engine is meant.
     """
 
     ticket: str
     target_id: str
     tokens: _Natural
     parts: list[tuple[_Natural, _Natural]]
+    born: _Natural = 0
 
 
 class ReadingEnded(msgspec.Struct, tag="e", array_like=True):
@@ -103,10 +105,12 @@
     An engine was ordered to another role.
 
     :ivar seconds: for which it takes no work.
+    :ivar born: which life of the engine is meant.
     """
 
     target_id: str
     seconds: _Changing
+    born: _Natural = 0
 
 
 Message = ReadingBegan | ReadingEnded | InFlight | RoleChanging
@@ -172,14 +176,17 @@
         belief = self._fleet.targets_by_id.get(message.target_id)
         if belief is None:
             return
-        if isinstance(message, ReadingBegan):
+        if isinstance(message, ReadingEnded):
+            belief.end_reading(message.ticket, message.is_good)
+            belief.rate += (message.rate - belief.rate) / 2
+        elif message.born != belief.target.born:
+            # Told of a life that ended, or of one that is not listed here yet.
+            return
+        elif isinstance(message, ReadingBegan):
             parts = [PromptPart(*part) for part in message.parts]
             belief.begin_reading(message.ticket, message.tokens, parts, now)
-        elif isinstance(message, RoleChanging):
-            belief.changing_until = now + message.seconds
         else:
-            belief.end_reading(message.ticket, message.is_good)
-            belief.rate += (message.rate - belief.rate) / 2
+            belief.changing_until = now + message.seconds
 
     def _take_in_flight(self, message: InFlight) -> None:
         if message.is_whole:
--- a/pimentolink/platform/dialect.py
+++ b/pimentolink/platform/dialect.py
@@ -176,12 +176,14 @@
 
     :ivar phase: its role.
     :ivar busy: whether it carries out an order.
-    :ivar sequence: number of orders that it has accepted.
+    :ivar sequence: number of orders that it has accepted since it started.
+    :ivar born: when that was, in Unix milliseconds.
     """
 
     phase: str = ""
     busy: bool = False
     sequence: int = 0
+    born: int = 0
 
 
 class _HeldParts(msgspec.Struct):
@@ -311,7 +313,7 @@
             return Err(ReplyInvalid(f"a report: {found.err_value.detail}"))
         report = found.ok_value
         role = _ROLES_BY_PHASE.get(report.phase, EngineRole.NONE)
-        return Ok(EngineReport(role, report.busy, report.sequence))
+        return Ok(EngineReport(role, report.busy, report.sequence, report.born))
 
     def change_role(
         self,
--- a/pimentolink/platform/documents.py
+++ b/pimentolink/platform/documents.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from result import Err, Ok, Result
@@ -33,6 +33,7 @@
 
 
 _Share = Annotated[float, msgspec.Meta(ge=0)]
+_Milliseconds = Annotated[int, msgspec.Meta(ge=0)]
 # A target's name goes into a header as one word.
 _TARGET_ID = re.compile(r"[!-~]{1,200}")
 
@@ -95,15 +96,20 @@
     """
     What an engine registers.
 
+    Whoever else writes here leaves fields out or fills them otherwise; such an entry
+    names no engine.
+
     :ivar phase: role of a model's engine; absent for other services.
+    :ivar born: when it started, in Unix milliseconds; a restart may keep its name.
     """
 
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: Address
     zone: str
-    slots: int = 1
-    state: str = "ready"
-    phase: str | None = None
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: Literal["ready", "draining"]
+    phase: Literal["prefill", "decode"] | None = None
+    born: _Milliseconds = 0
 
 
 def _leads_nowhere(route: _Route) -> bool:
@@ -213,5 +219,6 @@
                 slots=found.slots,
                 is_leaving=found.state == _LEAVING,
                 role=_ROLES.get(found.phase or "", EngineRole.NONE),
+                born=found.born,
             )
         )
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -124,7 +124,9 @@
         belief.begin_reading(name, tokens, prompt.parts, now)
         target_id = belief.target.target_id
         parts = parts_of(prompt.parts)
-        self._news.tell(ReadingBegan(name, target_id, tokens, parts))
+        self._news.tell(
+            ReadingBegan(name, target_id, tokens, parts, belief.target.born)
+        )
         self._log.write(
             LogEvent.PROMPT_PLACED,
             request=prompt.request_id,
--- a/pimentolink/targetbelief.py
+++ b/pimentolink/targetbelief.py
@@ -41,7 +41,9 @@
     """
     A target as it is listed.
 
-    :ivar target_id: one life of one target; a restart has another.
+    :ivar target_id: its name, which a restart may keep.
+    :ivar born: when this life of it began, in Unix milliseconds; 0 if it does not
+        tell. A later life knows nothing of the one before.
     """
 
     target_id: str
@@ -51,6 +53,7 @@
     slots: int
     is_leaving: bool
     role: EngineRole
+    born: int = 0
 
 
 class EngineReport(NamedTuple):
@@ -59,11 +62,17 @@
 
     :ivar is_busy: whether it carries out an order.
     :ivar orders_accepted: since its start.
+    :ivar born: when that was, in Unix milliseconds; 0 if it does not tell.
     """
 
     role: EngineRole
     is_busy: bool
     orders_accepted: int
+    born: int = 0
+
+    def is_of(self, target: Target) -> bool:
+        """Tell whether the life that is listed said this, as far as both tell."""
+        return not self.born or not target.born or self.born == target.born
 
 
 class Reading(NamedTuple):
@@ -105,6 +114,8 @@
         self.in_flight = 0
         self.streams_by_peer: dict[str, int] = {}
         self.missing_since: float | None = None
+        # Whether the target started again since; what this life held is gone.
+        self.is_replaced = False
         self.changing_until = 0.0
         self.failure_share = 0.0
         self._failures = 0
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -28,6 +28,7 @@
     def __init__(self, options: Any) -> None:
         """Start in the role given."""
         self.instance = options.instance
+        self.born = int(time.time() * 1000)
         self.phase = options.phase
         self.pieces = options.pieces
         self.gap = options.gap
@@ -78,11 +79,16 @@
     def list_parts(self, request: Request) -> None:
         """Tell what memory holds."""
         held = [["", name, tokens, "m"] for name, tokens in self.parts.items()]
-        answer(request, {"epoch": 1, "next": 1, "held": held})
+        answer(request, {"epoch": 1, "next": 1, "held": held, "born": self.born})
 
     def report(self, request: Request) -> None:
         """Tell the role and the orders accepted."""
-        told = {"phase": self.phase, "busy": False, "sequence": self.sequence}
+        told = {
+            "phase": self.phase,
+            "busy": False,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
         answer(request, told)
 
     def order(self, request: Request) -> None:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -226,6 +226,7 @@
 
     def list_at(self, name, service, phase, address, state="ready") -> None:
         entry = {"service": service, "address": address, "zone": "north", "slots": 8}
+        entry |= {"born": self.born(name)}
         entry |= {"state": state} | ({"phase": phase} if phase else {})
         self.addresses = getattr(self, "addresses", {}) | {name: address}
         self.put(f"servers/{name}", entry)
@@ -262,6 +263,8 @@
             self.terminate,
             self.kill,
             self.crash_target,
+            self.restart_target,
+            self.write_foreign,
             self.leave,
             self.configure,
             self.hang_up,
@@ -352,6 +355,25 @@
         self.world.start_target(place, service, phase)
         return f"{name} crashed"
 
+    def restart_target(self) -> str:
+        """Start a target again that keeps its name and its address."""
+        place = self.random.choice(sorted(self.world.listed_by_place))
+        name, service, phase = self.world.listed_by_place[place]
+        self.world.fleet.processes_by_name[name].kill()
+        self.world.fleet.start_again(name)
+        self.world.fleet.settle()
+        address = self.world.addresses[name]
+        self.world.list_at(name, service, phase, address)
+        return f"{name} restarted"
+
+    def write_foreign(self) -> str:
+        """Have another writer list what names no target."""
+        entry = self.random.choice(
+            ([], {}, {"service": "llm"}, {"service": "plain", "address": 7}, "x")
+        )
+        self.world.put(f"servers/stranger-{self.random.randint(1, 3)}", entry)
+        return f"a stranger wrote {entry}"
+
     def leave(self) -> str:
         place = self.random.choice(sorted(self.world.listed_by_place))
         name, service, phase = self.world.listed_by_place[place]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -207,6 +208,21 @@
         wait_until(lambda: world.logged("second", name))
         assert world.logged("second", name)[0]["tokens"] == 200
 
+    def test_prompt_read_by_an_engines_earlier_life_is_read_again(self, fleet):
+        found = PlatformWorld(fleet)
+        found.target("reader", "llm", "prefill", gap=0.4)
+        found.target("writer", "llm", "decode")
+        found.configure(1)
+        found.gateway("gateway")
+        with ThreadPoolExecutor() as pool:
+            asking = pool.submit(found.generate, "/resume/x")
+            wait_until(lambda: found.runs("reader")["reads"])
+            later = found.born("reader") + 1
+            found.list_target("reader", "llm", "prefill", born=later)
+            reply, name = asking.result()
+        assert reply.status == 200
+        assert found.runs("reader")["reads"][name] == 2
+
 
 class TestLeaving:
     def test_leaving_target_gets_no_more_work(self, world):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pimentolink.dialect import PromptPart
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
 from pimentolink.keyspacefollower import KeyspaceFollower
@@ -18,7 +19,7 @@
 from pimentolink.settings import split_address
 from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
-from tests.gatewayparts import gateway_settings
+from tests.gatewayparts import MODEL, gateway_settings
 from tests.jsonvalues import DOCUMENTS, likely
 
 
@@ -49,6 +50,10 @@
     return json.dumps({"version": version, "routes": routes, "services": []}).encode()
 
 
+def told(capfd):
+    return "".join(capfd.readouterr())
+
+
 class World:
     """A store, a follower and what it makes a gateway believe."""
 
@@ -106,11 +111,99 @@
         world.timers.advance(0.3)
         assert not belief.is_usable(world.timers.now())
 
-    def test_unreadable_entry_changes_nothing(self, world):
+    def test_unreadable_entry_names_no_target_until_its_own_is_back(self, world):
         world.store.put("servers/a", entry())
+        world.store.put("servers/b", entry())
+        world.timers.advance(0.3)
+        belief = world.fleet.targets_by_id["a"]
         world.store.put("servers/a", b"{")
+        assert world.usable() == {"b"}
+        world.store.put("servers/a", entry())
+        assert world.usable() == {"a", "b"}
+        assert world.fleet.targets_by_id["a"] is belief
+
+    @pytest.mark.parametrize(
+        "document",
+        [
+            b"\xff\xfe",
+            b"[]",
+            b"{}",
+            entry(state="sleeping"),
+            entry(state=None),
+            entry(phase="mixed"),
+            entry(service=7),
+            entry(service=""),
+            entry(slots="4"),
+            entry(slots=0),
+            entry(born="1764725000000"),
+            entry(born=1.5),
+            json.dumps({"address": "10.0.0.1:80", "service": "s"}).encode(),
+        ],
+    )
+    def test_entry_of_another_writer_names_no_target(self, world, document):
+        world.store.put("servers/a", entry())
+        world.store.put("servers/stranger", document)
         assert world.usable() == {"a"}
 
+    def test_entry_of_another_writer_is_logged_once_for_each_content(
+        self, world, capfd
+    ):
+        for document in (b"{", b"{", b"[", b"["):
+            world.store.put("servers/stranger", document)
+            world.timers.advance(0.3)
+        world.follower.restart()
+        world.timers.advance(3.0)
+        assert told(capfd).count("E1103") == 2
+
+
+class TestRestartUnderTheSameName:
+    """Pattern: an engine starts again and keeps its name."""
+
+    @pytest.fixture
+    def belief(self, world):
+        world.store.put("servers/a", entry(phase="prefill", born=1000))
+        world.timers.advance(0.3)
+        belief = world.fleet.targets_by_id["a"]
+        parts = (PromptPart(1, 500),)
+        belief.set_model(MODEL)
+        belief.begin_reading("t", 500, parts, world.timers.now())
+        belief.fetched(parts)
+        belief.in_flight = 3
+        belief.changing_until = 99.0
+        belief.failed(world.timers.now(), EjectionSettings(failures=1))
+        return belief
+
+    def test_later_life_is_believed_from_nothing(self, world, belief):
+        world.store.put("servers/a", entry(phase="prefill", born=1001))
+        assert world.usable() == {"a"}
+        later = world.fleet.targets_by_id["a"]
+        assert later is not belief
+        assert later.backlog(world.timers.now()) == 0
+        assert later.load() == 0
+        assert later.fetchable.held_tokens([PromptPart(1, 500)]) == 0
+        assert later.parts.held_tokens([PromptPart(1, 500)]) == 0
+        assert not later.is_ejected(world.timers.now())
+        assert world.gone == ["a"]
+
+    def test_work_that_holds_on_to_the_earlier_life_cannot_use_it(self, world, belief):
+        world.store.put("servers/a", entry(phase="prefill", born=1001))
+        world.timers.advance(0.3)
+        assert belief.is_replaced
+        assert not belief.is_usable(world.timers.now())
+
+    def test_late_entry_of_the_earlier_life_changes_nothing(self, world, belief):
+        world.store.put("servers/a", entry(phase="prefill", born=1001))
+        world.timers.advance(0.3)
+        later = world.fleet.targets_by_id["a"]
+        world.store.put("servers/a", entry(state="draining", born=1000))
+        assert world.usable() == {"a"}
+        assert world.fleet.targets_by_id["a"] is later
+
+    def test_same_life_keeps_what_is_believed(self, world, belief):
+        world.store.put("servers/a", entry(phase="prefill", born=1000, sequence=4))
+        world.timers.advance(0.3)
+        assert world.fleet.targets_by_id["a"] is belief
+
 
 class TestOutage:
     def test_targets_known_stay_in_use(self, world):
--- a/tests/test_orderholder.py
+++ b/tests/test_orderholder.py
@@ -29,6 +29,7 @@
         self.accepted = {}
         self.phases = {}
         self.is_silent = False
+        self.born = 0
         self.fleets = []
 
     async def send(self, belief, message):
@@ -37,6 +38,7 @@
             sequence = self.accepted.get(name, 0)
             phase = self.phases.get(name, "decode")
             body = {"phase": phase, "busy": False, "sequence": sequence}
+            body["born"] = self.born
             return HttpReply(ReplyHead(200, ()), json.dumps(body).encode())
         order = json.loads(message.body)
         self.orders.append((self._timers.now(), name, order))
@@ -190,6 +192,31 @@
         names = [name for _, name, _ in world.engine.orders]
         assert len(names) == len(set(names))
 
+    def test_engine_that_started_again_gets_no_order_on_its_earlier_life(self, world):
+        world.engine.born = 2_000
+        holder = world.gateway()
+        for target in engines(2, 5):
+            holder._fleet.put(target._replace(born=1_000))
+        world.timers.advance(20.0)
+        assert world.engine.orders == []
+        for target in engines(2, 5):
+            holder._fleet.put(target._replace(born=2_000))
+        world.timers.advance(20.0)
+        assert world.engine.orders
+
+    def test_lost_order_is_in_doubt_beyond_its_engines_restart(self, world):
+        world.engine.is_silent = True
+        holder = world.gateway(readers=1, writers=3)
+        while not world.engine.orders:
+            world.timers.advance(0.1)
+        at, name, _ = world.engine.orders[0]
+        world.engine.is_silent = False
+        known = holder._fleet.targets_by_id[name].target
+        holder._fleet.put(known._replace(born=5_000))
+        world.timers.advance(IN_DOUBT - 1.0)
+        later = [order for order in world.engine.orders[1:] if order[1] == name]
+        assert later == []
+
     def test_orders_expect_what_the_engine_told(self, world):
         world.engine.accepted = {f"writer-{number}": 4 for number in range(5)}
         world.gateway()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -17,6 +17,7 @@
     PeerProtocol,
     ReadingBegan,
     ReadingEnded,
+    RoleChanging,
     choose_peers,
 )
 from pimentolink.registration import GatewayEntry
@@ -170,6 +171,16 @@
         assert pair.engine(1).backlog(pair.timers.now()) == 0
         assert pair.engine(1).fetchable.held_tokens([PromptPart(1, 5000)]) == 5000
 
+    def test_reading_of_an_earlier_life_is_not_counted_at_a_later_one(self, pair):
+        engine = pair.engine(1)
+        pair.fleets[1].put(engine.target._replace(born=2))
+        pair.peers[0].tell(ReadingBegan("t", "e", 5000, [(1, 5000)], 1))
+        pair.peers[0].tell(RoleChanging("e", 60.0, 1))
+        later = pair.engine(1)
+        assert later.backlog(pair.timers.now()) == 0
+        assert later.parts.held_tokens([PromptPart(1, 5000)]) == 0
+        assert later.is_usable(pair.timers.now())
+
     def test_counts_that_changed_go_along(self, pair):
         pair.engine(0).in_flight = 2
         pair.peers[0].tell(ReadingBegan("t", "e", 5000, []))
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -26,7 +26,13 @@
 }
 SERVICE = {"name": "s", "maxConnections": 9}
 ENGINE = {"kvTokens": 1000, "roleSwitchS": 2, "kvBytes": 100, "linkMbps": 1000}
-TARGET = {"service": "s", "address": "10.0.0.1:80", "zone": "north", "slots": 4}
+TARGET = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "north",
+    "slots": 4,
+    "state": "ready",
+}
 
 
 def changed(document):
@@ -101,7 +107,7 @@
     @settings(max_examples=10_000, deadline=None)
     @given(
         name=st.text(max_size=5),
-        document=likely("phase", "state", **TARGET) | DOCUMENTS,
+        document=likely("phase", "born", **TARGET) | DOCUMENTS,
     )
     def test_any_entry_can_be_used_or_is_refused(self, name, document):
         found = PlatformDocuments().read_target(f"servers/{name}", document)
--- a/tools/platformworld.py
+++ b/tools/platformworld.py
@@ -32,9 +32,14 @@
         self.list_target(name, service, phase)
 
     def list_target(
-        self, name: str, service: str, phase: str = "", state: str = "ready"
+        self,
+        name: str,
+        service: str,
+        phase: str = "",
+        state: str = "ready",
+        born: int = 0,
     ) -> None:
-        """Write the entry of a target."""
+        """Write the entry of a target, which tells itself when it started."""
         entry = {
             "service": service,
             "address": self.fleet.address(name),
@@ -42,9 +47,14 @@
             "slots": 8,
             "state": state,
             "sequence": 9,
+            "born": born or self.born(name),
         }
         self.put(f"servers/{name}", entry | ({"phase": phase} if phase else {}))
 
+    def born(self, name: str) -> int:
+        """Ask a target when it started."""
+        return int(call(self.fleet.url(name, "/report")).json["born"])
+
     def put(self, key: str, value: Any) -> None:
         """Write a key as the operator or a target does."""
         body = {"value": base64.b64encode(json.dumps(value).encode()).decode()}
