Learn how long engines take to read prompts

Cause: a reading was taken to cost 30 ms and tokens at a rate that began at 30,000 a second, figures of two deployments. Where one takes 1 ms and 331,000 a second are read, engines stood idle at 0.2 to 0.3 of their rate while 670 of 1,097 prompts of a window were refused.

Ruled out: other constants (they fit one site); learning a rate for each engine alone (slow, and no fixed part); ratios of single readings as an engine's speed (short ones scatter and made a usual engine look 1.1 times slower; sums of seconds do not).

Change: fixed part and rate are fitted by role from readings of all gateways, each counted from its sending or from the end of the reading before it; an engine's own slowness is a ratio of sums. Nothing is refused on a prediction that rests on fewer than four readings.

--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -7,6 +7,7 @@
 from pimentolink.dialect import PromptPart
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
 from pimentolink.partmemory import PartIndex
+from pimentolink.readingcost import ServiceCosts, Slowness
 from pimentolink.routes import EngineModel
 from pimentolink.targetbelief import EngineRole, Target, TargetBelief
 
@@ -18,9 +19,6 @@
 MOST_COMPARED = 64
 # Of these, targets that hold parts of the prompt.
 MOST_HOLDERS = 16
-# The usual rate is found anew after it was asked for this often, as a share of the
-# service's engines; sorting 3,000 rates for each reading took 1 ms.
-RATE_USES = 0.1
 
 
 class _Group:
@@ -45,14 +43,6 @@
         return self._listed
 
 
-class _UsualRate:
-    """A median, and how often it may be used until it is found anew."""
-
-    def __init__(self, rate: float, uses_left: int) -> None:
-        self.rate = rate
-        self.uses_left = uses_left
-
-
 class Fleet:
     """All targets that a gateway knows, by name and by service."""
 
@@ -72,7 +62,7 @@
         self.targets_by_id: dict[str, TargetBelief] = {}
         self._groups_by_service: dict[str, dict[EngineRole, _Group]] = {}
         self._index = PartIndex()
-        self._usual_rates_by_service: dict[str, _UsualRate] = {}
+        self._costs_by_service: dict[str, ServiceCosts] = {}
         self._models_by_service: dict[str, EngineModel | None] = {}
         self._forgiven_until = 0.0
         self._waiting_by_gateway: dict[str, dict[str, float]] = {}
@@ -124,14 +114,14 @@
             self._replace(known)
             known = None
         if known is None:
-            known = TargetBelief(target, self._placement, self._index)
+            known = TargetBelief(target, self.costs(target.service), self._index)
             known.set_model(self._models_by_service.get(target.service))
-            known.rate = self.usual_rate(target.service)
             self.targets_by_id[target.target_id] = known
         else:
             self._group(known.target).remove(known)
         if target.role is not known.target.role:
             known.changing_until = 0.0
+            known.slowness = Slowness()
         known.target = target
         known.missing_since = None
         self._group(target).add(known)
@@ -229,18 +219,11 @@
             return False
         return belief.failed(now, self._ejection)
 
-    def usual_rate(self, service: str) -> float:
-        """Tell the median rate of a service's engines, in tokens a second."""
-        known = self._usual_rates_by_service.get(service)
-        if known is None or known.uses_left <= 0:
-            known = self._find_usual_rate(service)
-            self._usual_rates_by_service[service] = known
-        known.uses_left -= 1
-        return known.rate
-
-    def _find_usual_rate(self, service: str) -> _UsualRate:
-        rates = sorted(belief.rate for belief in self.of_service(service))
-        if not rates:
-            return _UsualRate(float(self._placement.first_rate), 1)
-        uses = 1 + int(RATE_USES * len(rates))
-        return _UsualRate(rates[len(rates) // 2], uses)
+    def costs(self, service: str) -> ServiceCosts:
+        """Tell what was learned of a service's engines, over lives of each."""
+        known = self._costs_by_service.get(service)
+        if known is None:
+            placement = self._placement
+            known = ServiceCosts(placement.first_rate, placement.writer_share)
+            self._costs_by_service[service] = known
+        return known
--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -83,9 +83,10 @@
     How prompts wait and where they are read.
 
     :ivar first_rate: prompt tokens a second that an engine is taken to read until
-        readings have been timed.
-    :ivar decode_rate: share of that rate at an engine that also writes answers.
-    :ivar overhead: seconds of a reading besides its tokens.
+        four readings of its service have ended; too high costs some that wait at
+        engines then, too low would turn prompts away that could be served.
+    :ivar writer_share: share of a reader's rate that an engine which also writes
+        answers has until its own readings have been timed.
     :ivar depth: seconds of reading sent to an engine ahead of need; more is kept
         here, where it can still be reordered.
     :ivar duplicate_cost: weight of the engine time that a placement takes, against
@@ -99,9 +100,8 @@
         counts for; it takes twice as long as one inside and costs up to three times.
     """
 
-    first_rate: Count = 30_000
-    decode_rate: Ratio = 0.5
-    overhead: Seconds = 0.03
+    first_rate: Count = 1_000_000
+    writer_share: Ratio = 0.5
     depth: Seconds = 0.25
     duplicate_cost: Annotated[float, Meta(ge=0)] = 0.6
     late_factor: Annotated[float, Meta(gt=0)] = 1.0
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -166,6 +166,11 @@
         logging.INFO,
         "A prompt was turned away unread, on the prediction shown.",
     )
+    READING_ENDED = (
+        "E1416",
+        logging.INFO,
+        "A prompt's reading ended, with the time it took and the time predicted.",
+    )
     STREAM_RESUMED = (
         "E1408",
         logging.WARNING,
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -38,9 +38,6 @@
 # an engine from work; a hundred times what the slowest known takes.
 MOST_CHANGING = 600.0
 
-# Fastest reading that is believed of an engine, in tokens a second; a thousand times
-# the fastest known.
-MOST_RATE = 1e8
 # Most engine seconds that are believed to wait at one gateway; an hour of one engine.
 MOST_WORK = 3600.0
 # Changes of what waits that are told, in engine seconds.
@@ -49,7 +46,6 @@
 # Bounds on what another gateway tells. A faulty one would otherwise make a target look
 # idle, busy or changing for good.
 _Natural = Annotated[int, msgspec.Meta(ge=0)]
-_Rate = Annotated[float, msgspec.Meta(ge=1, le=MOST_RATE)]
 _Work = Annotated[float, msgspec.Meta(ge=0, le=MOST_WORK)]
 _Changing = Annotated[float, msgspec.Meta(ge=0, le=MOST_CHANGING)]
 
@@ -60,6 +56,7 @@
 
     :ivar ticket: names the reading.
     :ivar parts: of the prompt, as number and tokens.
+    :ivar copied: tokens that it fetches from another engine first.
     :ivar born: which life of the engine is meant.
     """
 
@@ -67,21 +64,20 @@
     target_id: str
     tokens: _Natural
     parts: list[tuple[_Natural, _Natural]]
+    copied: _Natural = 0
     born: _Natural = 0
 
 
 class ReadingEnded(msgspec.Struct, tag="e", array_like=True):
     """
-    A reading came to its end.
+    A reading came to its end; each gateway learns from it how long readings take.
 
     :ivar is_good: whether the prompt was read.
-    :ivar rate: of the engine as its sender learned it, in tokens a second.
     """
 
     ticket: str
     target_id: str
     is_good: bool
-    rate: _Rate
 
 
 class InFlight(msgspec.Struct, tag="f", array_like=True):
@@ -177,14 +173,15 @@
         if belief is None:
             return
         if isinstance(message, ReadingEnded):
-            belief.end_reading(message.ticket, message.is_good)
-            belief.rate += (message.rate - belief.rate) / 2
+            belief.end_reading(message.ticket, message.is_good, now)
         elif message.born != belief.target.born:
             # Told of a life that ended, or of one that is not listed here yet.
             return
         elif isinstance(message, ReadingBegan):
             parts = [PromptPart(*part) for part in message.parts]
-            belief.begin_reading(message.ticket, message.tokens, parts, now)
+            belief.begin_reading(
+                message.ticket, message.tokens, parts, now, message.copied
+            )
         else:
             belief.changing_until = now + message.seconds
 
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -323,11 +323,13 @@
         self, prompt: WaitingPrompt, placement: Placement, done_at: float, now: float
     ) -> Failure | None:
         """
-        Turn a prompt away that would be read too late.
+        Turn a prompt away that would be read too late, once readings were timed.
 
         A prompt whose own reading takes longer than the latency target is given that
         time too, so that large ones are not turned away for their size alone.
         """
+        if not placement.belief.is_timed:
+            return None
         own_work = placement.belief.work_time(placement.tokens)
         allowed = max(prompt.latency_target, LARGE_FACTOR * own_work)
         latest = prompt.arrived_at + self._settings.late_factor * allowed
--- /dev/null
+++ b/pimentolink/readingcost.py
@@ -0,0 +1,156 @@
+"""Learns how long engines take to read prompts, from readings that ended."""
+
+from __future__ import annotations
+
+# Share of what was learned that one more reading leaves; the last 50 or so decide, a
+# fraction of a second under load, and the two figures of a line need a few dozen.
+MEMORY = 0.98
+# Readings without which nothing is known: fewer cannot tell fixed time from rate.
+LEAST_SAMPLES = 4
+# Spread of prompt lengths, against their mean, below which fixed time and rate cannot
+# be told apart.
+LEAST_SPREAD = 0.1
+# Weight of one reading in what is learned of a single engine and of copies; the last
+# ten or so decide, so that an engine that turned slow is known within a second.
+SMOOTHING = 0.12
+# How much slower or faster than the others one engine is believed to be at most.
+MOST_SLOWNESS = 10.0
+LEAST_SLOWNESS = 0.25
+# A single reading is believed to take this many times what was predicted at most, so
+# that one that hung does not stand for all.
+MOST_SURPRISE = 4.0
+
+
+class ReadingCost:
+    """
+    Time of a reading as a fixed part and a part for each token.
+
+    Load pattern: engines whose speed nobody stated. Both figures were constants once;
+    with 30 ms fixed where a reading takes 1 ms, engines stood idle while prompts were
+    turned away.
+    """
+
+    def __init__(self) -> None:
+        """Start without knowledge."""
+        self._count = 0.0
+        self._tokens = 0.0
+        self._seconds = 0.0
+        self._tokens_squared = 0.0
+        self._products = 0.0
+        self._fixed = 0.0
+        self._per_token = 0.0
+
+    @property
+    def is_known(self) -> bool:
+        """Whether enough readings were timed to predict others."""
+        return self._count >= LEAST_SAMPLES * MEMORY**LEAST_SAMPLES
+
+    def learn(self, tokens: int, seconds: float) -> None:
+        """
+        Learn from a reading that came to its end.
+
+        :param tokens: that were read.
+        :param seconds: for which it kept the engine busy.
+        """
+        if self.is_known:
+            seconds = min(seconds, MOST_SURPRISE * self.seconds(tokens))
+        self._count = MEMORY * self._count + 1
+        self._tokens = MEMORY * self._tokens + tokens
+        self._seconds = MEMORY * self._seconds + seconds
+        self._tokens_squared = MEMORY * self._tokens_squared + tokens * tokens
+        self._products = MEMORY * self._products + tokens * seconds
+        self._fit()
+
+    def _fit(self) -> None:
+        """Draw the line through what was learned; neither figure is below zero."""
+        mean_tokens = self._tokens / self._count
+        mean_seconds = self._seconds / self._count
+        variance = self._tokens_squared / self._count - mean_tokens**2
+        per_token = mean_seconds / max(1.0, mean_tokens)
+        fixed = 0.0
+        if variance > (LEAST_SPREAD * mean_tokens) ** 2:
+            covariance = self._products / self._count - mean_tokens * mean_seconds
+            slope = max(0.0, covariance / variance)
+            fixed = mean_seconds - slope * mean_tokens
+            if fixed >= 0:
+                per_token = slope
+            else:
+                fixed = 0.0
+        self._fixed, self._per_token = fixed, per_token
+
+    def seconds(self, tokens: int) -> float:
+        """Predict how long a reading takes; 0 while nothing is known."""
+        return self._fixed + self._per_token * tokens
+
+
+class ServiceCosts:
+    """What is learned of the engines of one service, by their role."""
+
+    def __init__(self, first_rate: float, writer_share: float) -> None:
+        """
+        Start without knowledge.
+
+        :param first_rate: prompt tokens a second until readings were timed.
+        :param writer_share: of a reader's rate that a writer has until its own
+            readings were timed.
+        """
+        self._first_rate = first_rate
+        self._writer_share = writer_share
+        self._readers = ReadingCost()
+        self._writers = ReadingCost()
+        # Seconds that fetching parts takes besides their tokens.
+        self.copy_overhead = 0.0
+
+    def of_role(self, is_writer: bool) -> ReadingCost:
+        """Tell what is learned of one role."""
+        return self._writers if is_writer else self._readers
+
+    def is_known(self, is_writer: bool) -> bool:
+        """Tell whether predictions for a role rest on readings that were timed."""
+        return self._readers.is_known or self.of_role(is_writer).is_known
+
+    def seconds(self, tokens: int, is_writer: bool) -> float:
+        """Predict how long a reading takes at a usual engine of a role."""
+        cost = self.of_role(is_writer)
+        if cost.is_known:
+            return cost.seconds(tokens)
+        share = self._writer_share if is_writer else 1.0
+        if self._readers.is_known:
+            return self._readers.seconds(tokens) / share
+        return tokens / (self._first_rate * share)
+
+    def learn_copy(self, seconds: float) -> None:
+        """Learn what a fetch took besides its tokens."""
+        self.copy_overhead += SMOOTHING * (max(0.0, seconds) - self.copy_overhead)
+
+
+class Slowness:
+    """
+    How much slower one engine is than others of its role.
+
+    It compares sums of seconds, so that short readings, whose times scatter most,
+    count for little.
+    """
+
+    def __init__(self) -> None:
+        """Take the engine for a usual one."""
+        self._predicted = 0.0
+        self._took = 0.0
+        self.factor = 1.0
+
+    def learn(self, predicted: float, took: float) -> None:
+        """
+        Learn from a reading that came to its end.
+
+        :param predicted: seconds that a usual engine takes.
+        :param took: seconds.
+        """
+        if predicted <= 0:
+            return
+        took = min(took, MOST_SLOWNESS * predicted)
+        if not self._predicted:
+            # An engine is a usual one until some readings say otherwise.
+            self._predicted = self._took = predicted / SMOOTHING
+        self._predicted += SMOOTHING * (predicted / SMOOTHING - self._predicted)
+        self._took += SMOOTHING * (took / SMOOTHING - self._took)
+        self.factor = max(LEAST_SLOWNESS, self._took / self._predicted)
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -23,15 +23,19 @@
 class Ticket:
     """A reading that an engine was given, from its sending to its end."""
 
-    def __init__(self, name: str, placement: Placement, began_at: float) -> None:
+    def __init__(
+        self, name: str, request_id: str, placement: Placement, began_at: float
+    ) -> None:
         """
         Record what was predicted.
 
         :param name: of the reading, unique over all gateways.
+        :param request_id: whose prompt is read.
         :param placement: where it is read.
         :param began_at: seconds of the timer service.
         """
         self.name = name
+        self.request_id = request_id
         self.placement = placement
         self.began_at = began_at
         self.expected = placement.done_at - began_at
@@ -121,11 +125,12 @@
         name = f"{self._gateway}-{next(self._numbers)}"
         belief = placement.belief
         tokens = placement.tokens
-        belief.begin_reading(name, tokens, prompt.parts, now)
+        copied = placement.copied_tokens
+        belief.begin_reading(name, tokens, prompt.parts, now, copied)
         target_id = belief.target.target_id
         parts = parts_of(prompt.parts)
         self._news.tell(
-            ReadingBegan(name, target_id, tokens, parts, belief.target.born)
+            ReadingBegan(name, target_id, tokens, parts, copied, belief.target.born)
         )
         self._log.write(
             LogEvent.PROMPT_PLACED,
@@ -140,7 +145,7 @@
             waiting=len(self._queue),
             list_age=round(self.belief_age(), 3),
         )
-        return Ticket(name, placement, now)
+        return Ticket(name, prompt.request_id, placement, now)
 
     def end(self, ticket: Ticket, is_good: bool) -> None:
         """
@@ -152,13 +157,23 @@
             return
         ticket.is_over = True
         belief = ticket.placement.belief
-        belief.end_reading(ticket.name, is_good)
-        if is_good:
-            took = self._timers.now() - ticket.began_at
-            usual = self._fleet.usual_rate(belief.target.service)
-            belief.timed_reading(ticket.expected, took, usual)
+        now = self._timers.now()
+        busy = belief.end_reading(ticket.name, is_good, now)
         target_id = belief.target.target_id
-        self._news.tell(ReadingEnded(ticket.name, target_id, is_good, belief.rate))
+        self._news.tell(ReadingEnded(ticket.name, target_id, is_good))
+        self._log.write(
+            LogEvent.READING_ENDED,
+            request=ticket.request_id,
+            target=target_id,
+            role=belief.target.role.value,
+            good=is_good,
+            tokens=ticket.placement.tokens,
+            copied=ticket.placement.copied_tokens,
+            took=round(now - ticket.began_at, 4),
+            predicted=round(ticket.expected, 4),
+            busy=None if busy is None else round(busy, 4),
+            left=round(belief.backlog(now), 4),
+        )
         self.look()
 
     def _tell_refusal(self, prompt: WaitingPrompt, failure: Failure) -> None:
--- a/pimentolink/targetbelief.py
+++ b/pimentolink/targetbelief.py
@@ -7,24 +7,16 @@
 from typing import NamedTuple
 
 from pimentolink.dialect import PromptPart
-from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
+from pimentolink.gatewaysettings import EjectionSettings
 from pimentolink.partmemory import PartIndex, PartMemory
+from pimentolink.readingcost import ServiceCosts, Slowness
 from pimentolink.routes import EngineModel
 
-# Weight of one timed reading in the estimate of an engine's rate; the last ten or so
-# decide, about a second under load.
-RATE_SMOOTHING = 0.12
 # Weight of one outcome in a target's share of failures; the last ten or so decide.
 OUTCOME_SMOOTHING = 0.1
-# Rates are believed within these multiples of the fleet's, so that one odd reading
-# takes no engine out of use.
-LEAST_RATE = 0.1
-MOST_RATE = 1.6
 # Seconds after which a reading that another gateway told of, and whose end was never
 # told, no longer counts, beyond its own work.
 LOST_END = 2.0
-# Seconds that fetching parts from another engine takes besides their tokens.
-COPY_OVERHEAD = 0.015
 # Tokens a second of a target from which nothing is ever fetched.
 NO_COPY_RATE = 1e9
 
@@ -80,10 +72,12 @@
     A prompt that an engine reads or has waiting.
 
     :ivar tokens: that it must read.
+    :ivar copied: tokens that it fetches from another engine first.
     :ivar forgotten_at: when it no longer counts though no end was told.
     """
 
     tokens: int
+    copied: int
     parts: tuple[PromptPart, ...]
     began_at: float
     forgotten_at: float
@@ -92,19 +86,19 @@
 class TargetBelief:
     """What is believed of one target, from the list and from outcomes."""
 
-    def __init__(
-        self, target: Target, settings: PlacementSettings, index: PartIndex
-    ) -> None:
+    def __init__(self, target: Target, costs: ServiceCosts, index: PartIndex) -> None:
         """
         Start without knowledge of load.
 
         :param target: as listed.
-        :param settings: rates to begin with.
+        :param costs: what is learned of the engines of its service.
         :param index: learns which parts it holds.
         """
         self.target = target
-        self._settings = settings
-        self.rate = float(settings.first_rate)
+        self._costs = costs
+        # Time of a reading here, against usual engines of the role.
+        self.slowness = Slowness()
+        self._last_end = 0.0
         self._copy_rate = NO_COPY_RATE
         # What it will hold once it has read all that it was given, and what it holds
         # already, so that other engines can fetch it.
@@ -148,12 +142,15 @@
         """Tell whether its failures keep it from new work for now."""
         return now < self.ejected_until
 
-    def rate_now(self) -> float:
-        """Tell how many prompt tokens a second it reads in its role."""
-        share = 1.0
-        if self.target.role is EngineRole.WRITER:
-            share = self._settings.decode_rate
-        return self.rate * share
+    @property
+    def is_writer(self) -> bool:
+        """Whether it writes answers, also."""
+        return self.target.role is EngineRole.WRITER
+
+    @property
+    def is_timed(self) -> bool:
+        """Whether what is predicted of it rests on readings that were timed."""
+        return self._costs.is_known(self.is_writer)
 
     def work_time(self, tokens: int) -> float:
         """
@@ -162,7 +159,7 @@
         :param tokens: to be read.
         :returns: seconds.
         """
-        return self._settings.overhead + tokens / self.rate_now()
+        return self.slowness.factor * self._costs.seconds(tokens, self.is_writer)
 
     def copy_time(self, tokens: int) -> float:
         """
@@ -171,7 +168,9 @@
         :param tokens: to be fetched.
         :returns: seconds.
         """
-        return COPY_OVERHEAD + tokens / self._copy_rate if tokens else 0.0
+        if not tokens:
+            return 0.0
+        return self._costs.copy_overhead + tokens / self._copy_rate
 
     def backlog(self, now: float) -> float:
         """
@@ -183,15 +182,18 @@
             return 0.0
         self._forget_lost(now)
         readings = self.readings_by_ticket.values()
-        total = sum(self.work_time(reading.tokens) for reading in readings)
-        oldest = min((reading.began_at for reading in readings), default=now)
+        total = sum(self._reading_time(reading) for reading in readings)
         # Tells how much of the first one is done; the others wait behind it.
         first = next(iter(readings), None)
         if first is None:
             return 0.0
-        done = min(now - oldest, 0.9 * self.work_time(first.tokens))
+        begun = max(first.began_at, self._last_end)
+        done = min(now - begun, 0.9 * self._reading_time(first))
         return max(0.0, total - done)
 
+    def _reading_time(self, reading: Reading) -> float:
+        return self.work_time(reading.tokens) + self.copy_time(reading.copied)
+
     def _forget_lost(self, now: float) -> None:
         lost = [
             ticket
@@ -207,43 +209,58 @@
         tokens: int,
         parts: Iterable[PromptPart],
         now: float,
+        copied: int = 0,
     ) -> None:
-        """Count a reading that was sent there, by whichever gateway."""
+        """
+        Count a reading that was sent there, by whichever gateway.
+
+        :param copied: tokens that it fetches from another engine first.
+        """
         expected = self.backlog(now) + self.work_time(tokens)
         forgotten_at = now + 3 * expected + LOST_END
-        reading = Reading(tokens, tuple(parts), now, forgotten_at)
+        reading = Reading(tokens, copied, tuple(parts), now, forgotten_at)
         self.readings_by_ticket[ticket] = reading
         self.parts.note(reading.parts)
 
-    def end_reading(self, ticket: str, is_good: bool) -> None:
+    def end_reading(self, ticket: str, is_good: bool, now: float) -> float | None:
         """
-        Count a reading no more.
+        Count a reading no more, and learn from it.
+
+        It kept the engine busy since it was sent, or since the reading before it
+        ended, since engines read one prompt after the other.
 
         :param is_good: whether it was done, so that its parts are there.
+        :returns: seconds for which it kept the engine busy; ``None`` if it is not
+            known or was not done.
         """
         reading = self.readings_by_ticket.pop(ticket, None)
-        if reading is not None and is_good:
-            self.fetchable.note(reading.parts)
+        if reading is None:
+            return None
+        busy_since = max(reading.began_at, self._last_end)
+        self._last_end = now
+        if not is_good:
+            return None
+        self.fetchable.note(reading.parts)
+        took = now - busy_since
+        self._learn(reading, took)
+        return took
+
+    def _learn(self, reading: Reading, took: float) -> None:
+        if reading.copied:
+            tokens_time = reading.copied / self._copy_rate
+            work = self.work_time(reading.tokens)
+            self._costs.learn_copy(took - work - tokens_time)
+            return
+        usual = self._costs.seconds(reading.tokens, self.is_writer)
+        if self.is_timed:
+            self.slowness.learn(usual, took)
+        self._costs.of_role(self.is_writer).learn(reading.tokens, took)
 
     def fetched(self, parts: tuple[PromptPart, ...]) -> None:
         """Learn that it fetched a prompt, which it keeps like its own."""
         self.parts.note(parts)
         self.fetchable.note(parts)
 
-    def timed_reading(self, expected: float, took: float, usual_rate: float) -> None:
-        """
-        Learn the rate from a reading that came to its end.
-
-        :param expected: seconds that were predicted, with what was before it.
-        :param took: seconds that it took.
-        :param usual_rate: of the fleet, which bounds what is believed.
-        """
-        if took <= 0 or expected <= 0:
-            return
-        sample = self.rate * min(2.0, max(0.25, expected / took))
-        rate = self.rate + RATE_SMOOTHING * (sample - self.rate)
-        self.rate = min(MOST_RATE * usual_rate, max(LEAST_RATE * usual_rate, rate))
-
     def outcome(self, is_good: bool) -> None:
         """Learn how an attempt ended; a good one also ends the row of failures."""
         sample = 0.0 if is_good else 1.0
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -22,6 +22,8 @@
     switch_time=3.0,
     copy_rate=1_000_000.0,
 )
+# Seconds of a reading besides its tokens, in a fleet whose readings were timed.
+OVERHEAD = 0.03
 
 
 def route(**changes: Any) -> Route:
@@ -53,12 +55,16 @@
     )._replace(**changes)
 
 
-def fleet(*targets: Target, **placement: Any) -> Fleet:
-    settings = PlacementSettings(**{"first_rate": 10_000, **placement})
-    found = Fleet(settings, EjectionSettings(), Random(1))
+def fleet(*targets: Target, is_timed: bool = True, **placement: Any) -> Fleet:
+    """Make a fleet whose readers are known to read 10,000 tokens a second."""
+    found = Fleet(PlacementSettings(**placement), EjectionSettings(), Random(1))
     found.set_models({"s": MODEL})
     for item in targets:
         found.put(item)
+    for is_writer, rate in ((False, 10_000), (True, 5_000)) if is_timed else ():
+        for tokens in (1_000, 2_000, 4_000, 8_000):
+            cost = found.costs("s").of_role(is_writer)
+            cost.learn(tokens, OVERHEAD + tokens / rate)
     return found
 
 
@@ -70,7 +76,7 @@
 
 
 def queue_over(found: Fleet, **placement: Any) -> ReadingQueue:
-    settings = PlacementSettings(**{"first_rate": 10_000, **placement})
+    settings = PlacementSettings(**placement)
     return ReadingQueue(settings, Placer(settings, found, "north"))
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -167,14 +167,14 @@
     def test_other_gateway_counts_a_reading_until_its_end(self, pair):
         pair.peers[0].tell(ReadingBegan("t", "e", 5000, [(1, 5000)]))
         assert pair.engine(1).backlog(pair.timers.now()) > 0
-        pair.peers[0].tell(ReadingEnded("t", "e", True, 9000.0))
+        pair.peers[0].tell(ReadingEnded("t", "e", True))
         assert pair.engine(1).backlog(pair.timers.now()) == 0
         assert pair.engine(1).fetchable.held_tokens([PromptPart(1, 5000)]) == 5000
 
     def test_reading_of_an_earlier_life_is_not_counted_at_a_later_one(self, pair):
         engine = pair.engine(1)
         pair.fleets[1].put(engine.target._replace(born=2))
-        pair.peers[0].tell(ReadingBegan("t", "e", 5000, [(1, 5000)], 1))
+        pair.peers[0].tell(ReadingBegan("t", "e", 5000, [(1, 5000)], 0, 1))
         pair.peers[0].tell(RoleChanging("e", 60.0, 1))
         later = pair.engine(1)
         assert later.backlog(pair.timers.now()) == 0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -40,7 +40,7 @@
         queue = queue_over(found, depth=10.0)
         queue.add(prompt("first", 500, SHARED), 0.0)
         ((_, home),) = place_all(queue, found)
-        found.targets_by_id[home].end_reading("first", is_good=True)
+        found.targets_by_id[home].end_reading("first", True, 0.0)
         found.targets_by_id[home].begin_reading("long", 30_000, (), 0.0)
         assert queue.add(prompt("second", 500, SHARED), 0.0) is None
         _, placement = queue.next(0.0)
@@ -140,7 +140,7 @@
     WAITING = 400
 
     def queue(self, found):
-        settings = PlacementSettings(first_rate=10_000, late_factor=999.0)
+        settings = PlacementSettings(late_factor=999.0)
         self.placer = CountingPlacer(settings, found, "north")
         queue = ReadingQueue(settings, self.placer)
         for number in range(self.WAITING):
@@ -221,7 +221,9 @@
         found = fleet(*engines(2, 1))
         slow = found.targets_by_id["reader-0"]
         for _ in range(30):
-            slow.timed_reading(0.1, 0.5, 10_000)
+            slow.begin_reading("r", 1_000, (), 0.0)
+            slow.end_reading("r", True, 0.5)
+            slow._last_end = 0.0
         queue = queue_over(found)
         queue.add(prompt("p"), 0.0)
         _, placement = queue.next(0.0)
@@ -277,7 +279,7 @@
     for number in range(count):
         belief.begin_reading(str(number), 1_000, (), 0.0)
     assert belief.backlog(0.0) == pytest.approx(count * belief.work_time(1_000))
-    belief.end_reading("0", is_good=True)
+    belief.end_reading("0", True, 0.0)
     assert belief.backlog(0.0) == pytest.approx((count - 1) * belief.work_time(1_000))
 
 
--- a/tools/enginemodel.py
+++ b/tools/enginemodel.py
@@ -39,8 +39,8 @@
     """
     One engine.
 
-    Its memory forgets the least recently used parts. A prompt that others began to
-    read is not held before the reading is done.
+    Its memory forgets the least recently used parts. A prompt that it began to read is
+    held for those that it reads next, and for other engines once the reading is done.
     """
 
     def __init__(
@@ -60,6 +60,9 @@
         self._timers = timers
         self._held = PartMemory(name)
         self._held.most_tokens = figures.cache_tokens
+        # What it will hold once all is read that was sent here.
+        self._planned = PartMemory(name)
+        self._planned.most_tokens = figures.cache_tokens
         self._reading_until = 0.0
         self._writing = 0
         # In order, so that a replay repeats.
@@ -86,7 +89,7 @@
         """
         now = self._timers.now()
         begins = max(now, self._reading_until)
-        held = self._held.held_tokens(parts)
+        held = self._planned.held_tokens(parts)
         there = source._held.held_tokens(parts) if source is not None else 0
         copied = max(0, there - held)
         tokens = max(1, sum(part.tokens for part in parts) - held - copied)
@@ -94,6 +97,7 @@
         took += copied / self.figures.copy_rate
         self._reading_until = begins + took
         self.tokens_read += tokens
+        self._planned.note(parts)
         await self._wait(begins + took - now)
         self._held.note(parts)
 
@@ -109,6 +113,7 @@
         """
         missing = sum(part.tokens for part in parts) - self._held.held_tokens(parts)
         await self._wait(missing / self.figures.copy_rate)
+        self._planned.note(parts)
         self._held.note(parts)
 
     async def write(self, tokens: int) -> None:
