Change roles once keeping them has cost more than the change

Cause: prompts being read at a writer counted as answers under way, and 0.4 of a writer's slots as full. Load made writers of readers, three of four within 7 s (streams 41, 64, 100), just before the burst of prompts; a change takes its engine away for 3 s and more.

Change: what writers are short of (answers without a slot) and what readers are short of (engine seconds of prompts turned away) is summed up and forgotten over 6 s; a role changes once the sum exceeds twice the time of a change. Before the first load two writers, as before.

--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -137,10 +137,10 @@
         self.is_stopping = False
 
     def _make_readings(self, placer: Placer) -> Readings:
-        queue = ReadingQueue(self._settings.placement, placer)
-        self._peers.waiting_work = queue.waiting_work
+        self._queue = ReadingQueue(self._settings.placement, placer)
+        self._peers.waiting_work = self._queue.waiting_work
         return Readings(
-            queue, self.fleet, self._peers, self._timers, self.log, self._life
+            self._queue, self.fleet, self._peers, self._timers, self.log, self._life
         )
 
     def _make_membership(self, documents: Documents) -> Membership:
@@ -163,11 +163,13 @@
         return membership
 
     def _make_orders(self, keyspace: Keyspace) -> OrderHolder:
+        balancer = RoleBalancer(self._settings.roles, self.fleet)
+        balancer.unmet_reading = self._unmet_reading
         orders = OrderHolder(
             self._settings,
             self._life,
             keyspace,
-            RoleBalancer(self._settings.roles, self.fleet),
+            balancer,
             self.fleet,
             self._dialect,
             self._caller.alone,
@@ -292,6 +294,10 @@
         services = table.services_by_name.values()
         return [service.name for service in services if service.engine is not None]
 
+    def _unmet_reading(self, service: str) -> float:
+        """Estimate what all gateways turn away, from what this one does."""
+        return self._queue.unmet(service, self._timers.now()) * self.budgets.gateways
+
     def _most_connections(self, service: str) -> int:
         """Tell this gateway's part of the connections that a target takes."""
         most = self._settings.connections.most
--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -145,25 +145,23 @@
     """
     How many engines read prompts and how many write answers.
 
-    :ivar fill: share of a writer's slots that answers may take; with more, each token
-        takes longer, and a crash loses more.
+    :ivar fill: share of a writer's slots that answers may take before writers are
+        short; the rest is for bursts.
     :ivar least_share: share of a service's engines that write at least.
     :ivar least_count: engines that write at least; with one, its crash stops the
         service for as long as a change of role takes.
     :ivar least_from: engines of a service from which on that holds; with fewer, a
         second writer costs more reading than its crash would.
-    :ivar horizon: seconds over which answers under way are averaged; swings that are
-        shorter cause no change.
-    :ivar rise: times as fast that a rise is believed.
+    :ivar horizon: seconds over which what roles have cost is forgotten; swings that
+        are shorter cause no change.
     :ivar pause: seconds between two changes in a service.
     """
 
-    fill: Ratio = 0.4
+    fill: Ratio = 0.8
     least_share: Ratio = 0.2
     least_count: Count = 2
     least_from: Count = 4
     horizon: Seconds = 6.0
-    rise: Annotated[float, Meta(ge=1)] = 3.0
     pause: Seconds = 1.0
 
 
--- a/pimentolink/orderholder.py
+++ b/pimentolink/orderholder.py
@@ -268,6 +268,8 @@
             role=change.role.value,
             fence=self._fence,
             streams=round(change.streams, 1),
+            unmet=round(change.unmet, 3),
+            regret=round(change.regret, 2),
             readers=change.readers,
             detail=detail,
         )
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -6,6 +6,7 @@
 from heapq import nsmallest
 from typing import NamedTuple
 
+from pimentolink.decayingrate import DecayingRate
 from pimentolink.dialect import PromptPart
 from pimentolink.errors import CannotBeInTime, Failure, NoTarget
 from pimentolink.fleet import Fleet
@@ -35,6 +36,9 @@
 # Share of the prompts that wait elsewhere that is taken to go before a new one while
 # nothing waits here that could tell.
 USUAL_SHARE = 0.5
+# Seconds over which work that is turned away is averaged; two looks of whoever decides
+# on roles, so that a single refusal is no shortage.
+UNMET_HORIZON = 2.0
 # Shortest and longest pause, in seconds, after which a caller is asked to return.
 LEAST_PAUSE = 0.1
 MOST_PAUSE = 2.0
@@ -271,6 +275,7 @@
         self._settings = settings
         self._placer = placer
         self._waiting_by_id: OrderedDict[str, _Waiting] = OrderedDict()
+        self._unmet_by_service: dict[str, DecayingRate] = {}
 
     def __len__(self) -> int:
         """Count the prompts that wait."""
@@ -290,8 +295,17 @@
         failure = self._refusal(prompt, placement, done_at, now)
         if failure is None:
             self._waiting_by_id[prompt.request_id] = waiting
+        else:
+            self._unmet(prompt.service).add(waiting.work, now)
         return failure
 
+    def _unmet(self, service: str) -> DecayingRate:
+        return self._unmet_by_service.setdefault(service, DecayingRate(UNMET_HORIZON))
+
+    def unmet(self, service: str, now: float) -> float:
+        """Tell the engine seconds of reading turned away here, a second."""
+        return self._unmet(service).value(now)
+
     def _work_ahead(self, waiting: _Waiting, now: float) -> float:
         """
         Predict how long the prompts that go first keep the engines busy.
--- a/pimentolink/rolebalance.py
+++ b/pimentolink/rolebalance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from pimentolink.fleet import Fleet
@@ -14,25 +15,48 @@
     """
     An engine that should take another role.
 
-    :ivar streams: predicted requests in work, on which the decision rests.
+    :ivar streams: answers being written, on which the decision rests.
+    :ivar unmet: engine seconds a second of prompts turned away, likewise.
+    :ivar regret: engine seconds that the roles as they are have cost so far.
     :ivar readers: wanted of the service's engines.
     """
 
     belief: TargetBelief
     role: EngineRole
     streams: float
+    unmet: float
+    regret: float
     readers: int
 
 
-class RoleBalancer:
+class _Service:
+    """
+    What was observed of one service.
+
+    :ivar regret: engine seconds by which writers were short beyond readers; below
+        zero where readers were.
     """
-    Keeps as few writers as the answers under way need.
 
-    Load pattern: long shared prompts with short answers, so that reading binds, and
-    swings between long prompts and long answers. A writer that also reads slows its
-    streams several times over, and reads at half speed; few writers that read little
-    serve more than many that read. A change takes an engine away for seconds, so
-    swings shorter than the horizon cause none.
+    def __init__(self) -> None:
+        self.streams = 0.0
+        self.unmet = 0.0
+        self.regret = 0.0
+        self.has_worked = False
+        self.observed_at: float | None = None
+        self.changed_at: float | None = None
+
+
+class RoleBalancer:
+    """
+    Changes a role once keeping it has cost more than the change.
+
+    Load pattern: long prompts with short answers and long answers by turns, for
+    seconds each. A change takes an engine away while its answers end and while it
+    switches, and the turn back does the same; a swing that is over before that is
+    paid for is not followed. What readers are short of is told by prompts turned
+    away, what writers are short of by answers that have no slot. A prompt that is
+    read at a writer is no answer under way: counted as one, a burst of prompts made
+    writers of readers, three of four within 7 s, and the rest of it was turned away.
     """
 
     def __init__(self, settings: RoleSettings, fleet: Fleet) -> None:
@@ -44,22 +68,26 @@
         """
         self._settings = settings
         self._fleet = fleet
-        self._streams_by_service: dict[str, float] = {}
-        self._changed_at: dict[str, float] = {}
-        self._observed_at: dict[str, float] = {}
+        self._services_by_name: dict[str, _Service] = {}
+        # Engine seconds a second of prompts that all gateways turn away.
+        self.unmet_reading: Callable[[str], float] = lambda service: 0.0
 
     def observe(self, service: str, now: float) -> None:
-        """Learn how many answers are under way; to be called at a steady pace."""
+        """Learn what writers and readers are short of; at a steady pace."""
+        seen = self._services_by_name.setdefault(service, _Service())
         writers = self._of_role(service, EngineRole.WRITER)
-        streams = float(sum(writer.load() for writer in writers))
-        before = self._streams_by_service.get(service, 0.0)
-        passed = now - self._observed_at.get(service, now)
-        weight = 1 - math.exp(-passed / self._settings.horizon)
-        if streams > before:
-            # Answers that pile up hurt at once; that they are few must last.
-            weight = min(1.0, weight * self._settings.rise)
-        self._streams_by_service[service] = before + weight * (streams - before)
-        self._observed_at[service] = now
+        readers = self._of_role(service, EngineRole.READER)
+        seen.streams = float(sum(writer.streams() for writer in writers))
+        seen.unmet = self.unmet_reading(service)
+        if seen.streams or any(engine.readings_by_ticket for engine in readers):
+            seen.has_worked = True
+        passed = now - (now if seen.observed_at is None else seen.observed_at)
+        seen.observed_at = now
+        if not writers:
+            return
+        short = max(0.0, seen.streams / self._slots(writers) - len(writers))
+        seen.regret *= math.exp(-passed / self._settings.horizon)
+        seen.regret += passed * (short - seen.unmet)
 
     def decide(self, service: str, now: float) -> RoleChange | None:
         """
@@ -67,34 +95,65 @@
 
         :returns: ``None`` while roles are right, or one changed a moment ago.
         """
+        seen = self._services_by_name.setdefault(service, _Service())
         readers = self._of_role(service, EngineRole.READER)
         writers = self._of_role(service, EngineRole.WRITER)
         if len(readers) + len(writers) < 2 or self._is_settling(service, now):
             return None
-        streams = self._streams_by_service.get(service, 0.0)
-        wanted = self._writers_wanted(readers + writers, streams)
+        wanted = self._writers_wanted(service, seen, readers, writers)
         if len(writers) > wanted:
             idlest = min(writers, key=lambda engine: _spared(engine, writers))
-            return self._change(service, idlest, EngineRole.READER, streams, wanted)
+            return self._change(service, seen, idlest, EngineRole.READER, wanted)
         if len(writers) < wanted:
             idlest = min(readers, key=lambda engine: engine.backlog(now))
-            return self._change(service, idlest, EngineRole.WRITER, streams, wanted)
+            return self._change(service, seen, idlest, EngineRole.WRITER, wanted)
         return None
 
     def begun(self, service: str, now: float) -> None:
-        """Learn that a change was ordered."""
-        self._changed_at[service] = now
-
-    def _writers_wanted(self, engines: list[TargetBelief], streams: float) -> int:
-        slots = max(1, engines[0].target.slots)
-        for_streams = math.ceil(streams / (slots * self._settings.fill))
-        least = math.ceil(len(engines) * self._settings.least_share)
-        if len(engines) >= self._settings.least_from:
+        """Learn that a change was ordered; what led to it is paid for."""
+        seen = self._services_by_name.setdefault(service, _Service())
+        seen.changed_at = now
+        seen.regret = 0.0
+
+    def _writers_wanted(
+        self,
+        service: str,
+        seen: _Service,
+        readers: list[TargetBelief],
+        writers: list[TargetBelief],
+    ) -> int:
+        count = len(readers) + len(writers)
+        least = self._least_writers(count)
+        if not seen.has_worked:
+            # Nothing is under way that a change could disturb.
+            return least
+        if len(writers) < least:
+            return len(writers) + 1
+        price = self._price(service)
+        if seen.regret > price and len(readers) > 1:
+            return len(writers) + 1
+        is_spare = seen.streams <= (len(writers) - 1) * self._slots(writers)
+        if seen.regret < -price and is_spare and len(writers) > least:
+            return len(writers) - 1
+        return len(writers)
+
+    def _least_writers(self, count: int) -> int:
+        least = math.ceil(count * self._settings.least_share)
+        if count >= self._settings.least_from:
             least = max(least, self._settings.least_count)
-        return min(len(engines) - 1, max(1, least, for_streams))
+        return min(count - 1, max(1, least))
+
+    def _price(self, service: str) -> float:
+        """Tell the engine seconds that a change and its turn back take."""
+        model = self._fleet.model(service)
+        return 2 * model.switch_time if model is not None else 0.0
+
+    def _slots(self, writers: list[TargetBelief]) -> float:
+        """Tell the answers that one writer may write at once."""
+        return max(1, writers[0].target.slots) * self._settings.fill
 
     def _is_settling(self, service: str, now: float) -> bool:
-        changed_at = self._changed_at.get(service)
+        changed_at = self._services_by_name[service].changed_at
         if changed_at is not None and now - changed_at < self._settings.pause:
             return True
         return any(
@@ -113,13 +172,13 @@
     def _change(
         self,
         service: str,
+        seen: _Service,
         belief: TargetBelief,
         role: EngineRole,
-        streams: float,
         wanted: int,
     ) -> RoleChange:
         readers = len(self._fleet.of_service(service)) - wanted
-        return RoleChange(belief, role, streams, readers)
+        return RoleChange(belief, role, seen.streams, seen.unmet, seen.regret, readers)
 
 
 def _spared(engine: TargetBelief, writers: list[TargetBelief]) -> tuple[int, int]:
--- a/pimentolink/targetbelief.py
+++ b/pimentolink/targetbelief.py
@@ -130,6 +130,10 @@
         """Count requests under way here, from all gateways."""
         return self.in_flight + sum(self.streams_by_peer.values())
 
+    def streams(self) -> int:
+        """Count answers that it writes; prompts that it still reads are none."""
+        return max(0, self.load() - len(self.readings_by_ticket))
+
     def is_usable(self, now: float) -> bool:
         """Tell whether it may get new work."""
         return (
