Tell from gateways' logs how engines were used: pimentolink analyze

Cause: where worth is lost was found with scripts that nobody keeps: engines idle beside refused prompts, predictions off, roles changed at the wrong time.

READING_ENDED supplies the times.

--- a/pimentolink/cli.py
+++ b/pimentolink/cli.py
@@ -17,6 +17,7 @@
 from pimentolink.configuration import Configuration
 from pimentolink.errors import ConfigurationInvalid, Failure
 from pimentolink.gatewaysettings import GatewaySettings
+from pimentolink.loganalysis import Analysis
 from pimentolink.settings import (
     EntrySettings,
     PlatformSettings,
@@ -169,6 +170,32 @@
         read = _read(SidecarSettings, [settings, *overlays])
         sys.exit(run(lambda reactor: SidecarDaemon(reactor, read)))
 
+    def analyze(
+        self, *logs: str, window: float = 2.0, plot: str = "", json: bool = False
+    ) -> None:
+        """
+        Tell from gateways' logs how engines were used; exit code 2 without logs.
+
+        :param window: seconds of each window.
+        :param plot: SVG or PNG file for the windows.
+        """
+        if not logs or window <= 0:
+            _end(EXIT_INVALID, "one log or more, and a window above 0 s")
+        try:
+            found = porcelain.analyze_logs(list(logs), window)
+        except OSError as error:
+            _end(EXIT_INVALID, str(error))
+        if plot:
+            _plot(found, plot)
+        if json:
+            _print_json(_document(found))
+            return
+        for title, rows in _document(found).items():
+            if isinstance(rows, list):
+                print(f"\n{title}")
+                _print_rows([_flat(row) for row in rows])
+        print(f"\n{found.lines} lines, {found.unreadable} without what is told here")
+
     def status(self, platform: str, key: str, json: bool = False) -> None:
         """Ask every listed entry how it is; ``key`` is the shared key's file."""
         store = _Platform(platform)
@@ -342,6 +369,33 @@
         )
 
 
+def _plot(found: Analysis, path: str) -> None:
+    try:
+        porcelain.plot_analysis(found, path)
+    except ImportError:
+        _end(EXIT_INVALID, "plots need the extra 'report': pip install .[report]")
+    except (OSError, ValueError) as error:
+        _end(EXIT_INVALID, f"{path}: {error}")
+
+
+def _document(found: Analysis) -> dict[str, Any]:
+    """Write an analysis with the names of its fields."""
+    return {
+        name: [row._asdict() for row in value] if isinstance(value, list) else value
+        for name, value in found._asdict().items()
+    }
+
+
+def _flat(row: dict[str, Any]) -> dict[str, Any]:
+    """Write tables within a row as words."""
+    return {
+        name: " ".join(f"{key}={item}" for key, item in value.items())
+        if isinstance(value, dict)
+        else value
+        for name, value in row.items()
+    }
+
+
 def _short(value: Any) -> str:
     return "absent" if value is None else json.dumps(value)
 
--- a/pimentolink/porcelain.py
+++ b/pimentolink/porcelain.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+from contextlib import ExitStack
 from datetime import UTC, datetime
+from itertools import chain
 from pathlib import Path
 from typing import Any, NamedTuple
 from uuid import uuid4
@@ -32,6 +34,7 @@
 from pimentolink.instances import ENTRY, InstanceList
 from pimentolink.keyspace import Keyspace
 from pimentolink.kvstore import KeyValueStore
+from pimentolink.loganalysis import Analysis, analyze
 from pimentolink.membership import Documents
 from pimentolink.plan import decode_plan, groups_of
 from pimentolink.routes import RoutingTable
@@ -259,3 +262,44 @@
         else:
             found.append(Err(Failure(f"{instance.name}: status {answer.status}")))
     return found
+
+
+def analyze_logs(paths: list[str], window: float) -> Analysis:
+    """
+    Sum up the logs of some gateways.
+
+    :param paths: of files with their lines.
+    :param window: seconds of each window.
+    :raises OSError: if a file cannot be read.
+    """
+    with ExitStack() as stack:
+        files = [stack.enter_context(Path(path).open()) for path in paths]
+        return analyze(chain.from_iterable(files), window)
+
+
+def plot_analysis(found: Analysis, path: str) -> None:
+    """
+    Draw prompts placed and refused, and how busy engines were.
+
+    :param path: of the SVG or PNG file.
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (prompts, engines) = pyplot.subplots(2, sharex=True, figsize=(9, 6))
+    begins = [window.begins for window in found.windows]
+    for name in ("placed", "refused", "refused_idle"):
+        values = [getattr(window, name) for window in found.windows]
+        prompts.step(begins, values, where="post", label=name)
+    for name in sorted({key for item in found.windows for key in item.busy_by_engine}):
+        values = [item.busy_by_engine.get(name, 0.0) for item in found.windows]
+        engines.step(begins, values, where="post", label=name)
+    prompts.set_ylabel("prompts")
+    engines.set_ylabel("share of time reading")
+    engines.set_xlabel("seconds")
+    prompts.legend(fontsize="small")
+    engines.legend(fontsize="x-small", ncol=2)
+    figure.savefig(path)
+    pyplot.close(figure)
--- /dev/null
+++ b/tests/test_loganalysis.py
@@ -0,0 +1,142 @@
+"""What gateways' logs tell of engines, prompts and predictions."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pimentolink.loganalysis import analyze
+from tests.jsonvalues import VALUES
+
+EVENTS = ("target_listed", "prompt_placed", "prompt_refused", "reading_ended")
+
+
+def line(at, event, **fields):
+    stamp = f"2026-01-01T00:00:{at:09.6f}Z"
+    return json.dumps({"event": event, "timestamp": stamp, **fields})
+
+
+def placed(at, engine, **fields):
+    told = {"tokens": 600, "held": 300, "copied": 100, "waited": 0.02}
+    return line(at, "prompt_placed", target=engine, **{**told, **fields})
+
+
+def ended(at, engine, took, predicted, role="reader", **fields):
+    told = {"good": True, "tokens": 600, "copied": 0, "busy": took}
+    told |= {"took": took, "predicted": predicted, "role": role, "target": engine}
+    return line(at, "reading_ended", **{**told, **fields})
+
+
+def listed(engine, role="reader"):
+    return line(0, "target_listed", target=engine, role=role)
+
+
+class TestWindows:
+    def test_what_happened_is_told_by_window(self):
+        found = analyze(
+            [
+                listed("a"),
+                placed(0.5, "a"),
+                ended(0.9, "a", 0.4, 0.4),
+                placed(2.5, "a", waited=0.1),
+                line(2.6, "prompt_refused"),
+            ],
+            2.0,
+        )
+        first, second = found.windows
+        assert (first.begins, first.placed, first.refused) == (0.0, 1, 0)
+        assert first.busy_by_engine == {"a (reader)": 0.2}
+        assert first.reread_share == 0.6
+        assert (second.begins, second.placed, second.refused) == (2.0, 1, 1)
+        assert second.waited == 0.1
+
+    def test_refusals_beside_an_idle_engine_are_told_apart(self):
+        busy = [listed("a"), listed("b"), placed(0.1, "a"), placed(0.2, "b")]
+        refused = line(0.3, "prompt_refused")
+        idle = [ended(0.4, "b", 0.2, 0.2), line(0.5, "prompt_refused")]
+        (window,) = analyze([*busy, refused, *idle], 2.0).windows
+        assert (window.refused, window.refused_idle) == (2, 1)
+
+    def test_lines_of_several_gateways_are_put_in_order(self):
+        found = analyze([placed(2.5, "a"), placed(0.5, "a"), placed(4.5, "a")], 2.0)
+        assert [window.placed for window in found.windows] == [1, 1, 1]
+
+
+class TestPredictions:
+    def test_ratios_are_told_by_role(self):
+        lines = [ended(n / 10, "a", 0.1 * n, 0.5) for n in range(1, 11)]
+        lines += [
+            ended(2, "w", 0.3, 0.1, role="writer"),
+            ended(3, "w", 1, 1, good=False),
+        ]
+        reader, other, writer = analyze([*lines, ended(4, "x", 1, 1, "none")], 2.0)[3]
+        assert (reader.role, other.role, writer.role) == ("none", "reader", "writer")
+        assert other.ratios == (0.4, 1.2, 2.0)
+        assert other.tokens_per_second == round(6_000 / 5.5)
+
+    def test_failed_readings_are_counted(self):
+        found = analyze([ended(1, "a", 1, 1, good=False, busy=None)], 2.0)
+        assert found.predictions[0].failed == 1
+
+
+class TestOutcomes:
+    def test_failures_are_told_by_route_and_code(self):
+        found = analyze(
+            [
+                line(0, "answered", route="r"),
+                line(1, "request_failed", route="r", code="timeout"),
+                line(2, "request_failed", route="q", code="no_target"),
+            ],
+            2.0,
+        )
+        assert [tuple(item) for item in found.routes] == [
+            ("q", 0, {"no_target": 1}),
+            ("r", 1, {"timeout": 1}),
+        ]
+
+    def test_orders_are_told_with_what_they_rest_on(self):
+        order = {"target": "a", "role": "writer", "streams": 90.0, "regret": 6.5}
+        (found,) = analyze([line(0, "order_done", **order)], 2.0).orders
+        assert found == (0.0, "a", "writer", 90.0, 0.0, 6.5)
+
+
+class TestAnyLine:
+    def test_words_before_a_line_are_passed_over(self):
+        assert (
+            analyze(["12.5 gateway-1 " + placed(0.5, "a")], 2.0).windows[0].placed == 1
+        )
+
+    @settings(max_examples=500, deadline=None)
+    @given(
+        event=st.sampled_from(EVENTS),
+        fields=st.dictionaries(st.sampled_from(["target", "waited", "busy"]), VALUES),
+        text=st.text(),
+    )
+    def test_whatever_a_log_holds_is_counted(self, event, fields, text):
+        found = analyze([text, line(0, event, **fields), placed(1, "a")], 2.0)
+        assert found.lines == 3
+        assert sum(window.placed for window in found.windows) >= 1
+
+
+class TestCommand:
+    @pytest.fixture
+    def run(self):
+        def call(*words):
+            command = [sys.executable, "-m", "pimentolink.cli", "analyze", *words]
+            return subprocess.run(command, capture_output=True, text=True)
+
+        return call
+
+    def test_prints_tables_or_json(self, run, tmp_path):
+        path = tmp_path / "gateway.log"
+        path.write_text("\n".join([listed("a"), placed(0.5, "a")]))
+        assert "refused_idle" in run(str(path)).stdout
+        assert json.loads(run(str(path), "--json").stdout)["lines"] == 2
+
+    def test_missing_log_is_told(self, run, tmp_path):
+        found = run(str(tmp_path / "none.log"))
+        assert found.returncode == 2
+        assert "none.log" in found.stderr
