--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -158,6 +158,8 @@
     :ivar horizon: seconds over which what roles have cost is forgotten; swings that
         are shorter cause no change.
     :ivar pause: seconds between two changes in a service.
+    :ivar most_changing: share of a service's engines that may change at a time, one at
+        least; one by one, a large fleet was still on its way as its load came.
     """
 
     fill: Ratio = 0.8
@@ -166,6 +168,7 @@
     least_from: Count = 4
     horizon: Seconds = 6.0
     pause: Seconds = 1.0
+    most_changing: Ratio = 0.25
 
 
 class GatewaySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/pimentolink/orderholder.py
+++ b/pimentolink/orderholder.py
@@ -257,6 +257,7 @@
         seconds = switch_time + SETTLE_TIME
         belief = change.belief
         belief.changing_until = self._timers.now() + seconds
+        self._balancer.accepted(service, change)
         target = belief.target
         self._news.tell(RoleChanging(target.target_id, seconds, target.born))
         self._tell(LogEvent.ORDER_DONE, change)
--- a/pimentolink/rolebalance.py
+++ b/pimentolink/rolebalance.py
@@ -42,6 +42,8 @@
         self.unmet = 0.0
         self.regret = 0.0
         self.has_worked = False
+        # Engines on their way to another role, which the list tells late.
+        self.changing_by_id: dict[str, EngineRole] = {}
         self.observed_at: float | None = None
         self.changed_at: float | None = None
 
@@ -96,16 +98,20 @@
         :returns: ``None`` while roles are right, or one changed a moment ago.
         """
         seen = self._services_by_name.setdefault(service, _Service())
+        self._forget_settled(service, seen, now)
         readers = self._of_role(service, EngineRole.READER)
         writers = self._of_role(service, EngineRole.WRITER)
-        if len(readers) + len(writers) < 2 or self._is_settling(service, now):
+        count = len(readers) + len(writers)
+        if count < 2 or self._is_settling(seen, count, now):
             return None
         wanted = self._writers_wanted(service, seen, readers, writers)
-        if len(writers) > wanted:
-            idlest = min(writers, key=lambda engine: _spared(engine, writers))
+        free_writers = [item for item in writers if not _is_changing(item, seen)]
+        free_readers = [item for item in readers if not _is_changing(item, seen)]
+        if len(writers) > wanted and free_writers:
+            idlest = min(free_writers, key=lambda engine: _spared(engine, writers))
             return self._change(service, seen, idlest, EngineRole.READER, wanted)
-        if len(writers) < wanted:
-            idlest = min(readers, key=lambda engine: engine.backlog(now))
+        if len(writers) < wanted and free_readers:
+            idlest = min(free_readers, key=lambda engine: engine.backlog(now))
             return self._change(service, seen, idlest, EngineRole.WRITER, wanted)
         return None
 
@@ -113,7 +119,13 @@
         """Learn that a change was ordered; what led to it is paid for."""
         seen = self._services_by_name.setdefault(service, _Service())
         seen.changed_at = now
-        seen.regret = 0.0
+        price = self._price(service)
+        seen.regret -= max(-price, min(price, seen.regret))
+
+    def accepted(self, service: str, change: RoleChange) -> None:
+        """Learn that an engine is on its way to another role."""
+        seen = self._services_by_name.setdefault(service, _Service())
+        seen.changing_by_id[change.belief.target.target_id] = change.role
 
     def _writers_wanted(
         self,
@@ -152,19 +164,28 @@
         """Tell the answers that one writer may write at once."""
         return max(1, writers[0].target.slots) * self._settings.fill
 
-    def _is_settling(self, service: str, now: float) -> bool:
-        changed_at = self._services_by_name[service].changed_at
-        if changed_at is not None and now - changed_at < self._settings.pause:
+    def _is_settling(self, seen: _Service, count: int, now: float) -> bool:
+        if seen.changed_at is not None and now - seen.changed_at < self._settings.pause:
             return True
-        return any(
-            now < engine.changing_until for engine in self._fleet.of_service(service)
-        )
+        most = max(1, int(count * self._settings.most_changing))
+        return len(seen.changing_by_id) >= most
+
+    def _forget_settled(self, service: str, seen: _Service, now: float) -> None:
+        """Keep only engines that are on their way, by whoever ordered them."""
+        changing: dict[str, EngineRole] = {}
+        for engine in self._fleet.of_service(service):
+            if now < engine.changing_until:
+                name, role = engine.target.target_id, engine.target.role
+                changing[name] = seen.changing_by_id.get(name, role)
+        seen.changing_by_id = changing
 
     def _of_role(self, service: str, role: EngineRole) -> list[TargetBelief]:
+        """List engines of a role, or on their way to it."""
+        changing_by_id = self._services_by_name[service].changing_by_id
         return [
             engine
             for engine in self._fleet.of_service(service)
-            if engine.target.role is role
+            if changing_by_id.get(engine.target.target_id, engine.target.role) is role
             and not engine.target.is_leaving
             and engine.missing_since is None
         ]
@@ -181,6 +202,10 @@
         return RoleChange(belief, role, seen.streams, seen.unmet, seen.regret, readers)
 
 
+def _is_changing(engine: TargetBelief, seen: _Service) -> bool:
+    return engine.target.target_id in seen.changing_by_id
+
+
 def _spared(engine: TargetBelief, writers: list[TargetBelief]) -> tuple[int, int]:
     """
     Rank a writer that could read instead; the least is taken.
--- a/tests/test_rolebalance.py
+++ b/tests/test_rolebalance.py
@@ -130,6 +130,20 @@
         assert balancer.decide("s", 3.0) is None
         assert balancer.decide("s", 5.1) is not None
 
+    def test_a_large_fleet_changes_a_quarter_at_a_time(self):
+        found = fleet(*engines(4, 18))
+        balancer = RoleBalancer(RoleSettings(), found)
+        ordered = []
+        for second in range(12):
+            balancer.observe("s", float(second))
+            change = balancer.decide("s", float(second))
+            if change is not None:
+                change.belief.changing_until = second + 100.0
+                balancer.begun("s", float(second))
+                balancer.accepted("s", change)
+                ordered.append(change.belief.target.target_id)
+        assert len(ordered) == len(set(ordered)) == 5
+
     def test_at_least_one_engine_reads(self):
         found = fleet(*engines(1, 1))
         assert replay(found, lambda second: 500, 10) == []
