--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -148,23 +148,11 @@
         is_news = known is None or known.target != target
         before = known.target.born if known is not None else target.born
         if target.born < before:
-            self._log.write(
-                LogEvent.TARGET_OUTDATED,
-                target=target_id,
-                born=target.born,
-                known=before,
-                revision=change.revision,
-            )
+            self._tell_life(LogEvent.TARGET_OUTDATED, target, before, change)
             return
         self._fleet.put(target)
         if target.born > before:
-            self._log.write(
-                LogEvent.TARGET_RESTARTED,
-                target=target_id,
-                born=target.born,
-                before=before,
-                revision=change.revision,
-            )
+            self._tell_life(LogEvent.TARGET_RESTARTED, target, before, change)
             self.on_gone(target_id)
         if is_news:
             self._log.write(
@@ -178,6 +166,18 @@
                 revision=change.revision,
             )
 
+    def _tell_life(
+        self, event: LogEvent, target: Target, before: int, change: Change
+    ) -> None:
+        """Log an entry of another life than the one known so far."""
+        self._log.write(
+            event,
+            target=target.target_id,
+            born=target.born,
+            before=before,
+            revision=change.revision,
+        )
+
     def _target_unreadable(self, target_id: str, document: bytes, detail: str) -> None:
         """
         Keep an entry that names no target from use, and say so once for each content.
--- a/pimentolink/readingcost.py
+++ b/pimentolink/readingcost.py
@@ -7,6 +7,8 @@
 MEMORY = 0.98
 # Readings without which nothing is known: fewer cannot tell fixed time from rate.
 LEAST_SAMPLES = 4
+# What they count for by the time the last of them has ended, at least.
+LEAST_COUNT = LEAST_SAMPLES * MEMORY**LEAST_SAMPLES
 # Spread of prompt lengths, against their mean, below which fixed time and rate cannot
 # be told apart.
 LEAST_SPREAD = 0.1
@@ -25,9 +27,9 @@
     """
     Time of a reading as a fixed part and a part for each token.
 
-    Load pattern: engines whose speed nobody stated. Both figures were constants once;
-    with 30 ms fixed where a reading takes 1 ms, engines stood idle while prompts were
-    turned away.
+    Load pattern: engines whose speed nobody states. With a constant of 30 ms for the
+    fixed part where a reading takes 1 ms, engines stand idle at 0.2 to 0.3 of their
+    rate while prompts are turned away.
     """
 
     def __init__(self) -> None:
@@ -43,7 +45,7 @@
     @property
     def is_known(self) -> bool:
         """Whether enough readings were timed to predict others."""
-        return self._count >= LEAST_SAMPLES * MEMORY**LEAST_SAMPLES
+        return self._count >= LEAST_COUNT
 
     def learn(self, tokens: int, seconds: float) -> None:
         """
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -9,7 +9,6 @@
 
 from pimentolink.dialect import PromptPart
 from pimentolink.errors import USUAL_PAUSE, CannotBeInTime, Failure
-from pimentolink.fleet import Fleet
 from pimentolink.logs import Log, LogEvent
 from pimentolink.peers import PeerNews, ReadingBegan, ReadingEnded
 from pimentolink.placement import Placement, ReadingQueue, WaitingPrompt
@@ -48,7 +47,6 @@
     def __init__(
         self,
         queue: ReadingQueue,
-        fleet: Fleet,
         news: PeerNews,
         timers: Timers,
         log: Log,
@@ -58,14 +56,12 @@
         Start empty.
 
         :param queue: decides.
-        :param fleet: the targets.
         :param news: tells other gateways.
         :param timers: the timer service.
         :param log: where events go.
         :param gateway: this process's life, which names its readings.
         """
         self._queue = queue
-        self._fleet = fleet
         self._news = news
         self._timers = timers
         self._log = log
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -289,7 +289,7 @@
             self.fleet.put(_listed(engine))
         self.placer = policy.placer(policy.settings, self.fleet, "here")
         self._queue = queue = ReadingQueue(policy.settings, self.placer)
-        self.readings = Readings(queue, self.fleet, self, timers, QuietLog(), name)
+        self.readings = Readings(queue, self, timers, QuietLog(), name)
         book = PeerBook(self.fleet)
         replay.wire.books_by_gateway[name] = (book, self.readings.look)
         Repeater(timers, COUNTS_INTERVAL, self._tell_counts)
