Tell a prompt's way over a gateway's own link from its engine's time

Change: Uplink knows what is queued on the gateway's own link (linkMbps of the settings); a reading begins when its prompt has arrived, others are told when that is, and a second sending to the engine that writes counts where it is slow.

--- a/pimentolink/directwrite.py
+++ b/pimentolink/directwrite.py
@@ -8,6 +8,8 @@
 
 from twisted.internet import tcp
 
+from pimentolink.uplink import Uplink
+
 
 class _DirectWrites:
     """
@@ -16,10 +18,16 @@
     Twisted buffers each write and has the loop watch the socket until it is written:
     two changes to the poller for each token of a stream. Here the socket is tried
     first, and only what it does not take is buffered as usual.
+
+    :cvar uplink: learns what is written; ``None`` if nobody asks.
     """
 
+    uplink: Uplink | None = None
+
     def write(self: Any, data: bytes) -> None:
         """Write now what the socket takes, buffer the rest."""
+        if self.uplink is not None:
+            self.uplink.sent(len(data))
         if self._may_write_now():
             written = self.writeSomeData(data)
             # An exception in place of a count is a lost connection, which the
@@ -65,8 +73,14 @@
 class _DirectConnector(tcp.Connector):
     """Makes outgoing connections that write at once."""
 
+    uplink: Uplink | None = None
+
     def _makeTransport(self) -> DirectClient:  # noqa: N802
-        return DirectClient(self.host, self.port, self.bindAddress, self, self.reactor)
+        client = DirectClient(
+            self.host, self.port, self.bindAddress, self, self.reactor
+        )
+        client.uplink = self.uplink
+        return client
 
 
 class DirectPort(tcp.Port):
@@ -82,6 +96,7 @@
     factory: Any,
     backlog: int,
     send_buffer: int = 0,
+    uplink: Uplink | None = None,
 ) -> Any:
     """
     Listen for connections that write at once.
@@ -92,6 +107,7 @@
     :param factory: makes a protocol for each connection.
     :param backlog: connections that may wait to be accepted.
     :param send_buffer: bytes that the system may keep for a slow peer.
+    :param uplink: learns what is written.
     :returns: the listening port.
     """
     listening = DirectPort(port, factory, backlog, host, reactor)
@@ -100,12 +116,20 @@
         """A connection with this port's bound."""
 
     BoundedServer.send_buffer = send_buffer
+    BoundedServer.uplink = uplink
     listening.transport = BoundedServer
     listening.startListening()
     return listening
 
 
-def connect(reactor: Any, host: str, port: int, factory: Any, timeout: float) -> Any:
+def connect(
+    reactor: Any,
+    host: str,
+    port: int,
+    factory: Any,
+    timeout: float,
+    uplink: Uplink | None = None,
+) -> Any:
     """
     Connect, with writes that go out at once.
 
@@ -114,9 +138,11 @@
     :param port: TCP port.
     :param factory: makes the protocol of the connection.
     :param timeout: seconds until the attempt counts as failed.
+    :param uplink: learns what is written.
     :returns: the connector.
     """
     connector = _DirectConnector(host, port, factory, timeout, None, reactor)
+    connector.uplink = uplink
     connector.connect()
     return connector
 
@@ -128,16 +154,18 @@
     :source: ``IReactorTCP.connectTCP`` of Twisted.
     """
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, uplink: Uplink | None = None) -> None:
         """
         Wrap a loop.
 
         :param reactor: the loop.
+        :param uplink: learns what is written.
         """
         self._reactor = reactor
+        self._uplink = uplink
 
     def connectTCP(  # noqa: N802
         self, host: str, port: int, factory: Any, timeout: float, **unused: Any
     ) -> Any:
         """Connect as the loop would; endpoints of this product bind no address."""
-        return connect(self._reactor, host, port, factory, timeout)
+        return connect(self._reactor, host, port, factory, timeout, self._uplink)
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -38,6 +38,7 @@
 from pimentolink.routes import CallerBounds, RoutingTables
 from pimentolink.settings import split_address
 from pimentolink.timers import Repeater, Timers, pause
+from pimentolink.uplink import Uplink
 
 # Seconds between two looks at the settings file, which may change without a signal.
 RELOAD_INTERVAL = 5.0
@@ -86,11 +87,12 @@
         self.log = Log(instance=settings.instance, life=self._life)
         self.metrics = Metrics()
         self._random = Random(self._life)
+        self._uplink = Uplink(settings.link_megabits, timers)
         self.tables = RoutingTables()
         self.fleet = Fleet(settings.placement, settings.ejection, self._random)
         self.budgets = SharedBudgets(settings.budget, timers)
         self._caller = Caller(
-            directwrite.DirectEndpointReactor(reactor),
+            directwrite.DirectEndpointReactor(reactor, self._uplink),
             settings.connections,
             self.fleet,
             dialect,
@@ -101,9 +103,17 @@
         self._caller.most_connections = self._most_connections
         self._dialect = dialect
         self._peers = PeerProtocol(
-            settings.instance, self.fleet, self._news, timers, self.log, self.metrics
+            settings.instance,
+            self.fleet,
+            self._news,
+            timers,
+            self.log,
+            self.metrics,
+            self._uplink,
+        )
+        placer = Placer(
+            settings.placement, self.fleet, settings.data_centre, self._uplink
         )
-        placer = Placer(settings.placement, self.fleet, settings.data_centre)
         self.readings = self._make_readings(placer)
         self.forwarder = self._make_forwarder(placer)
         self.membership = self._make_membership(documents)
@@ -219,7 +229,14 @@
         ):
             host, port = split_address(address)
             self._ports.append(
-                directwrite.listen(self._reactor, host, port, factory, backlog=512)
+                directwrite.listen(
+                    self._reactor,
+                    host,
+                    port,
+                    factory,
+                    backlog=512,
+                    uplink=self._uplink,
+                )
             )
         host, port = split_address(self._settings.peers)
         self._ports.append(self._reactor.listenUDP(port, self._peers, interface=host))
--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -181,6 +181,8 @@
     :ivar readiness: address where the balancer asks whether to send callers here.
     :ivar peers: address for datagrams of other gateways.
     :ivar metrics: address of the metrics.
+    :ivar link_megabits: a second that this instance's link carries; 0 if it is not
+        known, which counts as a link without bound.
     :ivar is_first_start: whether the whole deployment starts for the first time, so
         that engines hold nothing yet.
     :ivar order_lease_ms: milliseconds within which two processes may not both give
@@ -201,6 +203,7 @@
     ejection: EjectionSettings = field(default_factory=EjectionSettings)
     budget: BudgetSettings = field(default_factory=BudgetSettings)
     roles: RoleSettings = field(default_factory=RoleSettings)
+    link_megabits: Annotated[float, Meta(ge=0)] = 0.0
     is_first_start: bool = False
     order_lease_ms: Count = 3000
     stop_within: Seconds = 8.0
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -165,6 +165,7 @@
             on_time_until=(arrived_at if relay.has_begun else request.arrived_at)
             + route.latency_target,
             due_at=work.due_at,
+            body_bytes=len(request.http.body),
         )
 
     def _sending(self, work: Work, belief: TargetBelief, relay: _Relay) -> Sending:
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -16,11 +16,14 @@
 from pimentolink.registration import GatewayEntry
 from pimentolink.settings import split_address
 from pimentolink.timers import Repeater, Timers
+from pimentolink.uplink import Uplink
 
 # Largest datagram that no link on the way splits, in bytes.
 MOST_DATAGRAM = 1400
 # Bytes of a datagram around its messages.
 FRAME = 5
+# Bytes of the heads of IP and UDP.
+UDP_HEAD = 28
 # Seconds between two tellings of requests under way that have changed, and of those
 # that have not, in case a datagram was lost.
 TELL_INTERVAL = 0.2
@@ -40,6 +43,9 @@
 
 # Most engine seconds that are believed to wait at one gateway; an hour of one engine.
 MOST_WORK = 3600.0
+# Longest time, in seconds, that a prompt is believed to be on its way to an engine;
+# callers have left by then.
+MOST_WAY = 30.0
 # Changes of what waits that are told, in engine seconds.
 WORK_STEP = 0.02
 
@@ -47,6 +53,7 @@
 # idle, busy or changing for good.
 _Natural = Annotated[int, msgspec.Meta(ge=0)]
 _Work = Annotated[float, msgspec.Meta(ge=0, le=MOST_WORK)]
+_Way = Annotated[float, msgspec.Meta(ge=0, le=MOST_WAY)]
 _Changing = Annotated[float, msgspec.Meta(ge=0, le=MOST_CHANGING)]
 
 
@@ -58,6 +65,7 @@
     :ivar parts: of the prompt, as number and tokens.
     :ivar copied: tokens that it fetches from another engine first.
     :ivar born: which life of the engine is meant.
+    :ivar way: seconds until the engine has the prompt, over the sender's own link.
     """
 
     ticket: str
@@ -66,6 +74,7 @@
     parts: list[tuple[_Natural, _Natural]]
     copied: _Natural = 0
     born: _Natural = 0
+    way: _Way = 0.0
 
 
 class ReadingEnded(msgspec.Struct, tag="e", array_like=True):
@@ -180,7 +189,12 @@
         elif isinstance(message, ReadingBegan):
             parts = [PromptPart(*part) for part in message.parts]
             belief.begin_reading(
-                message.ticket, message.tokens, parts, now, message.copied
+                message.ticket,
+                message.tokens,
+                parts,
+                now,
+                message.copied,
+                message.way,
             )
         else:
             belief.changing_until = now + message.seconds
@@ -271,6 +285,7 @@
         timers: Timers,
         log: Log,
         metrics: Metrics,
+        uplink: Uplink,
     ) -> None:
         """
         Prepare.
@@ -282,6 +297,7 @@
         :param timers: the timer service.
         :param log: where events go.
         :param metrics: where figures go.
+        :param uplink: learns what is sent.
         """
         self._gateway = gateway
         self._fleet = fleet
@@ -290,6 +306,7 @@
         self._timers = timers
         self._log = log
         self._metrics = metrics
+        self._uplink = uplink
         self._outbox = PeerOutbox()
         self._repeater: Repeater | None = None
         self._told_counts: dict[str, int] = {}
@@ -395,6 +412,7 @@
         if transport is None:
             self._metrics.count("peer_messages", "not_sent")
             return
+        self._uplink.sent(len(self.addresses_by_gateway) * (len(datagram) + UDP_HEAD))
         for address in self.addresses_by_gateway.values():
             try:
                 transport.write(datagram, split_address(address))
--- a/pimentolink/placement.py
+++ b/pimentolink/placement.py
@@ -12,6 +12,7 @@
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import PlacementSettings
 from pimentolink.targetbelief import EngineRole, TargetBelief
+from pimentolink.uplink import Uplink
 
 # Worth of a generation by its size against the mean of its route: a fixed part and
 # one that grows with the size, up to a bound.
@@ -54,6 +55,7 @@
     :ivar latency_target: seconds that it may take from then on.
     :ivar on_time_until: when its first event should be with the caller.
     :ivar due_at: when the caller or the operator gives it up.
+    :ivar body_bytes: that an engine is sent with it.
     """
 
     request_id: str
@@ -65,6 +67,7 @@
     latency_target: float
     on_time_until: float
     due_at: float
+    body_bytes: int = 0
 
 
 class Placement(NamedTuple):
@@ -74,6 +77,9 @@
     :ivar tokens: that have to be read there.
     :ivar held_tokens: that the engine probably holds.
     :ivar done_at: predicted end of the reading.
+    :ivar way: predicted seconds until the engine has the prompt.
+    :ivar hand_over: predicted seconds from the end of the reading until the engine that
+        writes the answer has the prompt.
     :ivar copy_from: address of an engine that holds more of the prompt.
     :ivar is_reading_only: whether another engine writes the answer.
     """
@@ -85,6 +91,13 @@
     copy_from: str
     copied_tokens: int
     is_reading_only: bool
+    way: float = 0.0
+    hand_over: float = 0.0
+
+    @property
+    def written_from(self) -> float:
+        """Predicted moment from which the answer can be written."""
+        return self.done_at + self.hand_over
 
 
 class SizeScale:
@@ -118,7 +131,11 @@
     """
 
     def __init__(
-        self, settings: PlacementSettings, fleet: Fleet, data_centre: str
+        self,
+        settings: PlacementSettings,
+        fleet: Fleet,
+        data_centre: str,
+        uplink: Uplink,
     ) -> None:
         """
         Prepare.
@@ -126,10 +143,12 @@
         :param settings: weights.
         :param fleet: the targets.
         :param data_centre: where this gateway stands.
+        :param uplink: predicts how long a prompt takes to leave this gateway.
         """
         self._settings = settings
         self._fleet = fleet
         self._data_centre = data_centre
+        self._uplink = uplink
 
     def best(self, prompt: WaitingPrompt, now: float) -> Placement | None:
         """
@@ -169,16 +188,26 @@
         if copied < LEAST_COPY:
             copied = 0
         tokens = max(1, prompt.prompt_tokens - held - copied)
-        done_at = now + engine.backlog(now) + engine.work_time(tokens)
+        way = self._uplink.delay(prompt.body_bytes)
+        done_at = now + max(way, engine.backlog(now)) + engine.work_time(tokens)
         done_at += engine.copy_time(copied)
         is_reader = engine.target.role is EngineRole.READER
-        source = holder.target.address if copied else ""
-        return Placement(engine, tokens, held, done_at, source, copied, is_reader)
+        return Placement(
+            belief=engine,
+            tokens=tokens,
+            held_tokens=held,
+            done_at=done_at,
+            copy_from=holder.target.address if copied else "",
+            copied_tokens=copied,
+            is_reading_only=is_reader,
+            way=way,
+            hand_over=way if is_reader else 0.0,
+        )
 
     def _cost(self, option: Placement, now: float) -> float:
         settings = self._settings
         engine = option.belief
-        cost = option.done_at - now
+        cost = option.written_from - now
         work = engine.work_time(option.tokens) + engine.copy_time(option.copied_tokens)
         cost += settings.duplicate_cost * work
         cost += engine.failure_share
@@ -247,7 +276,7 @@
         """Take a newer prediction."""
         self.work = placement.belief.work_time(placement.tokens)
         worth = self.prompt.size
-        if placement.done_at > self.prompt.on_time_until:
+        if placement.written_from > self.prompt.on_time_until:
             worth *= LATE_WORTH
         self.rank = (-worth / self.work, self.prompt.arrived_at)
 
@@ -291,8 +320,8 @@
         if placement is None:
             return NoTarget(f"no engine of {prompt.service} takes work", 1.0)
         waiting = _Waiting(prompt, placement)
-        done_at = placement.done_at + self._work_ahead(waiting, now)
-        failure = self._refusal(prompt, placement, done_at, now)
+        begins_at = placement.written_from + self._work_ahead(waiting, now)
+        failure = self._refusal(prompt, placement, begins_at, now)
         if failure is None:
             self._waiting_by_id[prompt.request_id] = waiting
         else:
@@ -334,7 +363,7 @@
         return work_by_service
 
     def _refusal(
-        self, prompt: WaitingPrompt, placement: Placement, done_at: float, now: float
+        self, prompt: WaitingPrompt, placement: Placement, begins_at: float, now: float
     ) -> Failure | None:
         """
         Turn a prompt away that would be read too late, once readings were timed.
@@ -348,11 +377,11 @@
         allowed = self._settings.late_factor * prompt.latency_target
         allowed = max(allowed, LARGE_FACTOR * own_work)
         latest = min(prompt.arrived_at + allowed, prompt.due_at)
-        if done_at <= latest:
+        if begins_at <= latest:
             return None
-        pause = min(MOST_PAUSE, max(LEAST_PAUSE, done_at - prompt.on_time_until))
+        pause = min(MOST_PAUSE, max(LEAST_PAUSE, begins_at - prompt.on_time_until))
         return CannotBeInTime(
-            f"would be read in {done_at - now:.2f} s, {latest - now:.2f} s are left",
+            f"would be read in {begins_at - now:.2f} s, {latest - now:.2f} s are left",
             pause,
         )
 
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -122,11 +122,14 @@
         belief = placement.belief
         tokens = placement.tokens
         copied = placement.copied_tokens
-        belief.begin_reading(name, tokens, prompt.parts, now, copied)
+        way = placement.way
+        belief.begin_reading(name, tokens, prompt.parts, now, copied, way)
         target_id = belief.target.target_id
         parts = parts_of(prompt.parts)
         self._news.tell(
-            ReadingBegan(name, target_id, tokens, parts, copied, belief.target.born)
+            ReadingBegan(
+                name, target_id, tokens, parts, copied, belief.target.born, way
+            )
         )
         self._log.write(
             LogEvent.PROMPT_PLACED,
@@ -138,6 +141,7 @@
             copied=placement.copied_tokens,
             waited=round(now - prompt.arrived_at, 3),
             predicted=round(placement.done_at - now, 3),
+            way=round(way, 4),
             waiting=len(self._queue),
             list_age=round(self.belief_age(), 3),
         )
--- a/pimentolink/targetbelief.py
+++ b/pimentolink/targetbelief.py
@@ -73,13 +73,14 @@
 
     :ivar tokens: that it must read.
     :ivar copied: tokens that it fetches from another engine first.
+    :ivar arrives_at: when the engine has the prompt; it was not busy with it before.
     :ivar forgotten_at: when it no longer counts though no end was told.
     """
 
     tokens: int
     copied: int
     parts: tuple[PromptPart, ...]
-    began_at: float
+    arrives_at: float
     forgotten_at: float
 
 
@@ -191,8 +192,8 @@
         first = next(iter(readings), None)
         if first is None:
             return 0.0
-        begun = max(first.began_at, self._last_end)
-        done = min(now - begun, 0.9 * self._reading_time(first))
+        begun = max(first.arrives_at, self._last_end)
+        done = min(max(0.0, now - begun), 0.9 * self._reading_time(first))
         return max(0.0, total - done)
 
     def _reading_time(self, reading: Reading) -> float:
@@ -214,15 +215,17 @@
         parts: Iterable[PromptPart],
         now: float,
         copied: int = 0,
+        way: float = 0.0,
     ) -> None:
         """
         Count a reading that was sent there, by whichever gateway.
 
         :param copied: tokens that it fetches from another engine first.
+        :param way: seconds until the engine has the prompt.
         """
-        expected = self.backlog(now) + self.work_time(tokens)
+        expected = way + self.backlog(now) + self.work_time(tokens)
         forgotten_at = now + 3 * expected + LOST_END
-        reading = Reading(tokens, copied, tuple(parts), now, forgotten_at)
+        reading = Reading(tokens, copied, tuple(parts), now + way, forgotten_at)
         self.readings_by_ticket[ticket] = reading
         self.parts.note(reading.parts)
 
@@ -230,7 +233,7 @@
         """
         Count a reading no more, and learn from it.
 
-        It kept the engine busy since it was sent, or since the reading before it
+        It kept the engine busy since it arrived there, or since the reading before it
         ended, since engines read one prompt after the other.
 
         :param is_good: whether it was done, so that its parts are there.
@@ -240,12 +243,12 @@
         reading = self.readings_by_ticket.pop(ticket, None)
         if reading is None:
             return None
-        busy_since = max(reading.began_at, self._last_end)
+        busy_since = max(reading.arrives_at, self._last_end)
         self._last_end = now
         if not is_good:
             return None
         self.fetchable.note(reading.parts)
-        took = now - busy_since
+        took = max(0.0, now - busy_since)
         self._learn(reading, took)
         return took
 
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -16,6 +16,8 @@
 from pimentolink.placement import Placer, ReadingQueue, WaitingPrompt
 from pimentolink.routes import EngineModel, Repeatability, Route, WeightedService
 from pimentolink.targetbelief import EngineRole, Target
+from pimentolink.timers import ManualTimers
+from pimentolink.uplink import Uplink
 
 MODEL = EngineModel(
     cache_tokens=100_000,
@@ -77,7 +79,13 @@
 
 def queue_over(found: Fleet, **placement: Any) -> ReadingQueue:
     settings = PlacementSettings(**placement)
-    return ReadingQueue(settings, Placer(settings, found, "north"))
+    return ReadingQueue(settings, placer_over(found, settings))
+
+
+def placer_over(
+    found: Fleet, settings: PlacementSettings, megabits: float = 0.0
+) -> Placer:
+    return Placer(settings, found, "north", Uplink(megabits, ManualTimers()))
 
 
 def prompt(
--- a/tests/test_largefleet.py
+++ b/tests/test_largefleet.py
@@ -5,9 +5,9 @@
 from pimentolink.dialect import PromptPart
 from pimentolink.fleet import MOST_COMPARED
 from pimentolink.gatewaysettings import PlacementSettings
-from pimentolink.placement import Placer, WaitingPrompt
+from pimentolink.placement import WaitingPrompt
 from pimentolink.targetbelief import EngineRole
-from tests.gatewayparts import MODEL, fleet, target
+from tests.gatewayparts import MODEL, fleet, placer_over, target
 
 READERS, WRITERS = 2_000, 1_000
 PARTS = (PromptPart(1, 5_000), PromptPart(2, 100))
@@ -51,7 +51,7 @@
     def test_engine_that_holds_the_prompt_is_always_compared(self, known):
         known.targets_by_id["r1234"].begin_reading("t", 5_100, PARTS, 0.0)
         known.targets_by_id["r1234"].end_reading("t", True, 0.0)
-        placer = Placer(PlacementSettings(), known, "north")
+        placer = placer_over(known, PlacementSettings())
         for _ in range(50):
             placement = placer.best(prompt(), 0.0)
             assert placement.held_tokens == 5_099
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -23,6 +23,7 @@
 from pimentolink.registration import GatewayEntry
 from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
+from pimentolink.uplink import Uplink
 from tests.gatewayparts import fleet, target
 from tests.jsonvalues import VALUES
 
@@ -49,7 +50,13 @@
         self.wires = [Wire(), Wire()]
         self.peers = [
             PeerProtocol(
-                name, known, lambda: None, self.timers, Log(instance=name), Metrics()
+                name,
+                known,
+                lambda: None,
+                self.timers,
+                Log(instance=name),
+                Metrics(),
+                Uplink(0.0, self.timers),
             )
             for name, known in zip("ab", self.fleets, strict=True)
         ]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,6 +6,8 @@
 from pimentolink.gatewaysettings import PlacementSettings
 from pimentolink.placement import Placer, ReadingQueue
 from pimentolink.targetbelief import EngineRole
+from pimentolink.timers import ManualTimers
+from pimentolink.uplink import Uplink
 from tests.gatewayparts import engines, fleet, prompt, queue_over, target
 
 SHARED = (77, 8_000)
@@ -141,7 +143,9 @@
 
     def queue(self, found):
         settings = PlacementSettings(late_factor=999.0)
-        self.placer = CountingPlacer(settings, found, "north")
+        self.placer = CountingPlacer(
+            settings, found, "north", Uplink(0.0, ManualTimers())
+        )
         queue = ReadingQueue(settings, self.placer)
         for number in range(self.WAITING):
             waiting = prompt(f"p{number}", 100 + number, patience=900.0)
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -28,6 +28,7 @@
 from pimentolink.routes import EngineModel
 from pimentolink.targetbelief import EngineRole, Target, TargetBelief
 from pimentolink.timers import ManualTimers, Repeater, pause, with_timeout
+from pimentolink.uplink import Uplink
 from tools.enginemodel import EngineFigures, ModelEngine
 
 LOADS = Path(__file__).parent.parent / "tests" / "loads"
@@ -58,6 +59,7 @@
     :ivar patience: seconds that its caller waits.
     :ivar worth: of an answer on time.
     :ivar late: of a late one.
+    :ivar token_bytes: that a prompt has for each of its tokens.
     """
 
     rate: float
@@ -69,6 +71,7 @@
     patience: float
     worth: float
     late: float
+    token_bytes: float = 0.0
 
 
 class Burst(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -100,6 +103,7 @@
 
     :ivar why: what the pattern is meant to bring out.
     :ivar lasts: seconds in which requests come.
+    :ivar links: megabits a second of the gateways' links, in turn; 0 is without bound.
     """
 
     why: str
@@ -111,6 +115,7 @@
     kinds: dict[str, Kind]
     bursts: list[Burst] = []
     faults: list[Fault] = []
+    links: tuple[float, ...] = (0.0,)
 
 
 class Request(NamedTuple):
@@ -216,11 +221,13 @@
 
     :ivar placer: chooses engines.
     :ivar tells: whether gateways tell each other what they send.
+    :ivar knows_link: whether a gateway knows how long prompts take to leave it.
     """
 
     settings: PlacementSettings
     placer: type[Placer] = Placer
     tells: bool = True
+    knows_link: bool = True
 
 
 class _Straight(Placer):
@@ -270,14 +277,21 @@
     "nothing refused": Policy(PlacementSettings(late_factor=UNBOUNDED)),
     "no price on engine time": Policy(PlacementSettings(duplicate_cost=0.0)),
     "gateways tell nothing": Policy(PlacementSettings(), tells=False),
+    "links unknown": Policy(PlacementSettings(), knows_link=False),
 }
 
 
 class ModelGateway:
     """One gateway's decisions, with modelled engines behind them."""
 
-    def __init__(self, name: str, policy: Policy, replay: Replay) -> None:
-        """Put the decisions together."""
+    def __init__(
+        self, name: str, policy: Policy, replay: Replay, megabits: float
+    ) -> None:
+        """
+        Put the decisions together.
+
+        :param megabits: a second that its link carries; 0 is without bound.
+        """
         self._name = name
         self._replay = replay
         timers = replay.timers
@@ -287,7 +301,9 @@
         self.fleet.set_models({SERVICE: model})
         for engine in replay.engines_by_name.values():
             self.fleet.put(_listed(engine))
-        self.placer = policy.placer(policy.settings, self.fleet, "here")
+        self._uplink = Uplink(megabits, timers)
+        known = self._uplink if policy.knows_link else Uplink(0.0, timers)
+        self.placer = policy.placer(policy.settings, self.fleet, "here", known)
         self._queue = queue = ReadingQueue(policy.settings, self.placer)
         self.readings = Readings(queue, self, timers, QuietLog(), name)
         book = PeerBook(self.fleet)
@@ -325,6 +341,7 @@
             latency_target=kind.latency_target,
             on_time_until=request.at + kind.latency_target,
             due_at=due_at,
+            body_bytes=self._body_bytes(request, kind),
         )
         ticket = await self.readings.wait(prompt)
         placement = ticket.placement
@@ -332,12 +349,14 @@
         try:
             reader = self._replay.engine(placement.belief)
             source = self._replay.engine_at(placement.copy_from)
+            await self._send(prompt.body_bytes)
             await self._on(placement.belief, reader.read(request.parts, source))
             is_good = True
         finally:
             self.readings.end(ticket, is_good)
         writer = placement.belief
         if placement.is_reading_only:
+            await self._send(prompt.body_bytes)
             writer = await self._hand_over(request, writer)
         engine = self._replay.engine(writer)
         await self._on(writer, engine.write(1))
@@ -345,6 +364,17 @@
         await self._on(writer, engine.write(kind.output - 1))
         return first_at
 
+    def _body_bytes(self, request: Request, kind: Kind) -> int:
+        tokens = sum(part.tokens for part in request.parts)
+        return int(tokens * kind.token_bytes)
+
+    async def _send(self, size: int) -> None:
+        """Let a prompt leave over this gateway's link."""
+        delay = self._uplink.delay(size)
+        self._uplink.sent(size)
+        if delay:
+            await pause(self._replay.timers, delay)
+
     async def _hand_over(self, request: Request, reader: TargetBelief) -> TargetBelief:
         now = self._replay.timers.now()
         near = reader.target.data_centre
@@ -396,7 +426,10 @@
             for number, role in enumerate(roles)
         }
         self._gateways = [
-            ModelGateway(f"g{number}", policy, self) for number in range(load.gateways)
+            ModelGateway(
+                f"g{number}", policy, self, load.links[number % len(load.links)]
+            )
+            for number in range(load.gateways)
         ]
         self._requests = requests_of(load, seed)
         self._random = Random(seed)
