Divide large deployments into cells whose gateways all tell each other

A target's load is known whole by those that choose it, and what a gateway sends does not grow beyond a cell.

Ruled out: 32 told without cells (as before); telling all at any size: 300 that told each other took 36 % of a core and 105 KB/s each.

--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 
+from pimentolink.cells import Cells
 from pimentolink.dialect import PromptPart
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
 from pimentolink.partmemory import PartIndex
@@ -24,23 +26,29 @@
 class _Group:
     """The targets of one service in one role."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_own: Callable[[Target], bool]) -> None:
         self.beliefs_by_id: dict[str, TargetBelief] = {}
-        self._listed: list[TargetBelief] | None = None
+        self._is_own = is_own
+        self._own: list[TargetBelief] | None = None
 
     def add(self, belief: TargetBelief) -> None:
         self.beliefs_by_id[belief.target.target_id] = belief
-        self._listed = None
+        self._own = None
 
     def remove(self, belief: TargetBelief) -> None:
         self.beliefs_by_id.pop(belief.target.target_id, None)
-        self._listed = None
+        self._own = None
 
-    def listed(self) -> list[TargetBelief]:
-        """List all, for samples; the list is kept until the next change."""
-        if self._listed is None:
-            self._listed = list(self.beliefs_by_id.values())
-        return self._listed
+    def divide(self) -> None:
+        """Learn that cells have changed."""
+        self._own = None
+
+    def own(self) -> list[TargetBelief]:
+        """List those of the own cell; the list is kept until the next change."""
+        if self._own is None:
+            beliefs = self.beliefs_by_id.values()
+            self._own = [belief for belief in beliefs if self._is_own(belief.target)]
+        return self._own
 
 
 class Fleet:
@@ -66,8 +74,8 @@
         self._models_by_service: dict[str, EngineModel | None] = {}
         self._forgiven_until = 0.0
         self._waiting_by_gateway: dict[str, dict[str, float]] = {}
-        # Other gateways for each one that tells this one what waits there.
-        self.gateways_per_teller = 1.0
+        self._cells = Cells()
+        self._cell = 0
 
     def told_waiting(self, gateway: str, work_by_service: dict[str, float]) -> None:
         """
@@ -83,11 +91,25 @@
 
     def waiting_elsewhere(self, service: str) -> float:
         """Tell how many engine seconds of reading wait at other gateways."""
-        told = sum(
+        return sum(
             work_by_service.get(service, 0.0)
             for work_by_service in self._waiting_by_gateway.values()
         )
-        return told * self.gateways_per_teller
+
+    def divide(self, cells: Cells, cell: int) -> None:
+        """
+        Learn which targets this gateway shares with gateways that tell it their load.
+
+        :param cells: of the deployment.
+        :param cell: that this gateway belongs to.
+        """
+        self._cells, self._cell = cells, cell
+        for groups in self._groups_by_service.values():
+            for group in groups.values():
+                group.divide()
+
+    def _is_own(self, target: Target) -> bool:
+        return self._cells.of(target.target_id, target.data_centre) == self._cell
 
     def set_models(self, models_by_service: dict[str, EngineModel | None]) -> None:
         """Learn which services have engines, and of which model."""
@@ -143,7 +165,7 @@
 
     def _group(self, target: Target) -> _Group:
         groups = self._groups_by_service.setdefault(target.service, {})
-        return groups.setdefault(target.role, _Group())
+        return groups.setdefault(target.role, _Group(self._is_own))
 
     def of_service(self, service: str) -> list[TargetBelief]:
         """List the targets of a service."""
@@ -157,7 +179,8 @@
         List targets of a service that may get work.
 
         Ejected ones are left out as long as enough others of their role remain. Of a
-        large service, some of each role are listed.
+        large service, some of each role are listed. Targets of other cells are listed
+        if none of the own cell takes work, since their load is not known here.
 
         :param parts: of a prompt; those that hold some of it are listed first.
         """
@@ -174,22 +197,26 @@
     def usable_count(self, service: str, now: float) -> float:
         """Estimate how many targets of a service take work, of a large one by some."""
         groups = self._groups_by_service.get(service, {}).values()
-        listed = sum(len(group.beliefs_by_id) for group in groups)
-        seen = sum(min(len(group.beliefs_by_id), MOST_COMPARED) for group in groups)
+        listed = sum(len(group.own()) for group in groups)
+        seen = sum(min(len(group.own()), MOST_COMPARED) for group in groups)
+        if not listed:
+            return float(len(self.usable(service, now)))
         return len(self.usable(service, now)) * listed / max(1, seen)
 
     def _compared(
         self, group: _Group, parts: tuple[PromptPart, ...]
     ) -> list[TargetBelief]:
         """Choose whom to compare: all, or who holds the prompt and a sample."""
-        if len(group.beliefs_by_id) <= MOST_COMPARED:
-            return list(group.beliefs_by_id.values())
+        own = group.own()
+        if len(own) <= MOST_COMPARED:
+            return own
         chosen = {
             target_id: group.beliefs_by_id[target_id]
             for target_id in self._index.owners(parts, MOST_HOLDERS)
             if target_id in group.beliefs_by_id
+            and self._is_own(group.beliefs_by_id[target_id].target)
         }
-        for belief in self._random.sample(group.listed(), MOST_COMPARED - len(chosen)):
+        for belief in self._random.sample(own, MOST_COMPARED - len(chosen)):
             chosen[belief.target.target_id] = belief
         return list(chosen.values())
 
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -14,6 +14,7 @@
 from pimentolink.cachelearning import CacheLearning
 from pimentolink.callerhttp import CallerConnection, CallerFactory
 from pimentolink.calls import Caller
+from pimentolink.cells import Cells
 from pimentolink.dialect import Dialect
 from pimentolink.errors import SettingsInvalid
 from pimentolink.fleet import Fleet
@@ -87,6 +88,7 @@
         self.log = Log(instance=settings.instance, life=self._life)
         self.metrics = Metrics()
         self._random = Random(self._life)
+        self._cells = Cells()
         self._uplink = Uplink(settings.link_megabits, timers)
         self.tables = RoutingTables()
         self.fleet = Fleet(settings.placement, settings.ejection, self._random)
@@ -325,12 +327,20 @@
     def _fleet_changed(self) -> None:
         gateways = self.membership.gateways_by_name
         settings = self._settings
+        places = {name: entry.data_centre for name, entry in gateways.items()}
+        has_changed = self._cells.divide(places)
+        cell = self._cells.of(settings.instance, settings.data_centre)
+        if has_changed:
+            self.fleet.divide(self._cells, cell)
+            self.log.write(
+                LogEvent.CELL_CHANGED,
+                cell=cell,
+                cells=self._cells.count,
+                gateways=len(gateways),
+            )
         self._peers.addresses_by_gateway = choose_peers(
-            settings.instance, settings.data_centre, gateways
+            settings.instance, cell, self._cells, gateways
         )
-        others = max(1, len(gateways) - 1)
-        told = max(1, len(self._peers.addresses_by_gateway))
-        self.fleet.gateways_per_teller = others / told
         self.budgets.gateways = max(1, len(gateways))
         self.readings.look()
 
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -108,6 +108,11 @@
         "A renewal was answered again; the store is read anew.",
     )
     PEER_LISTED = ("E1209", logging.INFO, "Another gateway appeared or left.")
+    CELL_CHANGED = (
+        "E1217",
+        logging.INFO,
+        "The deployment is divided into cells anew; in one, gateways tell each other.",
+    )
     PEER_MESSAGE_INVALID = (
         "E1210",
         logging.WARNING,
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 from typing import Annotated, Any, Protocol
-from zlib import crc32
 
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
+from pimentolink.cells import Cells
 from pimentolink.dialect import PromptPart
 from pimentolink.fleet import Fleet
 from pimentolink.logs import Log, LogEvent
@@ -34,9 +34,6 @@
 # Targets of which one message tells the counts, so that it fits into a datagram; names
 # of targets have up to 24 bytes.
 MOST_COUNTS = 40
-# Gateways that one gateway tells. What one sends and takes grows with them: 300 told
-# each other 105 KB a second each, at 36 % of a core.
-MOST_PEERS = 32
 # Longest time, in seconds, for which a role change that another gateway told of keeps
 # an engine from work; a hundred times what the slowest known takes.
 MOST_CHANGING = 600.0
@@ -122,30 +119,22 @@
 
 
 def choose_peers(
-    gateway: str, data_centre: str, entries_by_name: dict[str, GatewayEntry]
+    gateway: str, cell: int, cells: Cells, entries_by_name: dict[str, GatewayEntry]
 ) -> dict[str, str]:
     """
-    Choose which gateways to tell.
-
-    Of more than can be told, those of the same data centre come first, since they
-    share the targets that this one uses most. Two gateways choose each other by the
-    same rank, so that telling is mostly mutual.
+    Choose which gateways to tell: those that share this one's targets.
 
     :param gateway: the one that tells.
-    :param data_centre: where it stands.
+    :param cell: that it belongs to.
+    :param cells: of the deployment.
     :param entries_by_name: all gateways that are listed.
     :returns: addresses by name.
     """
-    others = [name for name in entries_by_name if name != gateway]
-
-    def rank(name: str) -> tuple[bool, int]:
-        pair = "|".join(sorted((gateway, name)))
-        is_far = entries_by_name[name].data_centre != data_centre
-        return is_far, crc32(pair.encode())
-
-    if len(others) > MOST_PEERS:
-        others = sorted(others, key=rank)[:MOST_PEERS]
-    return {name: entries_by_name[name].address for name in others}
+    return {
+        name: entry.address
+        for name, entry in entries_by_name.items()
+        if name != gateway and cells.of(name, entry.data_centre) == cell
+    }
 
 
 class PeerNews(Protocol):
