--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -9,6 +9,7 @@
 from pimentolink.dialect import PromptPart
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
 from pimentolink.partmemory import PartIndex
+from pimentolink.peermessages import target_key
 from pimentolink.readingcost import ServiceCosts, Slowness
 from pimentolink.routes import EngineModel
 from pimentolink.targetbelief import EngineRole, Target, TargetBelief
@@ -68,6 +69,7 @@
         self._ejection = ejection
         self._random = random
         self.targets_by_id: dict[str, TargetBelief] = {}
+        self._beliefs_by_key: dict[int, TargetBelief] = {}
         self._groups_by_service: dict[str, dict[EngineRole, _Group]] = {}
         self._index = PartIndex()
         self._costs_by_service: dict[str, ServiceCosts] = {}
@@ -139,6 +141,7 @@
             known = TargetBelief(target, self.costs(target.service), self._index)
             known.set_model(self._models_by_service.get(target.service))
             self.targets_by_id[target.target_id] = known
+            self._beliefs_by_key[target_key(target.target_id, target.born)] = known
         else:
             self._group(known.target).remove(known)
         if target.role is not known.target.role:
@@ -161,8 +164,19 @@
         if belief is not None:
             self._group(belief.target).remove(belief)
             belief.parts.forget()
+            key = target_key(target_id, belief.target.born)
+            if self._beliefs_by_key.get(key) is belief:
+                del self._beliefs_by_key[key]
         return belief
 
+    def find(self, key: int) -> TargetBelief | None:
+        """
+        Find a target as other gateways name it.
+
+        :param key: see :func:`~pimentolink.peermessages.target_key`.
+        """
+        return self._beliefs_by_key.get(key)
+
     def _group(self, target: Target) -> _Group:
         groups = self._groups_by_service.setdefault(target.service, {})
         return groups.setdefault(target.role, _Group(self._is_own))
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -106,6 +106,7 @@
         self._dialect = dialect
         self._peers = PeerProtocol(
             settings.instance,
+            self._life,
             self.fleet,
             self._news,
             timers,
--- a/pimentolink/orderholder.py
+++ b/pimentolink/orderholder.py
@@ -22,7 +22,7 @@
 from pimentolink.httptypes import HttpReply, HttpRequest
 from pimentolink.keyspace import Change, Keyspace, Write
 from pimentolink.logs import Log, LogEvent
-from pimentolink.peers import PeerNews, RoleChanging
+from pimentolink.peermessages import PeerNews, RoleChanging
 from pimentolink.rolebalance import RoleBalancer, RoleChange
 from pimentolink.targetbelief import EngineReport, TargetBelief
 from pimentolink.timers import Timers, pause, with_timeout
--- /dev/null
+++ b/pimentolink/peerbook.py
@@ -0,0 +1,100 @@
+"""Applies what other gateways tell to what this one believes of targets."""
+
+from __future__ import annotations
+
+from pimentolink.dialect import PromptPart
+from pimentolink.fleet import Fleet
+from pimentolink.peermessages import (
+    InFlight,
+    Message,
+    ReadingEnded,
+    RoleChanging,
+)
+
+# Seconds after which what a silent gateway had under way no longer counts; three
+# datagrams in a row may be lost. Its process ended, or the link to it is cut.
+COUNTS_LAST = 3.5
+
+
+class PeerBook:
+    """Applies what other gateways tell to this one's beliefs."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """
+        Prepare.
+
+        :param fleet: the beliefs.
+        """
+        self._fleet = fleet
+        self._counted_at: dict[str, float] = {}
+
+    def take(self, life: str, message: Message, now: float) -> None:
+        """
+        Learn from another gateway.
+
+        :param life: of its process.
+        :param message: what it tells.
+        :param now: seconds of the timer service.
+        """
+        if isinstance(message, InFlight):
+            self._counted_at[message.gateway] = now
+            self._take_in_flight(message)
+            return
+        if isinstance(message, RoleChanging):
+            self._take_role(message, now)
+            return
+        # ``None`` also for a life that ended, or one that is not listed here yet.
+        belief = self._fleet.find(message.target)
+        if belief is None:
+            return
+        ticket = f"{life}-{message.number}"
+        if isinstance(message, ReadingEnded):
+            belief.end_reading(ticket, message.is_good, now)
+            return
+        belief.begin_reading(
+            ticket,
+            message.tokens,
+            [PromptPart(*part) for part in message.parts],
+            now,
+            message.copied,
+            message.way_ms / 1000,
+        )
+
+    def _take_role(self, message: RoleChanging, now: float) -> None:
+        belief = self._fleet.targets_by_id.get(message.target_id)
+        if belief is not None and belief.target.born == message.born:
+            belief.changing_until = now + message.seconds
+
+    def _take_in_flight(self, message: InFlight) -> None:
+        if message.is_whole:
+            self._forget(message.gateway)
+        self._fleet.told_waiting(message.gateway, message.waiting_by_service)
+        for target_id, count in message.counts_by_target.items():
+            belief = self._fleet.targets_by_id.get(target_id)
+            if belief is None:
+                continue
+            if count:
+                belief.streams_by_peer[message.gateway] = count
+            else:
+                belief.streams_by_peer.pop(message.gateway, None)
+
+    def _forget(self, gateway: str) -> None:
+        for belief in self._fleet.targets_by_id.values():
+            belief.streams_by_peer.pop(gateway, None)
+
+    def expire(self, now: float) -> None:
+        """
+        Drop what silent gateways had under way.
+
+        Without this the load of a gateway that was killed stays on its targets for
+        good, and others avoid them.
+        """
+        silent = [
+            gateway
+            for gateway, counted_at in self._counted_at.items()
+            if now - counted_at > COUNTS_LAST
+        ]
+        for gateway in silent:
+            del self._counted_at[gateway]
+            self._fleet.told_waiting(gateway, {})
+            self._forget(gateway)
--- /dev/null
+++ b/pimentolink/peermessages.py
@@ -0,0 +1,119 @@
+"""The messages by which gateways tell each other what they send to targets."""
+
+from __future__ import annotations
+
+from typing import Annotated, Protocol
+
+import msgspec
+import xxhash
+
+# Longest time, in seconds, for which a role change that another gateway told of keeps
+# an engine from work; a hundred times what the slowest known takes.
+MOST_CHANGING = 600.0
+
+# Most engine seconds that are believed to wait at one gateway; an hour of one engine.
+MOST_WORK = 3600.0
+# Longest time, in milliseconds, that a prompt is believed to be on its way to an
+# engine; callers have left by then.
+MOST_WAY_MS = 30_000
+# Changes of what waits that are told, in engine seconds.
+WORK_STEP = 0.02
+
+# Bounds on what another gateway tells. A faulty one would otherwise make a target look
+# idle, busy or changing for good.
+_Natural = Annotated[int, msgspec.Meta(ge=0)]
+_Work = Annotated[float, msgspec.Meta(ge=0, le=MOST_WORK)]
+_Way = Annotated[int, msgspec.Meta(ge=0, le=MOST_WAY_MS)]
+_Changing = Annotated[float, msgspec.Meta(ge=0, le=MOST_CHANGING)]
+
+
+def target_key(target_id: str, born: int) -> int:
+    """
+    Name one life of a target in four bytes.
+
+    Two targets of the same name are taken for each other; what is believed of their
+    load is then wrong, nothing else.
+    """
+    return int(xxhash.xxh32_intdigest(f"{target_id}|{born}".encode()))
+
+
+class ReadingBegan(msgspec.Struct, tag="b", array_like=True):
+    """
+    A prompt was sent to an engine.
+
+    :ivar number: names the reading, among those of the sender's life.
+    :ivar target: see :func:`target_key`.
+    :ivar parts: of the prompt, as number and tokens.
+    :ivar copied: tokens that it fetches from another engine first.
+    :ivar way_ms: milliseconds until the engine has the prompt, over the sender's own
+        link.
+    """
+
+    number: _Natural
+    target: _Natural
+    tokens: _Natural
+    parts: list[tuple[_Natural, _Natural]]
+    copied: _Natural = 0
+    way_ms: _Way = 0
+
+
+class ReadingEnded(msgspec.Struct, tag="e", array_like=True):
+    """
+    A reading came to its end; each gateway learns from it how long readings take.
+
+    :ivar is_good: whether the prompt was read.
+    """
+
+    number: _Natural
+    target: _Natural
+    is_good: bool
+
+
+class InFlight(msgspec.Struct, tag="f", array_like=True):
+    """
+    Requests that a gateway has under way, by target.
+
+    :ivar is_whole: whether it has none at other targets; else only what has changed
+        is told. Telling all of them with each reading took 27 ms of a link of
+        5 Mbit/s, for which callers' answers waited.
+    :ivar waiting_by_service: engine seconds of the prompts that wait there.
+    """
+
+    gateway: str
+    counts_by_target: dict[str, _Natural]
+    is_whole: bool
+    waiting_by_service: dict[str, _Work] = {}
+
+
+class RoleChanging(msgspec.Struct, tag="r", array_like=True):
+    """
+    An engine was ordered to another role.
+
+    :ivar seconds: for which it takes no work.
+    :ivar born: which life of the engine is meant.
+    """
+
+    target_id: str
+    seconds: _Changing
+    born: _Natural = 0
+
+
+Message = ReadingBegan | ReadingEnded | InFlight | RoleChanging
+
+
+class Datagram(msgspec.Struct, array_like=True):
+    """
+    Messages of one gateway.
+
+    :ivar life: of the sender's process.
+    """
+
+    life: str
+    messages: list[Message]
+
+
+class PeerNews(Protocol):
+    """Tells other gateways."""
+
+    def tell(self, message: Message) -> None:
+        """Tell all gateways, without being sure that any learns it."""
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Annotated, Any, Protocol
+from typing import Any
 
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
 from pimentolink.cells import Cells
-from pimentolink.dialect import PromptPart
 from pimentolink.fleet import Fleet
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
+from pimentolink.peerbook import PeerBook
+from pimentolink.peermessages import MOST_WORK, WORK_STEP, Datagram, InFlight, Message
 from pimentolink.registration import GatewayEntry
 from pimentolink.settings import split_address
 from pimentolink.timers import Repeater, Timer, Timers
@@ -21,7 +22,7 @@
 # Largest datagram that no link on the way splits, in bytes.
 MOST_DATAGRAM = 1400
 # Bytes of a datagram around its messages.
-FRAME = 5
+FRAME = 10
 # Bytes of the heads of IP and UDP.
 UDP_HEAD = 28
 # Seconds between two tellings of requests under way that have changed, and of those
@@ -37,95 +38,9 @@
 # 430 KB/s of 625 in a burst, for which prompts and answers waited.
 LINK_BUSY = 0.004
 MOST_WAIT = 0.05
-# Seconds after which what a silent gateway had under way no longer counts; three
-# datagrams in a row may be lost. Its process ended, or the link to it is cut.
-COUNTS_LAST = 3.5
 # Targets of which one message tells the counts, so that it fits into a datagram; names
 # of targets have up to 24 bytes.
 MOST_COUNTS = 40
-# Longest time, in seconds, for which a role change that another gateway told of keeps
-# an engine from work; a hundred times what the slowest known takes.
-MOST_CHANGING = 600.0
-
-# Most engine seconds that are believed to wait at one gateway; an hour of one engine.
-MOST_WORK = 3600.0
-# Longest time, in milliseconds, that a prompt is believed to be on its way to an
-# engine; callers have left by then.
-MOST_WAY_MS = 30_000
-# Changes of what waits that are told, in engine seconds.
-WORK_STEP = 0.02
-
-# Bounds on what another gateway tells. A faulty one would otherwise make a target look
-# idle, busy or changing for good.
-_Natural = Annotated[int, msgspec.Meta(ge=0)]
-_Work = Annotated[float, msgspec.Meta(ge=0, le=MOST_WORK)]
-_Way = Annotated[int, msgspec.Meta(ge=0, le=MOST_WAY_MS)]
-_Changing = Annotated[float, msgspec.Meta(ge=0, le=MOST_CHANGING)]
-
-
-class ReadingBegan(msgspec.Struct, tag="b", array_like=True):
-    """
-    A prompt was sent to an engine.
-
-    :ivar ticket: names the reading.
-    :ivar parts: of the prompt, as number and tokens.
-    :ivar copied: tokens that it fetches from another engine first.
-    :ivar born: which life of the engine is meant.
-    :ivar way_ms: milliseconds until the engine has the prompt, over the sender's own
-        link.
-    """
-
-    ticket: str
-    target_id: str
-    tokens: _Natural
-    parts: list[tuple[_Natural, _Natural]]
-    copied: _Natural = 0
-    born: _Natural = 0
-    way_ms: _Way = 0
-
-
-class ReadingEnded(msgspec.Struct, tag="e", array_like=True):
-    """
-    A reading came to its end; each gateway learns from it how long readings take.
-
-    :ivar is_good: whether the prompt was read.
-    """
-
-    ticket: str
-    target_id: str
-    is_good: bool
-
-
-class InFlight(msgspec.Struct, tag="f", array_like=True):
-    """
-    Requests that a gateway has under way, by target.
-
-    :ivar is_whole: whether it has none at other targets; else only what has changed
-        is told. Telling all of them with each reading took 27 ms of a link of
-        5 Mbit/s, for which callers' answers waited.
-    :ivar waiting_by_service: engine seconds of the prompts that wait there.
-    """
-
-    gateway: str
-    counts_by_target: dict[str, _Natural]
-    is_whole: bool
-    waiting_by_service: dict[str, _Work] = {}
-
-
-class RoleChanging(msgspec.Struct, tag="r", array_like=True):
-    """
-    An engine was ordered to another role.
-
-    :ivar seconds: for which it takes no work.
-    :ivar born: which life of the engine is meant.
-    """
-
-    target_id: str
-    seconds: _Changing
-    born: _Natural = 0
-
-
-Message = ReadingBegan | ReadingEnded | InFlight | RoleChanging
 
 
 def choose_peers(
@@ -147,92 +62,6 @@
     }
 
 
-class PeerNews(Protocol):
-    """Tells other gateways."""
-
-    def tell(self, message: Message) -> None:
-        """Tell all gateways, without being sure that any learns it."""
-
-
-class PeerBook:
-    """Applies what other gateways tell to this one's beliefs."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        """
-        Prepare.
-
-        :param fleet: the beliefs.
-        """
-        self._fleet = fleet
-        self._counted_at: dict[str, float] = {}
-
-    def take(self, message: Message, now: float) -> None:
-        """
-        Learn from another gateway.
-
-        :param message: what it tells.
-        :param now: seconds of the timer service.
-        """
-        if isinstance(message, InFlight):
-            self._counted_at[message.gateway] = now
-            self._take_in_flight(message)
-            return
-        belief = self._fleet.targets_by_id.get(message.target_id)
-        if belief is None:
-            return
-        if isinstance(message, ReadingEnded):
-            belief.end_reading(message.ticket, message.is_good, now)
-        elif message.born != belief.target.born:
-            # Told of a life that ended, or of one that is not listed here yet.
-            return
-        elif isinstance(message, ReadingBegan):
-            parts = [PromptPart(*part) for part in message.parts]
-            belief.begin_reading(
-                message.ticket,
-                message.tokens,
-                parts,
-                now,
-                message.copied,
-                message.way_ms / 1000,
-            )
-        else:
-            belief.changing_until = now + message.seconds
-
-    def _take_in_flight(self, message: InFlight) -> None:
-        if message.is_whole:
-            self._forget(message.gateway)
-        self._fleet.told_waiting(message.gateway, message.waiting_by_service)
-        for target_id, count in message.counts_by_target.items():
-            belief = self._fleet.targets_by_id.get(target_id)
-            if belief is None:
-                continue
-            if count:
-                belief.streams_by_peer[message.gateway] = count
-            else:
-                belief.streams_by_peer.pop(message.gateway, None)
-
-    def _forget(self, gateway: str) -> None:
-        for belief in self._fleet.targets_by_id.values():
-            belief.streams_by_peer.pop(gateway, None)
-
-    def expire(self, now: float) -> None:
-        """
-        Drop what silent gateways had under way.
-
-        Without this the load of a gateway that was killed stays on its targets for
-        good, and others avoid them.
-        """
-        silent = [
-            gateway
-            for gateway, counted_at in self._counted_at.items()
-            if now - counted_at > COUNTS_LAST
-        ]
-        for gateway in silent:
-            del self._counted_at[gateway]
-            self._fleet.told_waiting(gateway, {})
-            self._forget(gateway)
-
-
 class PeerOutbox:
     """
     Gathers messages into datagrams.
@@ -240,8 +69,14 @@
     A message that fits into none is dropped: nothing rests on its arrival.
     """
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, life: str) -> None:
+        """
+        Start empty.
+
+        :param life: of this process.
+        """
+        self._life = life
+        self._frame = FRAME + len(life.encode())
         self._waiting: list[msgspec.Raw] = []
 
     def add(self, message: Message) -> bool:
@@ -251,7 +86,7 @@
         :returns: whether it fits into one.
         """
         encoded = msgspec.msgpack.encode(message)
-        if len(encoded) + FRAME > MOST_DATAGRAM:
+        if len(encoded) + self._frame > MOST_DATAGRAM:
             return False
         self._waiting.append(msgspec.Raw(encoded))
         return True
@@ -260,15 +95,15 @@
         """Take what waits, as datagrams."""
         datagrams: list[bytes] = []
         chunk: list[msgspec.Raw] = []
-        size = FRAME
+        size = self._frame
         for encoded in self._waiting:
             if chunk and size + len(encoded) > MOST_DATAGRAM:
-                datagrams.append(msgspec.msgpack.encode(chunk))
-                chunk, size = [], FRAME
+                datagrams.append(msgspec.msgpack.encode((self._life, chunk)))
+                chunk, size = [], self._frame
             chunk.append(encoded)
             size += len(encoded)
         if chunk:
-            datagrams.append(msgspec.msgpack.encode(chunk))
+            datagrams.append(msgspec.msgpack.encode((self._life, chunk)))
         self._waiting.clear()
         return datagrams
 
@@ -279,6 +114,7 @@
     def __init__(
         self,
         gateway: str,
+        life: str,
         fleet: Fleet,
         on_news: Callable[[], object],
         timers: Timers,
@@ -290,6 +126,7 @@
         Prepare.
 
         :param gateway: this one's name.
+        :param life: of this process.
         :param fleet: the beliefs that others' messages change, with the requests that
             this gateway has under way.
         :param on_news: called after each datagram.
@@ -306,14 +143,14 @@
         self._log = log
         self._metrics = metrics
         self._uplink = uplink
-        self._outbox = PeerOutbox()
+        self._outbox = PeerOutbox(life)
         self._repeater: Repeater | None = None
         self._flushing: Timer | None = None
         self._told_counts: dict[str, int] = {}
         self._told_at = -TELL_INTERVAL
         self._told_whole_at = -REPEAT_INTERVAL
         self._is_whole_known = True
-        self._decoder = msgspec.msgpack.Decoder(list[Message])
+        self._decoder = msgspec.msgpack.Decoder(Datagram)
         self._told_waiting: dict[str, float] = {}
         self.addresses_by_gateway: dict[str, str] = {}
         self.waiting_work: Callable[[], dict[str, float]] = dict
@@ -438,11 +275,11 @@
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Take messages; what is none is counted and dropped."""
         try:
-            messages = self._decoder.decode(datagram)
+            found = self._decoder.decode(datagram)
         except msgspec.DecodeError as error:
             self._metrics.count("peer_messages", "invalid")
             self._log.write(LogEvent.PEER_MESSAGE_INVALID, detail=str(error))
             return
-        for message in messages:
-            self._book.take(message, self._timers.now())
+        for message in found.messages:
+            self._book.take(found.life, message, self._timers.now())
         self._on_news()
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -10,8 +10,15 @@
 from pimentolink.dialect import PromptPart
 from pimentolink.errors import USUAL_PAUSE, CannotBeInTime, Failure
 from pimentolink.logs import Log, LogEvent
-from pimentolink.peers import MOST_WAY_MS, PeerNews, ReadingBegan, ReadingEnded
+from pimentolink.peermessages import (
+    MOST_WAY_MS,
+    PeerNews,
+    ReadingBegan,
+    ReadingEnded,
+    target_key,
+)
 from pimentolink.placement import Placement, ReadingQueue, WaitingPrompt
+from pimentolink.targetbelief import Target
 from pimentolink.timers import Timer, Timers
 
 # Seconds between two looks at the queue when nothing happens; predictions shift with
@@ -23,17 +30,17 @@
     """A reading that an engine was given, from its sending to its end."""
 
     def __init__(
-        self, name: str, request_id: str, placement: Placement, began_at: float
+        self, number: int, request_id: str, placement: Placement, began_at: float
     ) -> None:
         """
         Record what was predicted.
 
-        :param name: of the reading, unique over all gateways.
+        :param number: of the reading, among this gateway's.
         :param request_id: whose prompt is read.
         :param placement: where it is read.
         :param began_at: seconds of the timer service.
         """
-        self.name = name
+        self.number = number
         self.request_id = request_id
         self.placement = placement
         self.began_at = began_at
@@ -118,18 +125,24 @@
             self._waiters_by_id.pop(prompt.request_id).errback(failure)
 
     def _begin(self, prompt: WaitingPrompt, placement: Placement, now: float) -> Ticket:
-        name = f"{self._gateway}-{next(self._numbers)}"
+        number = next(self._numbers)
         belief = placement.belief
-        tokens = placement.tokens
-        copied = placement.copied_tokens
-        way = placement.way
-        way_ms = min(MOST_WAY_MS, round(1000 * way))
-        belief.begin_reading(name, tokens, prompt.parts, now, copied, way)
-        target_id = belief.target.target_id
-        parts = parts_of(prompt.parts)
+        belief.begin_reading(
+            self._name(number),
+            placement.tokens,
+            prompt.parts,
+            now,
+            placement.copied_tokens,
+            placement.way,
+        )
         self._news.tell(
             ReadingBegan(
-                name, target_id, tokens, parts, copied, belief.target.born, way_ms
+                number,
+                key_of(belief.target),
+                placement.tokens,
+                parts_of(prompt.parts),
+                placement.copied_tokens,
+                min(MOST_WAY_MS, round(1000 * placement.way)),
             )
         )
         self._log.write(
@@ -137,16 +150,20 @@
             request=prompt.request_id,
             target=belief.target.target_id,
             role=belief.target.role.value,
-            tokens=tokens,
+            tokens=placement.tokens,
             held=placement.held_tokens,
             copied=placement.copied_tokens,
             waited=round(now - prompt.arrived_at, 3),
             predicted=round(placement.done_at - now, 3),
-            way=round(way, 4),
+            way=round(placement.way, 4),
             waiting=len(self._queue),
             list_age=round(self.belief_age(), 3),
         )
-        return Ticket(name, prompt.request_id, placement, now)
+        return Ticket(number, prompt.request_id, placement, now)
+
+    def _name(self, number: int) -> str:
+        """Name a reading so that no other gateway has one of that name."""
+        return f"{self._gateway}-{number}"
 
     def end(self, ticket: Ticket, is_good: bool) -> None:
         """
@@ -159,9 +176,10 @@
         ticket.is_over = True
         belief = ticket.placement.belief
         now = self._timers.now()
-        busy = belief.end_reading(ticket.name, is_good, now)
+        busy = belief.end_reading(self._name(ticket.number), is_good, now)
         target_id = belief.target.target_id
-        self._news.tell(ReadingEnded(ticket.name, target_id, is_good))
+        key = key_of(belief.target)
+        self._news.tell(ReadingEnded(ticket.number, key, is_good))
         self._log.write(
             LogEvent.READING_ENDED,
             request=ticket.request_id,
@@ -189,6 +207,11 @@
         )
 
 
+def key_of(target: Target) -> int:
+    """Name a target for another gateway."""
+    return target_key(target.target_id, target.born)
+
+
 def parts_of(parts: tuple[PromptPart, ...]) -> list[tuple[int, int]]:
     """Write parts for another gateway."""
     return [(part.part_id, part.tokens) for part in parts]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,17 +9,15 @@
 from pimentolink.dialect import PromptPart
 from pimentolink.logs import Log
 from pimentolink.metrics import Metrics
-from pimentolink.peers import (
-    COUNTS_LAST,
+from pimentolink.peerbook import COUNTS_LAST
+from pimentolink.peermessages import (
     MOST_CHANGING,
-    MOST_DATAGRAM,
-    PeerOutbox,
-    PeerProtocol,
     ReadingBegan,
     ReadingEnded,
     RoleChanging,
-    choose_peers,
+    target_key,
 )
+from pimentolink.peers import MOST_DATAGRAM, PeerOutbox, PeerProtocol, choose_peers
 from pimentolink.registration import GatewayEntry
 from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
@@ -27,6 +25,8 @@
 from tests.gatewayparts import fleet, target
 from tests.jsonvalues import VALUES
 
+KEY = target_key("e", 0)
+
 
 class Wire:
     """Carries datagrams to the other gateway at once, and counts them."""
@@ -51,6 +51,7 @@
         self.peers = [
             PeerProtocol(
                 name,
+                f"life-{name}",
                 known,
                 lambda: None,
                 self.timers,
@@ -166,16 +167,16 @@
 
 class TestReadings:
     def test_other_gateway_counts_a_reading_until_its_end(self, pair):
-        pair.peers[0].tell(ReadingBegan("t", "e", 5000, [(1, 5000)]))
+        pair.peers[0].tell(ReadingBegan(1, KEY, 5000, [(1, 5000)]))
         assert pair.engine(1).backlog(pair.timers.now()) > 0
-        pair.peers[0].tell(ReadingEnded("t", "e", True))
+        pair.peers[0].tell(ReadingEnded(1, KEY, True))
         assert pair.engine(1).backlog(pair.timers.now()) == 0
         assert pair.engine(1).fetchable.held_tokens([PromptPart(1, 5000)]) == 5000
 
     def test_reading_of_an_earlier_life_is_not_counted_at_a_later_one(self, pair):
         engine = pair.engine(1)
         pair.fleets[1].put(engine.target._replace(born=2))
-        pair.peers[0].tell(ReadingBegan("t", "e", 5000, [(1, 5000)], 0, 1))
+        pair.peers[0].tell(ReadingBegan(1, target_key("e", 1), 5000, [(1, 5000)]))
         pair.peers[0].tell(RoleChanging("e", 60.0, 1))
         later = pair.engine(1)
         assert later.backlog(pair.timers.now()) == 0
@@ -184,7 +185,7 @@
 
     def test_counts_that_changed_go_along(self, pair):
         pair.engine(0).in_flight = 2
-        pair.peers[0].tell(ReadingBegan("t", "e", 5000, []))
+        pair.peers[0].tell(ReadingBegan(1, KEY, 5000, []))
         assert len(pair.wires[0].datagrams) == 1
         assert pair.engine(1).load() == 2
 
@@ -230,18 +231,18 @@
 
 class TestOutbox:
     def test_no_datagram_is_too_large(self):
-        outbox = PeerOutbox()
+        outbox = PeerOutbox("life")
         for number in range(100):
             parts = [(number, 1)] * (number % 40)
-            assert outbox.add(ReadingBegan(f"t{number}", "e", 1, parts))
+            assert outbox.add(ReadingBegan(number, KEY, 1, parts))
         datagrams = outbox.take()
         assert len(datagrams) > 1
         assert all(len(datagram) <= MOST_DATAGRAM for datagram in datagrams)
         assert outbox.take() == []
 
     def test_message_that_fits_into_no_datagram_is_not_taken(self):
-        outbox = PeerOutbox()
-        assert not outbox.add(ReadingBegan("t" * MOST_DATAGRAM, "e", 1, []))
+        outbox = PeerOutbox("life")
+        assert not outbox.add(ReadingBegan(1, KEY, 1, [(1, 1)] * MOST_DATAGRAM))
         assert outbox.take() == []
 
 
@@ -254,8 +255,8 @@
 PARTS = st.lists(st.lists(st.integers(-9, 2**64 - 1), max_size=2), max_size=2)
 # Messages whose fields are right or have any value, and any other datagram.
 MESSAGES = st.one_of(
-    st.tuples(st.just("b"), st.just("t"), st.just("e"), NUMBERS, PARTS),
-    st.tuples(st.just("e"), st.just("t"), st.just("e"), st.booleans(), NUMBERS),
+    st.tuples(st.just("b"), NUMBERS, st.just(KEY) | NUMBERS, NUMBERS, PARTS),
+    st.tuples(st.just("e"), NUMBERS, st.just(KEY) | NUMBERS, st.booleans(), NUMBERS),
     st.tuples(st.just("f"), st.just("g"), st.just({"e": 2}) | VALUES, st.booleans()),
     st.tuples(
         st.just("f"), st.just("g"), NUMBERS.map(lambda n: {"e": n}), st.booleans()
@@ -263,7 +264,9 @@
     st.tuples(st.just("r"), st.just("e"), NUMBERS),
 )
 DATAGRAMS = (
-    st.lists(MESSAGES.map(list), max_size=3).map(msgspec.msgpack.encode)
+    st.lists(MESSAGES.map(list), max_size=3).map(
+        lambda messages: msgspec.msgpack.encode(("life", messages))
+    )
     | VALUES.map(msgspec.msgpack.encode)
     | st.binary(max_size=60)
 )
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -10,7 +10,8 @@
 from pimentolink.dialect import PromptPart, Sending
 from pimentolink.errors import InvalidRequest, ReplyInvalid
 from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
-from pimentolink.peers import PeerOutbox, ReadingBegan
+from pimentolink.peermessages import ReadingBegan
+from pimentolink.peers import PeerOutbox
 from pimentolink.platform.dialect import (
     DEADLINE,
     PROMPT_PARTS,
@@ -104,8 +105,8 @@
         asked = found.ok_value
         assert asked.prompt_tokens >= 0
         assert all(part.tokens >= 0 for part in asked.parts)
-        message = ReadingBegan("t", "e", asked.prompt_tokens, parts_of(asked.parts))
-        assert PeerOutbox().add(message)
+        message = ReadingBegan(1, 2, asked.prompt_tokens, parts_of(asked.parts))
+        assert PeerOutbox("life").add(message)
         PlatformDialect().sending(asked, Sending("e", asked.patience))
 
 
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -16,7 +16,8 @@
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
 from pimentolink.logs import Log, LogEvent
-from pimentolink.peers import InFlight, Message, PeerBook, ReadingBegan, ReadingEnded
+from pimentolink.peerbook import PeerBook
+from pimentolink.peermessages import InFlight, Message, ReadingBegan, ReadingEnded
 from pimentolink.placement import (
     Placement,
     Placer,
@@ -204,13 +205,17 @@
             return
         for name, (book, look) in self.books_by_gateway.items():
             if name != sender:
-                arrive = partial(self._arrive, book, look, message)
+                arrive = partial(self._arrive, book, look, sender, message)
                 self._timers.call_later(NEWS_DELAY, arrive)
 
     def _arrive(
-        self, book: PeerBook, look: Callable[[], None], message: Message
+        self,
+        book: PeerBook,
+        look: Callable[[], None],
+        sender: str,
+        message: Message,
     ) -> None:
-        book.take(message, self._timers.now())
+        book.take(sender, message, self._timers.now())
         if isinstance(message, ReadingBegan | ReadingEnded):
             look()
 
