--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -152,7 +152,11 @@
     def _make_readings(self, placer: Placer) -> Readings:
         self._queue = ReadingQueue(self._settings.placement, placer)
         self._peers.waiting_work = self._queue.waiting_work
-        return Readings(self._queue, self._peers, self._timers, self.log, self._life)
+        readings = Readings(
+            self._queue, self._peers, self._timers, self.log, self._life
+        )
+        self._peers.open_readings = readings.open_readings
+        return readings
 
     def _make_membership(self, documents: Documents) -> Membership:
         settings, timers = self._settings, self._timers
--- a/pimentolink/peerbook.py
+++ b/pimentolink/peerbook.py
@@ -7,9 +7,11 @@
 from pimentolink.peermessages import (
     InFlight,
     Message,
+    OpenReadings,
     ReadingEnded,
     RoleChanging,
 )
+from pimentolink.targetbelief import TargetBelief, reading_ticket
 
 # Seconds after which what a silent gateway had under way no longer counts; three
 # datagrams in a row may be lost. Its process ended, or the link to it is cut.
@@ -27,6 +29,8 @@
         """
         self._fleet = fleet
         self._counted_at: dict[str, float] = {}
+        self._life_by_gateway: dict[str, str] = {}
+        self._readings_by_life: dict[str, dict[int, TargetBelief]] = {}
 
     def take(self, life: str, message: Message, now: float) -> None:
         """
@@ -38,8 +42,12 @@
         """
         if isinstance(message, InFlight):
             self._counted_at[message.gateway] = now
+            self._learn_life(message.gateway, life)
             self._take_in_flight(message)
             return
+        if isinstance(message, OpenReadings):
+            self._take_open(life, message)
+            return
         if isinstance(message, RoleChanging):
             self._take_role(message, now)
             return
@@ -47,12 +55,15 @@
         belief = self._fleet.find(message.target)
         if belief is None:
             return
-        ticket = f"{life}-{message.number}"
+        readings = self._readings_by_life.setdefault(life, {})
         if isinstance(message, ReadingEnded):
+            readings.pop(message.number, None)
+            ticket = reading_ticket(life, message.number)
             belief.end_reading(ticket, message.is_good, now)
             return
+        readings[message.number] = belief
         belief.begin_reading(
-            ticket,
+            reading_ticket(life, message.number),
             message.tokens,
             [PromptPart(*part) for part in message.parts],
             now,
@@ -65,6 +76,26 @@
         if belief is not None and belief.target.born == message.born:
             belief.changing_until = now + message.seconds
 
+    def _learn_life(self, gateway: str, life: str) -> None:
+        """Drop what a gateway was reading before it started again."""
+        before = self._life_by_gateway.get(gateway, life)
+        self._life_by_gateway[gateway] = life
+        if before != life:
+            self._drop_readings(before, set())
+
+    def _take_open(self, life: str, message: OpenReadings) -> None:
+        readings = self._readings_by_life.get(life, {})
+        later = {number for number in readings if number >= message.next_number}
+        self._drop_readings(life, later | set(message.numbers))
+
+    def _drop_readings(self, life: str, open_numbers: set[int]) -> None:
+        """Count readings no more of which no end was told."""
+        readings = self._readings_by_life.get(life, {})
+        for number in readings.keys() - open_numbers:
+            readings.pop(number).drop_reading(reading_ticket(life, number))
+        if not readings:
+            self._readings_by_life.pop(life, None)
+
     def _take_in_flight(self, message: InFlight) -> None:
         if message.is_whole:
             self._forget(message.gateway)
@@ -96,5 +127,6 @@
         ]
         for gateway in silent:
             del self._counted_at[gateway]
+            self._drop_readings(self._life_by_gateway.pop(gateway, ""), set())
             self._fleet.told_waiting(gateway, {})
             self._forget(gateway)
--- a/pimentolink/peermessages.py
+++ b/pimentolink/peermessages.py
@@ -69,6 +69,22 @@
     is_good: bool
 
 
+class OpenReadings(msgspec.Struct, tag="o", array_like=True):
+    """
+    Readings of the sender's life that have not ended.
+
+    It makes up for a lost :class:`ReadingEnded`, which leaves work at its engine that is
+    not there. As datagrams were lost on full links, engines looked busy, prompts were
+    turned away, and those that came back kept the links full.
+
+    :ivar next_number: of the first reading that is not meant here.
+    :ivar numbers: of those before it that have not ended.
+    """
+
+    next_number: _Natural
+    numbers: list[_Natural]
+
+
 class InFlight(msgspec.Struct, tag="f", array_like=True):
     """
     Requests that a gateway has under way, by target.
@@ -98,7 +114,7 @@
     born: _Natural = 0
 
 
-Message = ReadingBegan | ReadingEnded | InFlight | RoleChanging
+Message = ReadingBegan | ReadingEnded | OpenReadings | InFlight | RoleChanging
 
 
 class Datagram(msgspec.Struct, array_like=True):
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -13,7 +13,14 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
 from pimentolink.peerbook import PeerBook
-from pimentolink.peermessages import MOST_WORK, WORK_STEP, Datagram, InFlight, Message
+from pimentolink.peermessages import (
+    MOST_WORK,
+    WORK_STEP,
+    Datagram,
+    InFlight,
+    Message,
+    OpenReadings,
+)
 from pimentolink.registration import GatewayEntry
 from pimentolink.settings import split_address
 from pimentolink.timers import Repeater, Timer, Timers
@@ -152,6 +159,8 @@
         self._is_whole_known = True
         self._decoder = msgspec.msgpack.Decoder(Datagram)
         self._told_waiting: dict[str, float] = {}
+        self._told_open = OpenReadings(0, [])
+        self.open_readings: Callable[[], OpenReadings] = lambda: OpenReadings(0, [])
         self.addresses_by_gateway: dict[str, str] = {}
         self.waiting_work: Callable[[], dict[str, float]] = dict
 
@@ -197,7 +206,9 @@
         is_due = now - self._told_whole_at >= REPEAT_INTERVAL
         is_open = bool(self._told_counts) or not self._is_whole_known
         has_changed = (
-            self._counts() != self._told_counts or self._waiting() != self._told_waiting
+            self._counts() != self._told_counts
+            or self._waiting() != self._told_waiting
+            or self.open_readings() != self._told_open
         )
         if (is_due and is_open) or has_changed:
             self._flush()
@@ -226,7 +237,15 @@
         for datagram in self._outbox.take():
             self._send(datagram)
 
+    def _add_open(self) -> None:
+        found = self.open_readings()
+        if found != self._told_open:
+            self._told_open = found
+            self._is_whole_known = False
+            self._add(found)
+
     def _add_in_flight(self, now: float) -> None:
+        self._add_open()
         counts, told = self._counts(), self._told_counts
         waiting = self._waiting()
         is_new = waiting != self._told_waiting
@@ -235,6 +254,7 @@
         if now - self._told_whole_at >= REPEAT_INTERVAL:
             self._told_whole_at = now
             self._is_whole_known = True
+            self._add(self._told_open)
             self._add_counts(counts, is_whole=True)
             return
         changed = {
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from itertools import count
 
 from twisted.internet.defer import Deferred
 
@@ -12,13 +11,14 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.peermessages import (
     MOST_WAY_MS,
+    OpenReadings,
     PeerNews,
     ReadingBegan,
     ReadingEnded,
     target_key,
 )
 from pimentolink.placement import Placement, ReadingQueue, WaitingPrompt
-from pimentolink.targetbelief import Target
+from pimentolink.targetbelief import Target, reading_ticket
 from pimentolink.timers import Timer, Timers
 
 # Seconds between two looks at the queue when nothing happens; predictions shift with
@@ -73,7 +73,8 @@
         self._timers = timers
         self._log = log
         self._gateway = gateway
-        self._numbers = count()
+        self._next_number = 0
+        self._open_numbers: set[int] = set()
         self._waiters_by_id: dict[str, Deferred[Ticket]] = {}
         self._timer: Timer | None = None
         self.belief_age: Callable[[], float] = lambda: 0.0
@@ -128,10 +129,12 @@
             self._waiters_by_id.pop(prompt.request_id).errback(failure)
 
     def _begin(self, prompt: WaitingPrompt, placement: Placement, now: float) -> Ticket:
-        number = next(self._numbers)
+        number = self._next_number
+        self._next_number += 1
+        self._open_numbers.add(number)
         belief = placement.belief
         belief.begin_reading(
-            self._name(number),
+            reading_ticket(self._gateway, number),
             placement.tokens,
             prompt.parts,
             now,
@@ -164,9 +167,9 @@
         )
         return Ticket(number, prompt.request_id, placement, now)
 
-    def _name(self, number: int) -> str:
-        """Name a reading so that no other gateway has one of that name."""
-        return f"{self._gateway}-{number}"
+    def open_readings(self) -> OpenReadings:
+        """Tell which readings of this gateway have not ended."""
+        return OpenReadings(self._next_number, sorted(self._open_numbers))
 
     def end(self, ticket: Ticket, is_good: bool) -> None:
         """
@@ -179,7 +182,9 @@
         ticket.is_over = True
         belief = ticket.placement.belief
         now = self._timers.now()
-        busy = belief.end_reading(self._name(ticket.number), is_good, now)
+        self._open_numbers.discard(ticket.number)
+        name = reading_ticket(self._gateway, ticket.number)
+        busy = belief.end_reading(name, is_good, now)
         target_id = belief.target.target_id
         key = key_of(belief.target)
         self._news.tell(ReadingEnded(ticket.number, key, is_good))
--- a/pimentolink/targetbelief.py
+++ b/pimentolink/targetbelief.py
@@ -67,6 +67,16 @@
         return not self.born or not target.born or self.born == target.born
 
 
+def reading_ticket(life: str, number: int) -> str:
+    """
+    Name a reading so that no other gateway has one of that name.
+
+    :param life: of the gateway's process.
+    :param number: of the reading, among those of that life.
+    """
+    return f"{life}-{number}"
+
+
 class Reading(NamedTuple):
     """
     A prompt that an engine reads or has waiting.
@@ -252,6 +262,10 @@
         self._learn(reading, took)
         return took
 
+    def drop_reading(self, ticket: str) -> None:
+        """Count a reading no more whose end was not seen, and learn nothing from it."""
+        self.readings_by_ticket.pop(ticket, None)
+
     def _learn(self, reading: Reading, took: float) -> None:
         if reading.copied:
             tokens_time = reading.copied / self._copy_rate
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,9 +9,11 @@
 from pimentolink.dialect import PromptPart
 from pimentolink.logs import Log
 from pimentolink.metrics import Metrics
-from pimentolink.peerbook import COUNTS_LAST
+from pimentolink.peerbook import COUNTS_LAST, PeerBook
 from pimentolink.peermessages import (
     MOST_CHANGING,
+    InFlight,
+    OpenReadings,
     ReadingBegan,
     ReadingEnded,
     RoleChanging,
@@ -190,6 +192,82 @@
         assert pair.engine(1).load() == 2
 
 
+class TestLostMessages:
+    """Pattern: datagrams are lost on a link that is full."""
+
+    def begin(self, pair, open_numbers=(1,)):
+        pair.peers[0].open_readings = lambda: OpenReadings(2, list(open_numbers))
+        pair.peers[0].tell(ReadingBegan(1, KEY, 5000, [(1, 5000)]))
+        assert pair.engine(1).backlog(pair.timers.now()) > 0
+
+    def test_lost_end_of_a_reading_is_made_up_for_within_a_second(self, pair):
+        self.begin(pair)
+        pair.wires[0].other = None
+        pair.peers[0].open_readings = lambda: OpenReadings(2, [])
+        pair.peers[0].tell(ReadingEnded(1, KEY, True))
+        pair.wires[0].other = pair.peers[1]
+        pair.timers.advance(1.2)
+        assert pair.engine(1).readings_by_ticket == {}
+
+    def test_open_readings_stay(self, pair):
+        self.begin(pair)
+        pair.timers.advance(1.2)
+        assert len(pair.engine(1).readings_by_ticket) == 1
+
+    def test_reading_told_before_what_was_open_earlier_stays(self, pair):
+        self.begin(pair)
+        book = PeerBook(pair.fleets[1])
+        now = pair.timers.now()
+        book.take("l", ReadingBegan(7, KEY, 5000, []), now)
+        book.take("l", OpenReadings(7, []), now)
+        assert "l-7" in pair.engine(1).readings_by_ticket
+
+    def test_readings_of_a_gateway_that_was_killed_are_forgotten(self, pair):
+        self.begin(pair)
+        pair.timers.advance(0.3)
+        pair.peers[0].stop()
+        pair.timers.advance(COUNTS_LAST + 0.3)
+        assert pair.engine(1).readings_by_ticket == {}
+
+    def test_readings_of_an_earlier_life_are_forgotten_at_once(self, pair):
+        book = PeerBook(pair.fleets[1])
+        book.take("first", InFlight("g", {}, True), 0.0)
+        book.take("first", ReadingBegan(7, KEY, 5000, []), 0.0)
+        book.take("second", InFlight("g", {}, True), 0.1)
+        assert pair.engine(1).readings_by_ticket == {}
+
+
+class TestBusyLink:
+    """Pattern: a gateway whose link is full of prompts and answers."""
+
+    @pytest.fixture
+    def uplink(self, pair):
+        uplink = Uplink(5.0, pair.timers)
+        pair.peers[0]._uplink = uplink
+        return uplink
+
+    def test_messages_wait_and_share_a_datagram(self, pair, uplink):
+        uplink.sent(20_000)
+        for number in range(4):
+            pair.peers[0].tell(ReadingBegan(number, KEY, 500, []))
+        assert pair.wires[0].datagrams == []
+        pair.timers.advance(0.04)
+        assert len(pair.wires[0].datagrams) == 1
+        assert len(pair.engine(1).readings_by_ticket) == 4
+
+    def test_they_wait_no_longer_than_told(self, pair, uplink):
+        uplink.sent(2_000_000)
+        pair.peers[0].tell(ReadingBegan(1, KEY, 500, []))
+        pair.timers.advance(0.051)
+        assert len(pair.wires[0].datagrams) == 1
+
+    def test_reading_is_told_in_few_bytes(self, pair):
+        parts = [(2**31, 2_500), (2**32, 3_800), (2**32 - 1, 2_900)]
+        pair.peers[0].tell(ReadingBegan(3_000, KEY, 4_000, parts, 0, 15))
+        pair.peers[0].tell(ReadingEnded(3_000, KEY, True))
+        assert sum(len(data) for data in pair.wires[0].datagrams[-2:]) <= 100
+
+
 class TestChoice:
     """Pattern: far more gateways than one may tell."""
 
@@ -262,6 +340,7 @@
         st.just("f"), st.just("g"), NUMBERS.map(lambda n: {"e": n}), st.booleans()
     ),
     st.tuples(st.just("r"), st.just("e"), NUMBERS),
+    st.tuples(st.just("o"), NUMBERS, st.lists(NUMBERS, max_size=3)),
 )
 DATAGRAMS = (
     st.lists(MESSAGES.map(list), max_size=3).map(
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -104,6 +104,7 @@
 
     :ivar why: what the pattern is meant to bring out.
     :ivar lasts: seconds in which requests come.
+    :ivar news_lost: share of what gateways tell each other that does not arrive.
     :ivar links: megabits a second of the gateways' links, in turn; 0 is without bound.
     """
 
@@ -117,6 +118,7 @@
     bursts: list[Burst] = []
     faults: list[Fault] = []
     links: tuple[float, ...] = (0.0,)
+    news_lost: float = 0.0
 
 
 class Request(NamedTuple):
@@ -189,12 +191,15 @@
 class Wire:
     """Carries what gateways tell each other."""
 
-    def __init__(self, timers: ManualTimers, is_up: bool) -> None:
+    def __init__(self, timers: ManualTimers, is_up: bool, lost: float) -> None:
         """
         Start without gateways.
 
         :param is_up: whether anything arrives.
+        :param lost: share of the messages that does not arrive.
         """
+        self._lost = lost
+        self._random = Random(0)
         self._timers = timers
         self._is_up = is_up
         self.books_by_gateway: dict[str, tuple[PeerBook, Callable[[], None]]] = {}
@@ -204,7 +209,7 @@
         if not self._is_up:
             return
         for name, (book, look) in self.books_by_gateway.items():
-            if name != sender:
+            if name != sender and self._random.random() >= self._lost:
                 arrive = partial(self._arrive, book, look, sender, message)
                 self._timers.call_later(NEWS_DELAY, arrive)
 
@@ -226,6 +231,7 @@
 
     :ivar placer: chooses engines.
     :ivar tells: whether gateways tell each other what they send.
+    :ivar tells_open: whether they tell which readings have not ended.
     :ivar knows_link: whether a gateway knows how long prompts take to leave it.
     """
 
@@ -233,6 +239,7 @@
     placer: type[Placer] = Placer
     tells: bool = True
     knows_link: bool = True
+    tells_open: bool = True
 
 
 class _Straight(Placer):
@@ -282,6 +289,7 @@
     "nothing refused": Policy(PlacementSettings(late_factor=UNBOUNDED)),
     "no price on engine time": Policy(PlacementSettings(duplicate_cost=0.0)),
     "gateways tell nothing": Policy(PlacementSettings(), tells=False),
+    "open readings untold": Policy(PlacementSettings(), tells_open=False),
     "links unknown": Policy(PlacementSettings(), knows_link=False),
 }
 
@@ -299,6 +307,7 @@
         """
         self._name = name
         self._replay = replay
+        self._tells_open = policy.tells_open
         timers = replay.timers
         self.fleet = Fleet(policy.settings, EjectionSettings(), Random(name))
         figures = replay.load.engine
@@ -327,6 +336,8 @@
         }
         waiting = self._queue.waiting_work()
         self.tell(InFlight(self._name, counts, True, waiting))
+        if self._tells_open:
+            self.tell(self.readings.open_readings())
 
     async def serve(self, request: Request, kind: Kind, due_at: float) -> float:
         """
@@ -424,7 +435,7 @@
         """
         self.load = load
         self.timers = ManualTimers()
-        self.wire = Wire(self.timers, policy.tells)
+        self.wire = Wire(self.timers, policy.tells, load.news_lost)
         roles = [EngineRole.READER] * load.readers + [EngineRole.WRITER] * load.writers
         self.engines_by_name = {
             f"e{number}": ModelEngine(f"e{number}", role, load.engine, self.timers)
