--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -31,8 +31,9 @@
 from pimentolink.orderholder import OrderHolder
 from pimentolink.owndelay import OwnDelay
 from pimentolink.peers import PeerProtocol, choose_peers
-from pimentolink.placement import Placer, ReadingQueue
+from pimentolink.placement import Placer
 from pimentolink.plaincalls import PlainCalls
+from pimentolink.readingqueue import ReadingQueue
 from pimentolink.readings import Readings
 from pimentolink.registration import Registration
 from pimentolink.retry import SharedBudgets
--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -18,7 +18,8 @@
     ReadingEnded,
     target_key,
 )
-from pimentolink.placement import Placement, ReadingQueue, WaitingPrompt
+from pimentolink.placement import Placement, WaitingPrompt
+from pimentolink.readingqueue import ReadingQueue
 from pimentolink.targetbelief import Target, reading_ticket
 from pimentolink.timers import Timer, Timers
 
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -14,7 +14,8 @@
     StoreSettings,
 )
 from pimentolink.owndelay import OwnDelay
-from pimentolink.placement import Placer, ReadingQueue, WaitingPrompt
+from pimentolink.placement import Placer, WaitingPrompt
+from pimentolink.readingqueue import ReadingQueue
 from pimentolink.routes import EngineModel, Repeatability, Route, WeightedService
 from pimentolink.targetbelief import EngineRole, Target
 from pimentolink.timers import ManualTimers
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,7 +7,8 @@
 from pimentolink.errors import CannotBeInTime, NoTarget
 from pimentolink.gatewaysettings import PlacementSettings
 from pimentolink.owndelay import OwnDelay
-from pimentolink.placement import Placer, ReadingQueue
+from pimentolink.placement import Placer
+from pimentolink.readingqueue import ReadingQueue
 from pimentolink.targetbelief import EngineRole
 from pimentolink.timers import ManualTimers
 from pimentolink.uplink import Uplink
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -61,6 +61,9 @@
     def test_gateways_that_tell_each_other_earn_more(self, load):
         assert gain(load, "gateways tell nothing") > 0.15
 
+    def test_gateways_that_know_their_own_links_earn_more(self):
+        assert gain("slow-links", "links unknown") > 0.05
+
 
 class TestManyGateways:
     def test_shared_knowledge_loses_little_against_one_gateway(self):
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -19,13 +19,8 @@
 from pimentolink.owndelay import OwnDelay
 from pimentolink.peerbook import PeerBook
 from pimentolink.peermessages import InFlight, Message, ReadingBegan, ReadingEnded
-from pimentolink.placement import (
-    Placement,
-    Placer,
-    ReadingQueue,
-    SizeScale,
-    WaitingPrompt,
-)
+from pimentolink.placement import Placement, Placer, SizeScale, WaitingPrompt
+from pimentolink.readingqueue import ReadingQueue
 from pimentolink.readings import Readings
 from pimentolink.routes import EngineModel
 from pimentolink.targetbelief import EngineRole, Target, TargetBelief
@@ -252,7 +247,18 @@
             return None
         engine = self.pick(engines)
         is_reader = engine.target.role is EngineRole.READER
-        return Placement(engine, prompt.prompt_tokens, 0, now, "", 0, is_reader)
+        return Placement(
+            belief=engine,
+            tokens=prompt.prompt_tokens,
+            held_tokens=0,
+            done_at=now,
+            copy_from="",
+            copied_tokens=0,
+            is_reading_only=is_reader,
+            engine_done_at=now,
+            way=0.0,
+            hand_over=0.0,
+        )
 
     def pick(self, engines: list[TargetBelief]) -> TargetBelief:
         """Choose one."""
