--- a/pimentolink/readings.py
+++ b/pimentolink/readings.py
@@ -47,6 +47,7 @@
         self.placement = placement
         self.began_at = began_at
         self.expected = placement.done_at - began_at
+        self.was_timed = placement.belief.is_timed
         self.is_over = False
 
 
@@ -190,7 +191,9 @@
         self._open_numbers.discard(ticket.number)
         name = reading_ticket(self._gateway, ticket.number)
         busy = belief.end_reading(name, is_good, now)
-        if is_good:
+        if is_good and ticket.was_timed:
+            # What was predicted before any reading was timed says nothing of this
+            # gateway: of 290 calm requests 3 were turned away for it.
             self._own_delay.learn(now - ticket.placement.engine_done_at, now)
         target_id = belief.target.target_id
         key = key_of(belief.target)
--- /dev/null
+++ b/tests/test_readings.py
@@ -0,0 +1,76 @@
+"""What a gateway learns of itself from the readings that it has had made."""
+
+import pytest
+
+from pimentolink.logs import Log
+from pimentolink.owndelay import OwnDelay
+from pimentolink.peermessages import OpenReadings
+from pimentolink.readings import Readings
+from pimentolink.timers import ManualTimers
+from tests.gatewayparts import engines, fleet, prompt, queue_over
+
+
+class News:
+    """Keeps what was told."""
+
+    def __init__(self):
+        self.messages = []
+
+    def tell(self, message):
+        self.messages.append(message)
+
+
+class World:
+    """The readings of one gateway before idle engines."""
+
+    def __init__(self, is_timed):
+        self.timers = ManualTimers()
+        self.own_delay = OwnDelay()
+        self.news = News()
+        queue = queue_over(fleet(*engines(2, 1), is_timed=is_timed))
+        self.readings = Readings(
+            queue, self.news, self.timers, Log(), "life", self.own_delay
+        )
+
+    def begin(self, name):
+        tickets = []
+        self.readings.wait(prompt(name, at=self.timers.now())).addCallback(
+            tickets.append
+        )
+        return tickets[0]
+
+    def read_late(self):
+        for number in range(5):
+            ticket = self.begin(f"p{number}")
+            self.timers.advance(ticket.expected + 0.3)
+            self.readings.end(ticket, is_good=True)
+        return self.own_delay.seconds(self.timers.now())
+
+
+class TestOwnDelay:
+    def test_readings_that_end_late_are_expected_to(self):
+        assert World(is_timed=True).read_late() > 0.05
+
+    def test_what_was_predicted_before_readings_were_timed_teaches_nothing(self):
+        world = World(is_timed=False)
+        ticket = world.begin("first")
+        world.timers.advance(1.0)
+        world.readings.end(ticket, is_good=True)
+        assert world.own_delay.seconds(world.timers.now()) == 0.0
+
+    def test_reading_that_failed_teaches_nothing(self):
+        world = World(is_timed=True)
+        ticket = world.begin("first")
+        world.timers.advance(1.0)
+        world.readings.end(ticket, is_good=False)
+        assert world.own_delay.seconds(world.timers.now()) == 0.0
+
+
+class TestOpenReadings:
+    @pytest.mark.parametrize("is_good", [True, False])
+    def test_reading_is_open_until_its_end(self, is_good):
+        world = World(is_timed=True)
+        ticket = world.begin("first")
+        assert world.readings.open_readings() == OpenReadings(1, [0])
+        world.readings.end(ticket, is_good)
+        assert world.readings.open_readings() == OpenReadings(1, [])
