Tell in the logs what was asked, and when it broke off, so that repeats are seen

Cause of the gap: a request returns under a new id, and no line told that two ids ask the same thing; the line of a broken attempt did not tell how long it had run nor what else was under way at that target. The hypotheses of the incident could not be told apart by it.

No decision changes.

--- a/pimentolink/calls.py
+++ b/pimentolink/calls.py
@@ -30,7 +30,11 @@
     """One exchange with a target, from sending to its last byte."""
 
     def __init__(
-        self, belief: TargetBelief, pool: ConnectionPool, connection: TargetConnection
+        self,
+        belief: TargetBelief,
+        pool: ConnectionPool,
+        connection: TargetConnection,
+        sent_at: float,
     ) -> None:
         """
         Begin.
@@ -38,8 +42,10 @@
         :param belief: what is known of the target.
         :param pool: where the connection goes back to.
         :param connection: that carries the exchange.
+        :param sent_at: seconds of the timer service.
         """
         self.belief = belief
+        self.sent_at = sent_at
         self._pool = pool
         self._connection = connection
         self._is_over = False
@@ -184,7 +190,7 @@
             if isinstance(error, Failure):
                 self.blame(request, belief, error)
             raise
-        call = Call(belief, pool, connection)
+        call = Call(belief, pool, connection, self._timers.now())
         try:
             call.head = await connection.send(
                 message, lambda head: self._dialect.belongs(request, head)
@@ -193,7 +199,7 @@
         except BaseException as error:
             call.close()
             if isinstance(error, Failure):
-                self.blame(request, belief, error)
+                self.blame(request, belief, error, call.sent_at)
             raise
         return call
 
@@ -208,10 +214,19 @@
             raise OtherInstance(f"another target has {call.belief.target.address}")
 
     def blame(
-        self, request: CallerRequest, belief: TargetBelief, failure: Failure
+        self,
+        request: CallerRequest,
+        belief: TargetBelief,
+        failure: Failure,
+        sent_at: float | None = None,
     ) -> None:
-        """Count a failed attempt against its target."""
+        """
+        Count a failed attempt against its target.
+
+        :param sent_at: seconds of the timer service; ``None`` if nothing was sent.
+        """
         target = belief.target
+        now = self._timers.now()
         self._metrics.count("attempts_failed", failure.code)
         self._log.write(
             LogEvent.ATTEMPT_FAILED,
@@ -219,16 +234,19 @@
             target=target.target_id,
             code=failure.code,
             detail=failure.detail,
+            fingerprint=request.fingerprint(),
+            after=None if sent_at is None else round(now - sent_at, 4),
+            others=belief.in_flight,
         )
         if isinstance(failure, OtherInstance):
             # Whoever has the address now, this target is gone.
-            belief.missing_since = self._timers.now()
+            belief.missing_since = now
             return
         belief.outcome(is_good=False)
         is_sick = not isinstance(failure, RejectedUnrun | TargetFailed)
-        if is_sick and self._fleet.failed(belief, self._timers.now()):
+        if is_sick and self._fleet.failed(belief, now):
             self._log.write(LogEvent.TARGET_EJECTED, target=target.target_id)
 
     def failed(self, request: CallerRequest, call: Call, status: int) -> None:
         """Count a target's own failure, told by the status of its answer."""
-        self.blame(request, call.belief, TargetFailed(f"status {status}"))
+        self.blame(request, call.belief, TargetFailed(f"status {status}"), call.sent_at)
--- a/pimentolink/dialect.py
+++ b/pimentolink/dialect.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from hashlib import blake2b
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from result import Result
@@ -14,6 +15,10 @@
     from pimentolink.targetbelief import EngineReport, EngineRole, TargetBelief
 
 
+# Bytes of a fingerprint; nobody can make a request that has another one's.
+FINGERPRINT_BYTES = 16
+
+
 class PromptPart(NamedTuple):
     """A part of a prompt, which other prompts may share."""
 
@@ -48,6 +53,14 @@
     output_tokens: int = 0
     last_event: bytes | None = None
 
+    def fingerprint(self) -> str:
+        """Name what is asked: the same whenever a caller asks the same thing again."""
+        digest = blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (self.http.method, self.host.encode(), self.path.encode()):
+            digest.update(part + b"\0")
+        digest.update(self.http.body)
+        return digest.hexdigest()
+
 
 class Sending(NamedTuple):
     """
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -189,7 +189,7 @@
             is_good = True
         except TimeoutError:
             failure = ConnectionBroken(f"no reading within {patience:.2f} s")
-            self._caller.blame(work.request, reader, failure)
+            self._caller.blame(work.request, reader, failure, ticket.began_at)
             raise failure from None
         finally:
             self._readings.end(ticket, is_good)
@@ -293,8 +293,9 @@
                 raise ReplyInvalid("a success that the engine does not vouch for")
             await relay.run(call)
         except Failure as failure:
+            call.close()
             if not isinstance(failure, StreamBroken):
-                self._caller.blame(work.request, call.belief, failure)
+                self._caller.blame(work.request, call.belief, failure, call.sent_at)
             raise
         finally:
             call.close()
--- a/pimentolink/loganalysis.py
+++ b/pimentolink/loganalysis.py
@@ -9,8 +9,12 @@
 
 import msgspec
 
+from pimentolink.errors import ConnectionBroken, ReplyInvalid
+
 # Shares of the ratios of time taken to time predicted that are told.
 QUANTILES = (0.1, 0.5, 0.9)
+# Failures after which an attempt's target may have ended.
+BREAKS = frozenset({ConnectionBroken.code, ReplyInvalid.code})
 
 
 class WindowFigures(NamedTuple):
@@ -67,8 +71,29 @@
     failed_by_code: dict[str, int]
 
 
+class BrokenRequest(NamedTuple):
+    """
+    One request, under all names that it came with, that broke off at several targets.
+
+    :ivar targets: at which it broke off while it was under way.
+    :ivar attempts: that broke off.
+    :ivar shortest: least seconds from its sending until it broke off.
+    :ivar longest: most seconds.
+    """
+
+    fingerprint: str
+    targets: int
+    attempts: int
+    shortest: float
+    longest: float
+
+
 class Analysis(NamedTuple):
-    """All that is told of some logs."""
+    """
+    All that is told of some logs.
+
+    :ivar broken: requests that broke off at two targets or more, most targets first.
+    """
 
     lines: int
     unreadable: int
@@ -76,6 +101,7 @@
     predictions: list[PredictionFigures]
     orders: list[RoleOrder]
     routes: list[RouteFigures]
+    broken: list[BrokenRequest]
 
 
 class _Line(NamedTuple):
@@ -83,6 +109,13 @@
     fields: dict[str, Any]
 
 
+class _Break(NamedTuple):
+    """An attempt that broke off at a target, seconds after its sending."""
+
+    target: str
+    after: float
+
+
 class _Window:
     """Sums of one window while lines are read."""
 
@@ -107,6 +140,7 @@
         self._readings_by_role: dict[str, list[dict[str, Any]]] = defaultdict(list)
         self._answered: Counter[str] = Counter()
         self._failed: dict[str, Counter[str]] = defaultdict(Counter)
+        self._broken: dict[str, list[_Break]] = defaultdict(list)
         self.orders: list[RoleOrder] = []
         self._takers = {
             "target_listed": self._listed,
@@ -117,6 +151,7 @@
             "order_done": self._ordered,
             "answered": self._answer,
             "request_failed": self._failure,
+            "attempt_failed": self._attempt,
         }
 
     def take(self, line: _Line) -> None:
@@ -175,6 +210,25 @@
     def _failure(self, at: float, fields: dict[str, Any]) -> None:
         self._failed[str(fields.get("route"))][str(fields.get("code"))] += 1
 
+    def _attempt(self, at: float, fields: dict[str, Any]) -> None:
+        if fields["after"] is not None and fields["code"] in BREAKS:
+            found = _Break(str(fields["target"]), float(fields["after"]))
+            self._broken[str(fields["fingerprint"])].append(found)
+
+    def broken(self) -> list[BrokenRequest]:
+        found = [
+            BrokenRequest(
+                fingerprint,
+                len({item.target for item in breaks}),
+                len(breaks),
+                min(item.after for item in breaks),
+                max(item.after for item in breaks),
+            )
+            for fingerprint, breaks in self._broken.items()
+        ]
+        several = [item for item in found if item.targets > 1]
+        return sorted(several, key=lambda item: (-item.targets, item.fingerprint))
+
     def windows(self) -> list[WindowFigures]:
         return [
             WindowFigures(
@@ -270,4 +324,5 @@
         reader.predictions(),
         reader.orders,
         reader.routes(),
+        reader.broken(),
     )
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -124,7 +124,7 @@
         try:
             reply = await call.read_all()
         except Failure as failure:
-            self._caller.blame(request, belief, failure)
+            self._caller.blame(request, belief, failure, call.sent_at)
             raise
         finally:
             call.close()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -56,6 +56,28 @@
     return World()
 
 
+class TestFingerprint:
+    def again(self, **changes):
+        http = REQUEST.http._replace(**changes)
+        path = http.path.decode()
+        return REQUEST._replace(request_id="b", arrived_at=9.0, http=http, path=path)
+
+    def test_is_the_same_when_a_caller_asks_again(self):
+        headers = ((b"Host", b"h.example"), (b"Pimentolink-Deadline-Ms", b"7"))
+        assert self.again(headers=headers).fingerprint() == REQUEST.fingerprint()
+
+    @pytest.mark.parametrize(
+        "changes", [{"body": b"x"}, {"path": b"/p/?a"}, {"method": b"POST"}]
+    )
+    def test_differs_with_what_is_asked(self, changes):
+        assert self.again(**changes).fingerprint() != REQUEST.fingerprint()
+
+    def test_parts_of_a_request_do_not_run_into_each_other(self):
+        one = self.again(path=b"/p/a", body=b"b")
+        other = self.again(path=b"/p/", body=b"a\0b")
+        assert one.fingerprint() != other.fingerprint()
+
+
 class TestTimeLeft:
     """Pattern: the loop runs late, so the timer that ends the request does too."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -142,6 +142,23 @@
             ids = [line for line in events_of(found.body) if line.startswith("id")]
             assert ids == ["id: 1", "id: 2", "id: 3", "id: 4"]
 
+    def test_failed_attempts_tell_what_was_asked(self, world):
+        for name in ("plain-1", "plain-2"):
+            world.fault(name, status=500)
+        names = [world.request(path)[1] for path in ("/once/x", "/once/x", "/once/y")]
+        failed = [self.failed_attempt(world, name) for name in names]
+        first, again, other = [line["fingerprint"] for line in failed]
+        assert first == again
+        assert first != other
+        assert all(line["after"] > 0 and line["others"] == 0 for line in failed)
+
+    def failed_attempt(self, world, name):
+        def found():
+            lines = world.logged("gateway", name)
+            return [line for line in lines if line["event"] == "attempt_failed"]
+
+        return wait_until(found)[0]
+
     def test_broken_stream_that_may_not_resume_does_not_look_complete(self, world):
         world.fault("writer", break_after=2)
         connection = world.connection()
--- a/tests/test_loganalysis.py
+++ b/tests/test_loganalysis.py
@@ -82,6 +82,29 @@
         assert found.predictions[0].failed == 1
 
 
+def broke(at, target, fingerprint, **fields):
+    told = {"code": "connection_broken", "after": 0.1, "others": 3}
+    told |= {"target": target, "fingerprint": fingerprint}
+    return line(at, "attempt_failed", **{**told, **fields})
+
+
+class TestBrokenRequests:
+    def test_request_that_breaks_off_at_several_targets_is_told(self):
+        lines = [
+            broke(1, "a", "f1"),
+            broke(2, "b", "f1", code="reply_invalid", after=0.3),
+            broke(3, "b", "f1"),
+            broke(1, "a", "f2"),
+            broke(2, "a", "f2"),
+        ]
+        assert analyze(lines, 2.0).broken == [("f1", 2, 3, 0.1, 0.3)]
+
+    def test_attempts_that_reached_no_target_are_none(self):
+        lines = [broke(1, "a", "f1"), broke(2, "b", "f1", after=None)]
+        lines.append(broke(3, "b", "f1", code="target_failed"))
+        assert analyze(lines, 2.0).broken == []
+
+
 class TestOutcomes:
     def test_failures_are_told_by_route_and_code(self):
         found = analyze(
