Bring a request about that crashes each target that runs it, in tests that fail

What callers see: a request that ends the target that begins to run it is given to the next target, and to the next, whenever it is asked again; others' answers break off with each and are refused while no target is left.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import time
 from collections import Counter
 from typing import Any
@@ -14,6 +15,8 @@
 
 ID = "Pimentolink-Request-Id"
 NOT_RUN = {"Pimentolink-Not-Executed": "1"}
+# Seconds from the begin of a fatal run until the process ends.
+CRASH_AFTER = 0.03
 
 
 class PlatformEngineStandIn:
@@ -22,7 +25,8 @@
 
     Faults: ``reject`` says that requests did not run; ``break_after`` resets a stream
     after so many events; ``status`` answers calls with it; ``wrong_id`` answers under
-    another request's id; ``silent`` takes requests and never answers.
+    another request's id; ``silent`` takes requests and never answers; ``fatal`` ends
+    the process as it begins to run a request with that body.
     """
 
     def __init__(self, options: Any) -> None:
@@ -45,6 +49,7 @@
             "status": 200,
             "wrong_id": False,
             "silent": False,
+            "fatal": "",
         }
         self.routes = Routes()
         self.routes.add("PUT", "/faults", self.set_faults)
@@ -142,9 +147,8 @@
         reactor.callLater(self.gap, answer, request, told, 200, {ID: name})
 
     def _call(self, request: Request, name: str) -> None:
-        self.runs[name] += 1
-        self._log("run", name)
         body = content_of(request).decode()
+        self._run(name, body)
         shown = uuid4().hex if self.faults["wrong_id"] else name
         headers = {ID: shown, "Pimentolink-Response-Signature": f"signed-{name}"}
         told = {"name": name, "body": body, "path": request.uri.decode()}
@@ -156,14 +160,20 @@
         if source is None and self.phase != "decode":
             answer(request, {}, 421, {"Pimentolink-Instance-Id": self.instance})
             return
-        self.runs[name] += 1
-        self._log("run", name)
+        self._run(name, content_of(request).decode())
         request.setHeader(ID, name)
         request.setHeader("Pimentolink-Response-Signature", f"signed-{name}")
         request.setHeader("Content-Type", "text/event-stream")
         last = int(request.getHeader("Last-Event-Id") or 0)
         self._piece(request, name, last + 1, last)
 
+    def _run(self, name: str, body: str) -> None:
+        self.runs[name] += 1
+        self._log("run", name)
+        if body and body == self.faults["fatal"]:
+            self._log("crash", name)
+            reactor.callLater(CRASH_AFTER, os._exit, 1)
+
     def _piece(self, request: Request, name: str, number: int, last: int) -> None:
         if request._disconnected:
             return
