--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -26,7 +26,7 @@
     Faults: ``reject`` says that requests did not run; ``break_after`` resets a stream
     after so many events; ``status`` answers calls with it; ``wrong_id`` answers under
     another request's id; ``silent`` takes requests and never answers; ``fatal`` ends
-    the process as it begins to run a request with that body.
+    the process as it begins to run a request with that body, before its answer ends.
     """
 
     def __init__(self, options: Any) -> None:
@@ -148,7 +148,8 @@
 
     def _call(self, request: Request, name: str) -> None:
         body = content_of(request).decode()
-        self._run(name, body)
+        if self._is_crashing(name, body):
+            return
         shown = uuid4().hex if self.faults["wrong_id"] else name
         headers = {ID: shown, "Pimentolink-Response-Signature": f"signed-{name}"}
         told = {"name": name, "body": body, "path": request.uri.decode()}
@@ -160,19 +161,25 @@
         if source is None and self.phase != "decode":
             answer(request, {}, 421, {"Pimentolink-Instance-Id": self.instance})
             return
-        self._run(name, content_of(request).decode())
+        is_crashing = self._is_crashing(name, content_of(request).decode())
         request.setHeader(ID, name)
         request.setHeader("Pimentolink-Response-Signature", f"signed-{name}")
         request.setHeader("Content-Type", "text/event-stream")
         last = int(request.getHeader("Last-Event-Id") or 0)
+        if is_crashing:
+            request.write(f"id: {last + 1}\ndata: {{}}\n\n".encode())
+            return
         self._piece(request, name, last + 1, last)
 
-    def _run(self, name: str, body: str) -> None:
+    def _is_crashing(self, name: str, body: str) -> bool:
+        """Begin to run a request; tell whether this process ends by it."""
         self.runs[name] += 1
         self._log("run", name)
-        if body and body == self.faults["fatal"]:
-            self._log("crash", name)
-            reactor.callLater(CRASH_AFTER, os._exit, 1)
+        if not body or body != self.faults["fatal"]:
+            return False
+        self._log("crash", name)
+        reactor.callLater(CRASH_AFTER, os._exit, 1)
+        return True
 
     def _piece(self, request: Request, name: str, number: int, last: int) -> None:
         if request._disconnected:
