Bring about engines that refuse connections and are given work, in tests that fail

What callers see: while all engines that write are down and still listed, requests are refused because the budget of repeats is spent, also for others.

Tests: a gateway, a reader and a writer as processes; the writer is killed.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -210,6 +210,45 @@
         assert world.runs("slow")["left"] == []
 
 
+class TestEndedTargets:
+    """
+    All engines that write have ended, and their entries are still listed.
+
+    Single requests were sent to engines that refused connections up to 16 times within
+    60 ms, each time with the prompt read anew, until the budget of repeats was spent;
+    136 requests within 9 s were then refused for that budget, others' too:
+
+        attempt_failed code=not_connected detail="Connection was refused by other side"
+        request_failed code=retry_budget_spent detail="no repeated attempt is left"
+
+    An engine that refuses a connection was ejected for a while, but given work again as
+    soon as no other was left.
+    """
+
+    @pytest.fixture
+    def outcomes(self, world):
+        world.fleet.processes_by_name["writer"].kill()
+        found = [world.generate("/resume/x") for _ in range(30)]
+        names = [name for _, name in found]
+        wait_until(lambda: all(world.logged("gateway", name) for name in names))
+        return [(reply, world.logged("gateway", name)) for reply, name in found]
+
+    def test_request_meets_each_of_them_once(self, outcomes):
+        for _, lines in outcomes:
+            failed = [line for line in lines if line["event"] == "attempt_failed"]
+            assert len(failed) <= 1
+
+    def test_requests_are_refused_for_want_of_an_engine(self, outcomes):
+        for reply, lines in outcomes:
+            assert reply.status == 503
+            assert lines[-1]["code"] == "no_target"
+
+    def test_engine_that_is_back_gets_work_at_once(self, world, outcomes):
+        world.fleet.start_again("writer")
+        world.fleet.settle()
+        wait_until(lambda: world.generate("/resume/x")[0].status == 200, within=1.0)
+
+
 class TestRestart:
     def test_restarted_gateway_learns_what_engines_hold(self, world):
         world.generate("/stream/x")
