Give engines that refuse connections no work, and no budget, until they are back

What callers saw: with all writers down, 136 requests were refused within 9 s because the budget of repeats was spent; a single request met refused connections 16 times within 60 ms, its prompt read anew each time.

Cause: a refused connection only ejected its target, and ejected targets are used again when too many are; each try counted as a sending of the request and was taken out of the budget that all gateways share, though it had reached nobody.

Ruled out: the ejection's share (with any share the last engine is used again).

Change: a target that refuses a connection gets no work for 0.25 s, even as the last one left; then the next request asks it again. Such a sending is none: it is not counted and its part of the budget is taken back. The KV cache that was read for it goes to the next writer instead of being read again.

An engine that is back gets work within 1 s, as before.

Why it holds: each refusal makes its target unusable, so that a request meets each at most once in that time, and ends with no engine left.

--- a/pimentolink/attempts.py
+++ b/pimentolink/attempts.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from pimentolink.errors import Failure, LateAnswer, OutcomeUnknown, TargetFailed
+from pimentolink.errors import (
+    Failure,
+    LateAnswer,
+    NotListening,
+    OutcomeUnknown,
+    TargetFailed,
+)
 from pimentolink.routes import Repeatability, Route
 
 
@@ -59,11 +65,18 @@
 
         :param failure: its ``ran`` tells whether the request may have run.
         """
-        if failure.ran:
+        if isinstance(failure, NotListening):
+            self.not_sent()
+        elif failure.ran:
             self.ran()
         else:
             self.not_run()
 
+    def not_sent(self) -> None:
+        """Learn that the last sending reached no target, so that it was none."""
+        self.tried_target_ids.pop()
+        self._in_doubt = ""
+
     def not_run(self) -> None:
         """Learn that the last sending did not run."""
         self._in_doubt = ""
--- a/pimentolink/calls.py
+++ b/pimentolink/calls.py
@@ -198,6 +198,7 @@
         try:
             connection = await pool.open()
         except NotListening:
+            belief.refused_connection(self._timers.now())
             return False
         except NotConnected:
             return True
@@ -316,6 +317,8 @@
             belief.missing_since = now
             return
         belief.outcome(is_good=False)
+        if isinstance(failure, NotListening):
+            belief.refused_connection(now)
         if isinstance(failure, ConnectionBroken | ReplyInvalid):
             self._watcher.connection_lost(belief)
         is_sick = not isinstance(failure, RejectedUnrun | TargetFailed)
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -13,6 +13,7 @@
     ConnectionBroken,
     Failure,
     NoTarget,
+    NotListening,
     RejectedUnrun,
     ReplyInvalid,
     RetryBudgetSpent,
@@ -123,6 +124,11 @@
         if is_repeat and not self._budgets.spend(work.service):
             raise RetryBudgetSpent("no repeated attempt is left", USUAL_PAUSE)
 
+    def _refund_repeat(self, work: Work, is_repeat: bool) -> None:
+        """Take a repeated sending back that reached no engine."""
+        if is_repeat:
+            self._budgets.refund(work.service)
+
     def _tell_broken(self, work: Work, relay: _Relay, failure: Failure) -> None:
         self._log.write(
             LogEvent.STREAM_RESUMED,
@@ -182,12 +188,17 @@
         reader = ticket.placement.belief
         patience = READING_PATIENCE * ticket.expected + READING_GRACE
         is_good = False
+        is_repeat = relay.readings > 0
         try:
-            self._spend_on_repeat(work, relay.readings > 0)
+            self._spend_on_repeat(work, is_repeat)
             relay.readings += 1
             reading = self._read_at(work, ticket)
             prepared = await with_timeout(self._timers, patience, reading)
             is_good = True
+        except NotListening:
+            relay.readings -= 1
+            self._refund_repeat(work, is_repeat)
+            raise
         except TimeoutError:
             failure = ConnectionBroken(f"no reading within {patience:.2f} s")
             self._caller.blame(work.request, reader, failure, ticket.began_at)
@@ -217,25 +228,37 @@
         return _Prepared(self._dialect.read_prompt(reply).unwrap(), reader)
 
     async def _write(self, work: Work, prepared: _Prepared, relay: _Relay) -> Call:
-        """Have the answer written by an engine that fetches the KV cache."""
+        """
+        Have the answer written by an engine that fetches the KV cache.
+
+        One that refuses the connection leaves the KV cache to the next.
+        """
+        while True:
+            try:
+                return await self._write_at_best(work, prepared, relay)
+            except NotListening:
+                continue
+            except Failure as failure:
+                if not failure.ran:
+                    self._drop_cache(work, prepared)
+                raise
+
+    async def _write_at_best(
+        self, work: Work, prepared: _Prepared, relay: _Relay
+    ) -> Call:
         reader = prepared.reader
+        if reader.is_replaced:
+            # Its next life may give the same name to another request's KV cache.
+            raise RejectedUnrun("the engine that read the prompt restarted")
         now = self._timers.now()
         writer = self._placer.writer(work.service, reader.target.data_centre, now)
-        try:
-            if reader.is_replaced:
-                # Its next life may give the same name to another request's KV cache.
-                raise RejectedUnrun("the engine that read the prompt restarted")
-            if writer is None:
-                raise NoTarget(f"no engine of {work.service} writes answers", 0.5)
-            address = reader.target.address
-            sending = self._sending(work, writer, relay)._replace(
-                cache_source=self._dialect.cache_source(address, prepared.prompt)
-            )
-            call = await self._run(work, writer, sending)
-        except Failure as failure:
-            if not failure.ran:
-                self._drop_cache(work, prepared)
-            raise
+        if writer is None:
+            raise NoTarget(f"no engine of {work.service} writes answers", 0.5)
+        address = reader.target.address
+        sending = self._sending(work, writer, relay)._replace(
+            cache_source=self._dialect.cache_source(address, prepared.prompt)
+        )
+        call = await self._run(work, writer, sending)
         writer.fetched(work.request.parts)
         return call
 
@@ -255,12 +278,15 @@
     async def _run(self, work: Work, belief: TargetBelief, sending: Sending) -> Call:
         """Send the request to be run, and wait for the head of the answer."""
         is_once = work.route.repeatability is Repeatability.ONCE
-        self._spend_on_repeat(work, work.attempts.count > 0)
+        is_repeat = work.attempts.count > 0
+        self._spend_on_repeat(work, is_repeat)
         work.attempts.sent(belief.target.target_id)
         try:
             call = await self._caller.begin(work.request, belief, sending, is_once)
         except Failure as failure:
             work.attempts.failed(failure)
+            if isinstance(failure, NotListening):
+                self._refund_repeat(work, is_repeat)
             raise
         work.attempts.ran()
         return call
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -9,6 +9,7 @@
 from pimentolink.errors import (
     Failure,
     NoTarget,
+    NotListening,
     Quarantined,
     ReplyInvalid,
     RetryBudgetSpent,
@@ -76,7 +77,7 @@
             if is_repeat and not self._budgets.spend(work.service):
                 last = last or RetryBudgetSpent("no repeated attempt is left")
                 break
-            last = await self._attempt(work, belief)
+            last = await self._attempt(work, belief, is_repeat)
             if isinstance(last, Quarantined):
                 break
             if isinstance(last, HttpReply) and not self._is_repeatable(work, last):
@@ -108,7 +109,9 @@
     def _is_repeatable(self, work: Work, reply: HttpReply) -> bool:
         return reply.head.status >= 500 and work.attempts.may_repeat()
 
-    async def _attempt(self, work: Work, belief: TargetBelief) -> HttpReply | Failure:
+    async def _attempt(
+        self, work: Work, belief: TargetBelief, is_repeat: bool
+    ) -> HttpReply | Failure:
         """Make one attempt and tell how it ended."""
         is_once = work.route.repeatability is Repeatability.ONCE
         work.attempts.sent(belief.target.target_id)
@@ -119,6 +122,8 @@
                 reply = await self._exchange(work, belief)
         except Failure as failure:
             work.attempts.failed(failure)
+            if is_repeat and isinstance(failure, NotListening):
+                self._budgets.refund(work.service)
             return failure
         work.attempts.ran()
         return reply
--- a/pimentolink/retry.py
+++ b/pimentolink/retry.py
@@ -88,6 +88,11 @@
         self._granted.append(self._timers.now())
         return True
 
+    def refund(self) -> None:
+        """Take back the last attempt that was granted: it reached no target."""
+        if self._granted:
+            self._granted.pop()
+
     def _forget(self) -> None:
         begin = self._timers.now() - self.settings.window
         for times in (self._requests, self._granted):
@@ -118,6 +123,10 @@
         """Ask for one repeated attempt; tell whether it is granted."""
         return self._budget(service).spend(self.gateways)
 
+    def refund(self, service: str) -> None:
+        """Take back an attempt that was granted and reached no target."""
+        self._budget(service).refund()
+
     def _budget(self, service: str) -> SharedBudget:
         budget = self._budgets_by_service.get(service)
         if budget is None:
--- a/pimentolink/targetbelief.py
+++ b/pimentolink/targetbelief.py
@@ -18,6 +18,9 @@
 # Seconds after which a reading that another gateway told of, and whose end was never
 # told, no longer counts, beyond its own work.
 LOST_END = 2.0
+# Seconds for which a target that refused a connection gets no work; then the next
+# request asks it again, so that it is used soon after it is back.
+REFUSAL_PAUSE = 0.25
 # Tokens a second of a target from which nothing is ever fetched.
 NO_COPY_RATE = 1e9
 
@@ -128,6 +131,7 @@
         # Whether the target started again since; what this life held is gone.
         self.is_replaced = False
         self.changing_until = 0.0
+        self.refusing_until = 0.0
         self.failure_share = 0.0
         self._failures = 0
         self._ejections = 0
@@ -157,6 +161,7 @@
             not self.target.is_leaving
             and self.missing_since is None
             and now >= self.changing_until
+            and now >= self.refusing_until
         )
 
     def is_ejected(self, now: float) -> bool:
@@ -299,6 +304,10 @@
             self._failures = 0
             self._ejections = 0
 
+    def refused_connection(self, now: float) -> None:
+        """Learn that nothing listens there; even as the last one left it is no use."""
+        self.refusing_until = now + REFUSAL_PAUSE
+
     def forgive(self) -> None:
         """Forget failures and what followed from them."""
         self.failure_share = 0.0
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -5,6 +5,7 @@
     CannotBeInTime,
     ConnectionBroken,
     LateAnswer,
+    NotListening,
     OutcomeUnknown,
     RejectedUnrun,
 )
@@ -39,6 +40,12 @@
         rejected = RejectedUnrun()
         assert self.attempts.final(rejected) is rejected
 
+    def test_sending_that_nothing_listened_to_is_none(self):
+        self.attempts.sent("a")
+        self.attempts.failed(NotListening())
+        assert self.attempts.count == 0
+        assert self.attempts.may_repeat()
+
 
 class TestIdempotent:
     def test_runs_on_no_more_targets_than_its_route_allows(self):
--- a/tests/test_sharedbudget.py
+++ b/tests/test_sharedbudget.py
@@ -45,3 +45,9 @@
         while budgets.spend("a"):
             pass
         assert budgets.spend("b")
+
+    def test_attempt_that_reached_no_target_costs_nothing(self):
+        budgets = SharedBudgets(BudgetSettings(slack=4.0), ManualTimers())
+        for _ in range(100):
+            assert budgets.spend("a")
+            budgets.refund("a")
