Show operators the requests that are held back, and let them release one

What was missing: an operator could find such a request in the logs (E1418), but neither list those in force nor let one in again before its wait was over.

Change: 'pimentolink gateway status' lists fingerprints and crashes from the store; 'pimentolink gateway release SETTINGS FINGERPRINT' writes a clearing that all gateways follow, as an answer would.

Measured: tests/test_fatalrequests.py test_is_found_and_released_by_an_operator: refused before, served at both gateways 1 s after the release; a second release says that nothing is held (exit code 1). Fatal-request and command tests passed.

--- a/pimentolink/cli.py
+++ b/pimentolink/cli.py
@@ -11,6 +11,7 @@
 
 import fire
 import msgspec
+from fire.decorators import SetParseFns
 from result import Err, Result
 
 from pimentolink import porcelain
@@ -251,8 +252,9 @@
             target._asdict() | {"role": target.role.value} for target in found.targets
         ]
         gateways = [gateway._asdict() for gateway in found.gateways]
+        suspects = [suspect._asdict() for suspect in found.suspects]
         if json:
-            rows = {"targets": targets, "gateways": gateways}
+            rows = {"targets": targets, "gateways": gateways, "suspects": suspects}
             _print_json(found._asdict() | rows)
             return
         print(f"configuration: version {found.version}, {found.routes} routes")
@@ -261,9 +263,24 @@
         _print_rows(targets)
         print("\ngateways")
         _print_rows(gateways)
+        print("\nrequests held back for crashes of targets")
+        _print_rows(suspects)
         for line in found.unreadable:
             print(line)
 
+    @SetParseFns(fingerprint=str)
+    def release(self, settings: str, fingerprint: str) -> None:
+        """Let a request be sent again that is held back; ``status`` lists them."""
+        from twisted.internet import reactor as default_reactor
+
+        from pimentolink.platform.edge import make_store
+
+        reactor: Any = default_reactor
+        store, _ = make_store(reactor, _read(GatewaySettings, [settings]))
+        releasing = porcelain.release_suspect(store, fingerprint)
+        crashes = _accepted(_run(reactor, releasing))
+        print(f"{crashes} crashes are held against it no more")
+
 
 class _Platform:
     """The platform's services, used for one command on a loop of its own."""
--- a/pimentolink/deploymentstatus.py
+++ b/pimentolink/deploymentstatus.py
@@ -11,6 +11,7 @@
 from pimentolink.membership import Documents
 from pimentolink.orderholder import HOLDER_KEY, Holder
 from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
+from pimentolink.suspectstore import SUSPECT_PREFIX, StoredSuspects, SuspectDocument
 from pimentolink.targetbelief import Target
 
 Read = TypeVar("Read")
@@ -29,6 +30,18 @@
     life: str
 
 
+class ListedSuspect(NamedTuple):
+    """
+    A request that gateways hold back.
+
+    :ivar fingerprint: as their log lines name it.
+    :ivar crashes: of targets where it was under way.
+    """
+
+    fingerprint: str
+    crashes: int
+
+
 class DeploymentStatus(NamedTuple):
     """
     How a deployment stands.
@@ -37,6 +50,7 @@
     :ivar version: of the configuration; 0 before the first one.
     :ivar routes: that it has.
     :ivar order_holder: instance that may give orders to engines; empty if none may.
+    :ivar suspects: requests that may crash targets, the worst first.
     :ivar unreadable: keys whose documents have faults, with the fault.
     """
 
@@ -46,6 +60,7 @@
     targets: list[Target]
     gateways: list[ListedGateway]
     order_holder: str
+    suspects: list[ListedSuspect]
     unreadable: list[str]
 
 
@@ -64,6 +79,7 @@
         self._targets: list[Target] = []
         self._gateways: list[ListedGateway] = []
         self._order_holder = ""
+        self._suspects = StoredSuspects()
         self._unreadable: list[str] = []
 
     def read(self, snapshot: Snapshot) -> DeploymentStatus:
@@ -77,9 +93,15 @@
             self._targets,
             self._gateways,
             self._order_holder,
+            self._listed_suspects(),
             self._unreadable,
         )
 
+    def _listed_suspects(self) -> list[ListedSuspect]:
+        crashes = self._suspects.crashes_by_fingerprint()
+        listed = [ListedSuspect(name, len(keys)) for name, keys in crashes.items()]
+        return sorted(listed, key=lambda item: -item.crashes)
+
     def _take(self, item: Item) -> None:
         if item.key == self._documents.configuration_key:
             self._take_configuration(item)
@@ -87,6 +109,10 @@
             self._take_target(item)
         elif item.key.startswith(GATEWAY_PREFIX) or item.key == HOLDER_KEY:
             self._take_own(item)
+        elif item.key.startswith(SUSPECT_PREFIX):
+            document = self._readable(item, SuspectDocument)
+            if document is not None:
+                self._suspects.take(document)
 
     def _take_configuration(self, item: Item) -> None:
         found = self._documents.read_configuration(item.value)
--- a/pimentolink/porcelain.py
+++ b/pimentolink/porcelain.py
@@ -29,16 +29,26 @@
     DocumentInvalid,
     Failure,
     ReferenceUnknown,
+    WriteConflict,
 )
 from pimentolink.httpclient import HttpClient
 from pimentolink.instances import ENTRY, InstanceList
-from pimentolink.keyspace import Keyspace
+from pimentolink.jsondocument import read_json
+from pimentolink.keyspace import Keyspace, Write
 from pimentolink.kvstore import KeyValueStore
 from pimentolink.loganalysis import Analysis, analyze
 from pimentolink.membership import Documents
+from pimentolink.peermessages import MOST_CRASHES, SuspectCleared
 from pimentolink.plan import decode_plan, groups_of
 from pimentolink.routes import RoutingTable
 from pimentolink.settings import merge_documents
+from pimentolink.suspects import KEEP
+from pimentolink.suspectstore import (
+    SUSPECT_PREFIX,
+    StoredSuspects,
+    SuspectDocument,
+    clearing_key,
+)
 
 CHANGE_TRIES = 5
 
@@ -182,6 +192,35 @@
     return StatusReader(documents).read(await keyspace.read_all(""))
 
 
+async def release_suspect(
+    keyspace: Keyspace, fingerprint: str
+) -> Result[int, DocumentInvalid | WriteConflict]:
+    """
+    Let a request be sent again that gateways hold back for crashes of targets.
+
+    :param fingerprint: as log lines and :func:`deployment_status` name it.
+    :returns: how many crashes are held against it no more.
+    :raises KeyValueUnavailable: without an answer.
+    """
+    stored = StoredSuspects()
+    for item in (await keyspace.read_all(SUSPECT_PREFIX)).items:
+        found = read_json(item.value, SuspectDocument)
+        if not isinstance(found, Err):
+            stored.take(found.ok_value)
+    crashes = stored.crashes_by_fingerprint().get(fingerprint, [])
+    if not crashes:
+        return Err(DocumentInvalid(f"nothing is held against {fingerprint}"))
+    key = clearing_key(fingerprint)
+    before = await keyspace.read(key)
+    expected = before.revision if before is not None else 0
+    document = SuspectDocument([SuspectCleared(fingerprint, crashes[:MOST_CRASHES])])
+    lease = await keyspace.grant(KEEP)
+    write = Write(key, msgspec.json.encode(document), expected, lease)
+    if await keyspace.write(write) is None:
+        return Err(WriteConflict("another operator released it at the same time"))
+    return Ok(len(crashes))
+
+
 class PlannedTarget(NamedTuple):
     """What a plan wants of one target."""
 
--- a/pimentolink/suspectstore.py
+++ b/pimentolink/suspectstore.py
@@ -46,6 +46,32 @@
     return f"{SUSPECT_PREFIX}operators/{fingerprint}"
 
 
+class StoredSuspects:
+    """What all documents together hold against requests."""
+
+    def __init__(self) -> None:
+        """Start with nothing read."""
+        self._crashes: set[tuple[str, int]] = set()
+        self._cleared: set[tuple[str, int]] = set()
+
+    def take(self, document: SuspectDocument) -> None:
+        """Add what one document tells."""
+        for message in document.news:
+            if isinstance(message, SuspectCleared):
+                pairs = {(message.fingerprint, key) for key in message.targets}
+                self._cleared |= pairs
+            else:
+                pairs = {(name, message.target) for name in message.fingerprints}
+                self._crashes |= pairs
+
+    def crashes_by_fingerprint(self) -> dict[str, list[int]]:
+        """List the targets at whose crash each request was under way."""
+        listed: dict[str, list[int]] = {}
+        for fingerprint, target in sorted(self._crashes - self._cleared):
+            listed.setdefault(fingerprint, []).append(target)
+        return listed
+
+
 class _Told(NamedTuple):
     """A message of this gateway's document, and when it was first written."""
 
--- a/tests/test_fatalrequests.py
+++ b/tests/test_fatalrequests.py
@@ -141,6 +141,23 @@
             world.bring_back()
         assert world.sent() - before <= MOST_SENT
 
+    def test_is_found_and_released_by_an_operator(self, world):
+        world.crash("/read/x")
+        settings = str(world.fleet.folder / "gateway-1.json")
+        listed = world.fleet.command("gateway", "status", settings, "--json")
+        (suspect,) = json.loads(listed.stdout)["suspects"]
+        assert suspect["crashes"] >= CRASHES
+        for name in PLAIN:
+            world.fault(name, fatal="")
+        assert world.ask("/read/x") == 503
+        name = suspect["fingerprint"]
+        released = world.fleet.command("gateway", "release", settings, name)
+        assert released.returncode == 0, released.stderr
+        time.sleep(1.0)
+        assert [world.ask("/read/x") for _ in GATEWAYS] == [200, 200]
+        again = world.fleet.command("gateway", "release", settings, name)
+        assert again.returncode == 1
+
     def test_others_on_its_route_are_served(self, world):
         world.crash("/resume/x")
         for number in range(4):
