Let the soak ask what crashes engines; what it shows of innocent requests fails

The soak could not bring about a request that ends its targets. Now a caller asks one every 0.4 s, at any gateway and under all other faults; a target that ends by it starts again under its name; what reaches targets 3 s after the third crash is bounded by three, and all kinds are to be served again as before.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -49,7 +49,7 @@
             "status": 200,
             "wrong_id": False,
             "silent": False,
-            "fatal": "",
+            "fatal": options.fatal,
         }
         self.routes = Routes()
         self.routes.add("PUT", "/faults", self.set_faults)
@@ -199,5 +199,7 @@
 
 
 if __name__ == "__main__":
-    settings = parse(__doc__, instance="i-1", phase="decode", pieces=4, gap=0.01)
+    settings = parse(
+        __doc__, instance="i-1", phase="decode", pieces=4, gap=0.01, fatal=""
+    )
     listen(PlatformEngineStandIn(settings).routes, settings.listen)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,14 @@
 FAULTS_FOR = 6.0
 CALLERS = 6
 REFUSALS = {408, 421, 429, 503}
+# A body that ends each engine that begins to run it, and seconds between two askings.
+FATAL = "fatal"
+FATAL_EVERY = 0.4
+# Crashes after which it is known for what it does, seconds in which all gateways that
+# reach the store learn of it, and how often it may be sent to targets from then on.
+KNOWN_AFTER = 3
+KNOWN_WITHIN = 3.0
+MOST_FATAL = 3
 # Seconds in which all kinds of requests must be served again after the last fault.
 RECOVERY = 12.0
 # Seconds after a target was listed as leaving until nothing may reach it: a gateway may
@@ -141,6 +149,10 @@
             return Asked(name, kind, 0, False, b"", sent_at)
         return Asked(name, kind, *found, sent_at)
 
+    def body(self) -> str:
+        """Choose what is asked."""
+        return "x"
+
     def _exchange(self, kind: str, name: str) -> tuple[int, bool, bytes]:
         if self.connection is None:
             gateway = self.random.choice(self.world.gateways)
@@ -151,14 +163,14 @@
             f"Host: {HOST}",
             f"Pimentolink-Request-Id: {name}",
             "Pimentolink-Deadline-Ms: 3000",
-            "Content-Length: 1",
+            f"Content-Length: {len(self.body())}",
         ]
         if kind in ("resume", "stream"):
             lines += [
                 f"Pimentolink-Prompt-Prefix: {PARTS}",
                 "Pimentolink-Token-Counts: 1200,50",
             ]
-        self.connection.sendall("\r\n".join([*lines, "", "x"]).encode())
+        self.connection.sendall("\r\n".join([*lines, "", self.body()]).encode())
         return self._read()
 
     def _read(self) -> tuple[int, bool, bytes]:
@@ -178,6 +190,33 @@
             self.connection = None
 
 
+class FatalCaller(Caller):
+    """Asks again and again for what crashes engines, at any gateway."""
+
+    def run(self) -> None:
+        while not self.is_stopped.is_set():
+            self._drop()
+            self.asked.append(self.ask("resume"))
+            time.sleep(FATAL_EVERY)
+
+    def body(self) -> str:
+        return FATAL
+
+
+def problems_of_fatal(asked: list[Asked], ran: list[Ran]) -> list[str]:
+    """Check that a fatal request is kept from targets once it is known."""
+    names = {request.name for request in asked}
+    sent = [event for event in ran if event.name in names]
+    crashes = sorted(event.at for event in sent if event.event == "crash")
+    if len(crashes) < KNOWN_AFTER:
+        return []
+    known_at = crashes[KNOWN_AFTER - 1] + KNOWN_WITHIN
+    late = [item for item in sent if item.event != "crash" and item.at > known_at]
+    if len(late) <= MOST_FATAL:
+        return []
+    return [f"what crashed {len(crashes)} targets was sent to {len(late)} more"]
+
+
 class SoakWorld(PlatformWorld):
     """A deployment whose every link goes through a fault proxy."""
 
@@ -189,6 +228,7 @@
         self.lives: dict[str, int] = {}
         self.listed_by_place: dict[str, tuple[str, str, str]] = {}
         self.left_at: dict[str, float] = {}
+        self.born_by_name: dict[str, int] = {}
 
     def start(self) -> None:
         for place, service, phase in (
@@ -217,16 +257,30 @@
         self.lives[place] = self.lives.get(place, 0) + 1
         name = f"{place}-{self.lives[place]}"
         words = [f"--instance={name}", "--gap=0.02", f"--pieces={PIECES}"]
-        words += [f"--phase={phase}"] if phase else []
+        words += [f"--fatal={FATAL}"] + ([f"--phase={phase}"] if phase else [])
         self.fleet.start(name, "standins.platform_engine", *words)
         self.fleet.settle()
+        self.born_by_name[name] = self.born(name)
         address = self.proxy(f"link-{name}", self.fleet.address(name))
         self.listed_by_place[place] = (name, service, phase)
         self.list_at(name, service, phase, address)
 
+    def revive(self) -> None:
+        """Start targets again that ended by what they ran, as new lives of them."""
+        for name, service, phase in self.listed_by_place.values():
+            if not self.fleet.processes_by_name[name].is_running:
+                self.start_again(name, service, phase)
+
+    def start_again(self, name: str, service: str, phase: str) -> None:
+        """Start a target that ended; it keeps its name and its address."""
+        self.fleet.start_again(name)
+        self.fleet.settle()
+        self.born_by_name[name] = self.born(name)
+        self.list_at(name, service, phase, self.addresses[name])
+
     def list_at(self, name, service, phase, address, state="ready") -> None:
         entry = {"service": service, "address": address, "zone": "north", "slots": 8}
-        entry |= {"born": self.born(name)}
+        entry |= {"born": self.born_by_name[name]}
         entry |= {"state": state} | ({"phase": phase} if phase else {})
         self.addresses = getattr(self, "addresses", {}) | {name: address}
         self.put(f"servers/{name}", entry)
@@ -235,7 +289,7 @@
         found = []
         for name, process in self.fleet.processes_by_name.items():
             for line in process.log_path.read_text().splitlines():
-                if line.startswith(('{"event": "r', '{"event": "o')):
+                if line.startswith(('{"event": "r', '{"event": "o', '{"event": "c')):
                     told = json.loads(line)
                     fence = told.get("fence", 0)
                     found.append(
@@ -274,6 +328,7 @@
             played.append(self.random.choice(kinds)())
             time.sleep(self.random.uniform(0.1, 0.8))
             self.undo_due()
+            self.world.revive()
         self.undo_due(everything=True)
         return played
 
@@ -360,10 +415,7 @@
         place = self.random.choice(sorted(self.world.listed_by_place))
         name, service, phase = self.world.listed_by_place[place]
         self.world.fleet.processes_by_name[name].kill()
-        self.world.fleet.start_again(name)
-        self.world.fleet.settle()
-        address = self.world.addresses[name]
-        self.world.list_at(name, service, phase, address)
+        self.world.start_again(name, service, phase)
         return f"{name} restarted"
 
     def write_foreign(self) -> str:
@@ -396,19 +448,22 @@
         world = SoakWorld(fleet)
         world.start()
         callers = [Caller(world, seed * 100 + number) for number in range(CALLERS)]
-        for caller in callers:
+        fatal = FatalCaller(world, seed)
+        for caller in (*callers, fatal):
             caller.start()
         faults = Faults(world, seed)
         played = faults.play()
         for name in world.proxies:
             faults.mode(name, GOOD)
         found = recovery_problems(world, callers[0])
-        for caller in callers:
+        for caller in (*callers, fatal):
             caller.is_stopped.set()
-        for caller in callers:
+        for caller in (*callers, fatal):
             caller.join(10)
         asked = [request for caller in callers for request in caller.asked]
-        found += problems(asked, world.ran(), world.left_at)
+        ran = world.ran()
+        found += problems(asked, ran, world.left_at)
+        found += problems_of_fatal(fatal.asked, ran)
         found += fleet.faults()
         outcomes = sorted({request.status for request in asked})
         print(f"seed {seed}: {len(asked)} requests, {outcomes}, {played}", flush=True)
@@ -423,14 +478,18 @@
             caller = Caller(world, 1)
             caller.world = _Only(world, name)
             try:
-                wait_until(
-                    lambda c=caller, k=kind: c.ask(k).status == 200, within=RECOVERY
-                )
+                wait_until(lambda c=caller, k=kind: serves(world, c, k), RECOVERY)
             except TimeoutError:
                 missing.append(f"{name} does not serve {kind} after all faults")
     return missing
 
 
+def serves(world: SoakWorld, caller: Caller, kind: str) -> bool:
+    """Ask once, with all targets up."""
+    world.revive()
+    return caller.ask(kind).status == 200
+
+
 class _Only:
     """A world of which only one gateway is used."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests import soak
-from tests.soak import Asked, Ran, problems
+from tests.soak import Asked, Ran, problems, problems_of_fatal
 
 # Seeds that once failed stay here, each with its cause.
 FAILED_SEEDS: list[int] = []
@@ -51,6 +51,12 @@
         mixed = stream("other", range(1, soak.PIECES + 1))
         assert problems([asked("stream", body=mixed)], [ran()], {})
 
+    def test_fatal_request_that_goes_on(self):
+        crashes = [ran(event="crash", at=float(n)) for n in range(3)]
+        late = [ran(at=6.0 + n) for n in range(4)]
+        assert problems_of_fatal([asked("resume")], [*crashes, *late[:3]]) == []
+        assert problems_of_fatal([asked("resume")], [*crashes, *late])
+
     def test_stale_order(self):
         orders = [
             ran("g1", event="order", at=1.0, fence=7),
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -116,6 +116,62 @@
         assert held.refusal(FATAL, "a", now) is not None
 
 
+class TestWhoIsToBlame:
+    """
+    Pattern: what many ask is under way at each crash that another request brings about.
+
+    It waited as long as the one to blame, was tried at the same moment and at the same
+    engine, and was struck anew each time: no gateway served it 12 s after the last
+    fault. One suspect is tried at a time, so that a crash shows who is to blame; and
+    whoever is, explains its crashes for all others.
+    """
+
+    @pytest.fixture
+    def held(self, suspects):
+        for target in (1, 2):
+            crash(suspects, target, 0.0, FATAL, OTHER)
+        return suspects
+
+    def test_one_suspect_is_tried_at_a_time(self, held):
+        now = 2 * FIRST_PAUSE
+        assert held.try_again(FATAL, "a", now)
+        refused = held.refusal(OTHER, "b", now)
+        assert isinstance(refused, Quarantined)
+        assert 0 < refused.retry_after <= TRY_TIME
+        assert held.refusal(OTHER, "b", now + TRY_TIME) is None
+
+    @pytest.mark.parametrize("ending", ["answered", "crashed"])
+    def test_next_is_tried_as_soon_as_the_first_is_through(self, held, ending):
+        now = 2 * FIRST_PAUSE
+        held.try_again(FATAL, "a", now)
+        if ending == "answered":
+            held.answered(FATAL, now + 0.1)
+        else:
+            crash(held, 3, now + 0.1, FATAL)
+        assert held.refusal(OTHER, "b", now + 0.1) is None
+
+    def test_who_is_to_blame_explains_its_crashes(self, held):
+        crash(held, 3, 1.0, FATAL)
+        assert held.crashes(OTHER, 1.0) == []
+        assert held.refusal(OTHER, "b", 1.0) is None
+        assert held.crashes(FATAL, 1.0) == [1, 2, 3]
+
+    def test_explained_crash_is_not_held_against_others_when_told_late(self, suspects):
+        for target in (1, 2, 3):
+            crash(suspects, target, 0.0, FATAL)
+        assert suspects.strike(2, [OTHER], 1.0) == []
+
+    def test_release_of_who_was_blamed_explains_nothing_more(self, suspects):
+        for target in (1, 2, 3):
+            crash(suspects, target, 0.0, FATAL)
+        suspects.clear(FATAL, [1, 2, 3], 1.0)
+        assert suspects.strike(2, [OTHER], 1.0) == [OTHER]
+
+    def test_who_was_there_each_time_too_is_tried_by_itself(self, held):
+        crash(held, 3, 0.0, FATAL, OTHER)
+        assert held.crashes(OTHER, 0.0) == [1, 2, 3]
+
+
 class TestInnocence:
     def test_answer_clears(self, suspects):
         for target in (1, 2):
