--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -16,8 +16,8 @@
 # Seconds after a freeze in which failures are taken for its consequences.
 THAW_GRACE = 1.0
 # Targets of one role that are compared for one decision. With more, those that hold
-# parts of the prompt and a random sample are: comparing 3,000 engines took 30 ms of a
-# core, 64 of them take 0.8 ms.
+# parts of the prompt and a random sample are, so that a decision's time does not grow
+# with the service.
 MOST_COMPARED = 64
 # Of these, targets that hold parts of the prompt.
 MOST_HOLDERS = 16
--- a/pimentolink/peermessages.py
+++ b/pimentolink/peermessages.py
@@ -95,8 +95,7 @@
     Requests that a gateway has under way, by target.
 
     :ivar is_whole: whether it has none at other targets; else only what has changed
-        is told. Telling all of them with each reading took 27 ms of a link of
-        5 Mbit/s, for which callers' answers waited.
+        is told, so that callers' answers do not wait for it on a slow link.
     :ivar waiting_by_service: engine seconds of the prompts that wait there.
     """
 
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -38,12 +38,10 @@
 TELL_INTERVAL = 0.2
 REPEAT_INTERVAL = 1.0
 # Shortest time, in seconds, between two tellings of requests under way that go along
-# with other messages. Told along with each of 84 messages a second they made up a third
-# of what 29 others were told.
+# with other messages, so that they stay a small part of them.
 TELL_LEAST = 0.05
 # Seconds that bytes are queued on this instance's link from which on messages wait, and
-# the longest time that they do. Over a link of 5 Mbit/s telling 29 others at once took
-# 430 KB/s of 625 in a burst, for which prompts and answers waited.
+# the longest time that they do, so that prompts and answers do not wait for them.
 LINK_BUSY = 0.004
 MOST_WAIT = 0.05
 # Targets of which one message tells the counts, so that it fits into a datagram; names
@@ -186,9 +184,9 @@
         Tell all other gateways.
 
         It goes out at once: gathered until the end of the loop's turn, which may be
-        long under load, it came too late to keep gateways from choosing one engine,
-        and worth under the heaviest load fell from 0.65 to 0.57. While the link has
-        other bytes to carry, it waits for them, so that more messages share a datagram.
+        long under load, it would come too late to keep gateways from choosing one
+        engine. While the link has other bytes to carry, it waits for them, so that more
+        messages share a datagram.
         """
         self._add(message)
         if self._flushing is not None:
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -323,8 +323,8 @@
         """
         Take the connection that was used last.
 
-        One that is too old for this request is kept for others: closing it cost a
-        third of the 379 connections that a quiet half minute opened.
+        One that is too old for this request is kept for others, which saves opening
+        connections in quiet times.
         """
         while self._idle:
             connection = self._idle[-1]
