--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -18,7 +18,8 @@
     SuspectTried,
     crash_messages,
 )
-from pimentolink.suspects import SUSPECT_FROM, Suspects
+from pimentolink.suspects import Suspects
+from pimentolink.suspicion import SUSPECT_FROM
 from pimentolink.targetbelief import Target, TargetBelief
 from pimentolink.timers import Timers
 
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -12,10 +12,9 @@
 
 from pimentolink import directwrite
 from pimentolink.cachelearning import CacheLearning
-from pimentolink.callerhttp import CallerConnection, CallerFactory
+from pimentolink.callerhttp import CallerFactory
 from pimentolink.calls import Caller
 from pimentolink.cells import Cells
-from pimentolink.crashreports import CrashReports
 from pimentolink.dialect import Dialect
 from pimentolink.errors import SettingsInvalid
 from pimentolink.fleet import Fleet
@@ -31,18 +30,18 @@
 from pimentolink.metrics import Metrics
 from pimentolink.orderholder import OrderHolder
 from pimentolink.owndelay import OwnDelay
+from pimentolink.pages import Page
 from pimentolink.peers import PeerProtocol, choose_peers
 from pimentolink.placement import Placer
 from pimentolink.plaincalls import PlainCalls
+from pimentolink.quarantine import Quarantine
 from pimentolink.readingqueue import ReadingQueue
 from pimentolink.readings import Readings
 from pimentolink.registration import Registration
-from pimentolink.retry import Backoff, SharedBudgets
+from pimentolink.retry import SharedBudgets
 from pimentolink.rolebalance import RoleBalancer
 from pimentolink.routes import CallerBounds, RoutingTables
 from pimentolink.settings import split_address
-from pimentolink.suspects import Suspects
-from pimentolink.suspectstore import SuspectStore
 from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.uplink import Uplink
 
@@ -110,20 +109,27 @@
             self.metrics,
             self._uplink,
         )
-        self._suspects = Suspects(self._random)
-        self._crashes = CrashReports(self._suspects, self._peers, timers, self.log)
-        self._suspect_store = self._make_suspect_store(keyspace)
+        self._quarantine = Quarantine(
+            settings,
+            self._life,
+            keyspace,
+            self._peers,
+            timers,
+            self._random,
+            self.log,
+        )
+        self._quarantine.store.is_divided = lambda: self._cells.count > 1
         self._caller = Caller(
             directwrite.DirectEndpointReactor(reactor, self._uplink),
             settings.connections,
             self.fleet,
             dialect,
-            self._crashes,
+            self._quarantine.reports,
             timers,
             self.log,
             self.metrics,
         )
-        self._crashes.is_listening = self._caller.is_listening
+        self._quarantine.reports.is_listening = self._caller.is_listening
         self._caller.most_connections = self._most_connections
         placer = Placer(
             settings.placement,
@@ -178,24 +184,6 @@
         self._peers.open_readings = readings.open_readings
         return readings
 
-    def _make_suspect_store(self, keyspace: Keyspace) -> SuspectStore:
-        store = self._settings.store
-        kept = SuspectStore(
-            f"{self._settings.instance}/{self._life}",
-            keyspace,
-            self._suspects,
-            self._timers,
-            Backoff(store.backoff_first, store.backoff_most, self._random),
-            self._random,
-            self.log,
-        )
-        kept.is_divided = lambda: self._cells.count > 1
-        kept.on_news = self._crashes.take
-        self._crashes.on_struck = kept.struck
-        self._crashes.on_cleared = kept.cleared
-        self._peers.on_suspects = self._crashes.take
-        return kept
-
     def _make_membership(self, documents: Documents) -> Membership:
         settings, timers = self._settings, self._timers
         membership = Membership(
@@ -213,8 +201,8 @@
             membership.on_first_read = learning.ask_all
         membership.on_changed = self._fleet_changed
         membership.on_gone = self._caller.forget
-        membership.on_life_ended = self._crashes.target_ended
-        membership.on_suspects = self._suspect_store.key_changed
+        membership.on_life_ended = self._quarantine.reports.target_ended
+        membership.on_suspects = self._quarantine.store.key_changed
         return membership
 
     def _make_orders(self, keyspace: Keyspace) -> OrderHolder:
@@ -315,7 +303,7 @@
         self._follower.stop()
         self._freezes.stop()
         self._peers.stop()
-        self._suspect_store.stop()
+        self._quarantine.store.stop()
         if self._reloading is not None:
             self._reloading.cancel()
         self.log.write(LogEvent.STOPPED)
@@ -408,7 +396,7 @@
         )
 
     def _factory_of(self, page: Callable[[], tuple[int, bytes]]) -> CallerFactory:
-        handler = _Page(page)
+        handler = Page(page)
         return CallerFactory(
             handler,
             self._bounds,
@@ -423,14 +411,3 @@
 
     def _metrics_page(self) -> tuple[int, bytes]:
         return 200, self.metrics.text()
-
-
-class _Page:
-    """Answers every request with one page."""
-
-    def __init__(self, page: Callable[[], tuple[int, bytes]]) -> None:
-        self._page = page
-
-    async def handle(self, http: HttpRequest, responder: CallerConnection) -> None:
-        status, body = self._page()
-        responder.answer(status, ((b"Content-Type", b"text/plain"),), body)
--- a/pimentolink/porcelain.py
+++ b/pimentolink/porcelain.py
@@ -42,13 +42,13 @@
 from pimentolink.plan import decode_plan, groups_of
 from pimentolink.routes import RoutingTable
 from pimentolink.settings import merge_documents
-from pimentolink.suspects import KEEP
 from pimentolink.suspectstore import (
     SUSPECT_PREFIX,
     StoredSuspects,
     SuspectDocument,
     clearing_key,
 )
+from pimentolink.suspicion import KEEP
 
 CHANGE_TRIES = 5
 
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -8,18 +8,8 @@
 from typing import Any, NamedTuple
 
 from pimentolink.errors import Quarantined
+from pimentolink.suspicion import FIRST_PAUSE, SUSPECT_FROM, Suspicion, pause_after
 
-# Seconds for which a crash is held against the requests that were under way; as long
-# as the store's longest lease.
-KEEP = 600.0
-# Crashes from which on a request waits before it is sent again. One proves nothing: it
-# befalls all that were under way.
-SUSPECT_FROM = 2
-# Seconds that it waits then: targets that crashed are back, so that the next crash does
-# not take the last one.
-FIRST_PAUSE = 4.0
-# Seconds that it waits once its own try has crashed a target; doubled with each more.
-LONG_PAUSE = 60.0
 # Share by which pauses differ between gateways, so that not all try it at one moment.
 PAUSE_SPREAD = 0.5
 # Seconds in which a try shows what comes of it; it takes a reading and a first event.
@@ -38,18 +28,6 @@
 MOST_TARGETS = 1024
 
 
-def pause_after(crashes: int, failed_tries: int) -> float:
-    """
-    Tell how long a request waits after it was under way at crashes of targets.
-
-    :param failed_tries: those at which it was the one that was tried.
-    :returns: seconds.
-    """
-    if failed_tries:
-        return float(LONG_PAUSE * 2 ** (failed_tries - 1))
-    return FIRST_PAUSE if crashes >= SUSPECT_FROM else 0.0
-
-
 class Unstored(NamedTuple):
     """
     A crash, with requests against which others cannot read that it is held.
@@ -69,35 +47,6 @@
     is_tried: bool
 
 
-class _Suspicion:
-    """
-    What is held against one request.
-
-    :ivar struck_at_by_target: when each crash was learned of.
-    :ivar failed_tries: those of these crashes that its own try brought about.
-    :ivar stored: those that others can read of in the store.
-    :ivar held_until: when it may be sent again.
-    """
-
-    def __init__(self) -> None:
-        self.struck_at_by_target: dict[int, float] = {}
-        self.failed_tries: set[int] = set()
-        self.stored: set[int] = set()
-        self.held_until = 0.0
-
-    def forget(self, now: float) -> None:
-        """Hold crashes of long ago against it no more."""
-        begin = now - KEEP
-        old = [key for key, at in self.struck_at_by_target.items() if at < begin]
-        for key in old:
-            self.drop(key)
-
-    def drop(self, target: int) -> None:
-        """Hold a crash against it no more."""
-        del self.struck_at_by_target[target]
-        self.failed_tries.discard(target)
-
-
 class _Try(NamedTuple):
     """
     The sending of a suspect, whose outcome tells whether it is to blame.
@@ -116,12 +65,12 @@
 
     Load pattern: a request that ends each target that begins to run it, and that is
     asked again and again under new ids; with each target, tens of answers to others
-    break off. Which of them is to blame cannot be told from one crash, so crashes of
-    different targets are counted for each request: the one to blame is there each
-    time. The more there were, the longer it waits before it is sent again. Then one
+    break off. Which of them is to blame cannot be told from one crash, but the one to
+    blame is there each time: what was there twice is a suspect and waits. Then one
     suspect is tried at a time: others that were there each time as well, since many ask
-    them, would be struck again by its crashes. An answer clears a suspect; one that is
-    to blame explains its crashes, which are then held against nobody else.
+    them, would be struck again by its crashes. An answer clears a suspect. One whose
+    try crashes its target is to blame and waits longer and longer; it explains its
+    crashes, which are then held against nobody else.
 
     A request is known by its fingerprint, a target's life by its key.
     """
@@ -133,8 +82,8 @@
         :param random: seeded source, which spreads pauses.
         """
         self._random = random
-        self._once_by_fingerprint: OrderedDict[str, _Suspicion] = OrderedDict()
-        self._again_by_fingerprint: OrderedDict[str, _Suspicion] = OrderedDict()
+        self._once_by_fingerprint: OrderedDict[str, Suspicion] = OrderedDict()
+        self._again_by_fingerprint: OrderedDict[str, Suspicion] = OrderedDict()
         self._answered_at: OrderedDict[str, float] = OrderedDict()
         self._cleared: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._broken_by_target: OrderedDict[int, dict[str, _Break]] = OrderedDict()
@@ -210,7 +159,7 @@
         blamed = self._blamed_by_target.get(target, fingerprint)
         if blamed != fingerprint or (fingerprint, target) in self._cleared:
             return False
-        found = self._find(fingerprint, now) or _Suspicion()
+        found = self._find(fingerprint, now) or Suspicion()
         is_blame = is_tried and target not in found.failed_tries
         if target in found.struck_at_by_target and not is_blame:
             return False
@@ -224,7 +173,7 @@
         self._hold(found, now)
         return True
 
-    def _blame(self, fingerprint: str, blamed: _Suspicion) -> None:
+    def _blame(self, fingerprint: str, blamed: Suspicion) -> None:
         """Hold the crashes that a request explains against nobody else."""
         crashes = blamed.struck_at_by_target.keys()
         for kept in (self._once_by_fingerprint, self._again_by_fingerprint):
@@ -235,9 +184,7 @@
             self._blamed_by_target[target] = fingerprint
         _bound(self._blamed_by_target, MOST_TARGETS)
 
-    def _drop(
-        self, fingerprint: str, found: _Suspicion, targets: Iterable[int]
-    ) -> bool:
+    def _drop(self, fingerprint: str, found: Suspicion, targets: Iterable[int]) -> bool:
         """Hold crashes against a request no more; tell whether any was."""
         dropped = found.struck_at_by_target.keys() & set(targets)
         for target in dropped:
@@ -246,14 +193,14 @@
             self._forget(fingerprint)
         return bool(dropped)
 
-    def _find(self, fingerprint: str, now: float) -> _Suspicion | None:
+    def _find(self, fingerprint: str, now: float) -> Suspicion | None:
         found = self._again_by_fingerprint.get(fingerprint)
         found = found or self._once_by_fingerprint.get(fingerprint)
         if found is not None:
             found.forget(now)
         return found
 
-    def _keep(self, fingerprint: str, found: _Suspicion) -> None:
+    def _keep(self, fingerprint: str, found: Suspicion) -> None:
         """Keep suspects apart from the many that one crash befell."""
         self._forget(fingerprint)
         if len(found.struck_at_by_target) < SUSPECT_FROM:
@@ -267,7 +214,7 @@
         self._once_by_fingerprint.pop(fingerprint, None)
         self._again_by_fingerprint.pop(fingerprint, None)
 
-    def _hold(self, found: _Suspicion, now: float) -> None:
+    def _hold(self, found: Suspicion, now: float) -> None:
         crashes, failed = len(found.struck_at_by_target), len(found.failed_tries)
         wait = pause_after(crashes, failed)
         found.held_until = now + wait * self._random.uniform(1.0, 1.0 + PAUSE_SPREAD)
--- a/pimentolink/suspectstore.py
+++ b/pimentolink/suspectstore.py
@@ -21,7 +21,8 @@
     crash_messages,
 )
 from pimentolink.retry import Backoff
-from pimentolink.suspects import KEEP, SUSPECT_FROM, Suspects
+from pimentolink.suspects import Suspects
+from pimentolink.suspicion import KEEP, SUSPECT_FROM
 from pimentolink.timers import Timer, Timers, pause
 
 SUSPECT_PREFIX = "pimentolink/suspects/"
--- a/tests/test_crashreports.py
+++ b/tests/test_crashreports.py
@@ -16,7 +16,8 @@
     SuspectTried,
     TargetCrashed,
 )
-from pimentolink.suspects import FIRST_PAUSE, Suspects
+from pimentolink.suspects import Suspects
+from pimentolink.suspicion import FIRST_PAUSE
 from pimentolink.timers import ManualTimers
 from tests.gatewayparts import fleet, target
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -8,17 +8,14 @@
 
 from pimentolink.errors import Quarantined
 from pimentolink.suspects import (
-    FIRST_PAUSE,
-    KEEP,
-    LONG_PAUSE,
     MOST_STRUCK_ONCE,
     MOST_SUSPECTS,
     PAUSE_SPREAD,
     SUCCESS_KEEP,
     TRY_TIME,
     Suspects,
-    pause_after,
 )
+from pimentolink.suspicion import FIRST_PAUSE, KEEP, LONG_PAUSE, pause_after
 
 FATAL, OTHER = "f" * 32, "0" * 32
 
--- a/tests/test_suspectstore.py
+++ b/tests/test_suspectstore.py
@@ -10,7 +10,7 @@
 from pimentolink.memorykeyspace import MemoryKeyspace
 from pimentolink.peermessages import SuspectCleared, TargetCrashed
 from pimentolink.retry import Backoff
-from pimentolink.suspects import KEEP, LONG_PAUSE, Suspects
+from pimentolink.suspects import Suspects
 from pimentolink.suspectstore import (
     GATHER,
     HEARD_SPREAD,
@@ -18,6 +18,7 @@
     SUSPECT_PREFIX,
     SuspectStore,
 )
+from pimentolink.suspicion import KEEP, LONG_PAUSE
 from pimentolink.timers import ManualTimers
 from tests.jsonvalues import DOCUMENTS
 
