Wait for all addresses of a gateway before a test asks one of them

Cause: tests waited for the callers' address only; a gateway opens its addresses one after the other, and the asker came between the first and the second. Ruled out: a gateway that ends at its start (it answered other tests' requests).

Change: a test process tells all its addresses, and is there once each of them takes connections.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -103,12 +103,22 @@
     """One process of the fleet."""
 
     def __init__(
-        self, name: str, arguments: list[str], address: str, folder: Path
+        self,
+        name: str,
+        arguments: list[str],
+        address: str,
+        folder: Path,
+        further: tuple[str, ...] = (),
     ) -> None:
-        """Start it; its output goes to a file."""
+        """
+        Start it; its output goes to a file.
+
+        :param further: addresses that it opens besides, one after the other.
+        """
         self.name = name
         self.arguments = arguments
         self.address = address
+        self.further = further
         self.log_path = folder / f"{name}.log"
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
@@ -139,12 +149,13 @@
         return self.popen.wait(within)
 
     def listens(self) -> bool:
-        """Tell whether it takes connections."""
+        """Tell whether it takes connections at all of its addresses."""
         if not self.is_running:
             raise RuntimeError(f"{self.name} ended: {self.log_path.read_text()}")
-        host, _, port = self.address.rpartition(":")
-        with socket.create_connection((host, int(port)), timeout=1.0):
-            return True
+        for address in (self.address, *self.further):
+            host, _, port = address.rpartition(":")
+            socket.create_connection((host, int(port)), timeout=1.0).close()
+        return True
 
     @property
     def is_running(self) -> bool:
@@ -265,15 +276,21 @@
         self.metrics_by_gateway[name] = metrics
         path = self.write(name, settings)
         arguments = ["pimentolink.platform.edge", str(path)]
-        return self._launch(name, arguments, listen)
+        return self._launch(name, arguments, listen, (readiness, metrics))
 
     def start_again(self, name: str) -> Process:
         """Start a process that ended, as it was started before."""
         before = self.processes_by_name[name]
-        return self._launch(name, before.arguments, before.address)
-
-    def _launch(self, name: str, arguments: list[str], address: str) -> Process:
-        process = Process(name, arguments, address, self.folder)
+        return self._launch(name, before.arguments, before.address, before.further)
+
+    def _launch(
+        self,
+        name: str,
+        arguments: list[str],
+        address: str,
+        further: tuple[str, ...] = (),
+    ) -> Process:
+        process = Process(name, arguments, address, self.folder, further)
         self.processes_by_name[name] = process
         self._starting.append(process)
         return process
