Bound what is kept of exchanges that were cut off at targets that live on

What would have happened: each caller that leaves, and each garbled answer, leaves an entry at its target until that ends; a target that lives for weeks would have kept them all. Found by reading, before any landing. Clearings that the store did not take had no bound either.

Change: 1,024 for each target and none older than the 15 s in which it can show a crash; 256 clearings, the newest.

--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -26,6 +26,8 @@
 MOST_SUCCESSES = 4096
 MOST_CLEARED = 4096
 MOST_TARGETS = 1024
+# Requests that one target cut off, which are kept until it is known whether it ended.
+MOST_BROKEN = 1024
 
 
 class Unstored(NamedTuple):
@@ -86,7 +88,8 @@
         self._again_by_fingerprint: OrderedDict[str, Suspicion] = OrderedDict()
         self._answered_at: OrderedDict[str, float] = OrderedDict()
         self._cleared: OrderedDict[tuple[str, int], None] = OrderedDict()
-        self._broken_by_target: OrderedDict[int, dict[str, _Break]] = OrderedDict()
+        self._broken_by_target: OrderedDict[int, OrderedDict[str, _Break]]
+        self._broken_by_target = OrderedDict()
         self._ended_at_by_target: OrderedDict[int, float] = OrderedDict()
         self._blamed_by_target: OrderedDict[int, str] = OrderedDict()
         self._try: _Try | None = None
@@ -109,11 +112,19 @@
         ended_at = self._ended_at_by_target.get(target)
         if ended_at is not None and now - ended_at <= BREAK_KEEP:
             return bool(self.strike(target, [fingerprint], now, is_tried))
-        broken = self._broken_by_target.setdefault(target, {})
-        broken[fingerprint] = _Break(now, is_tried)
+        self._keep_break(fingerprint, target, _Break(now, is_tried))
+        return False
+
+    def _keep_break(self, fingerprint: str, target: int, found: _Break) -> None:
+        """Keep a break, and forget those that are too old to show a crash."""
+        broken = self._broken_by_target.setdefault(target, OrderedDict())
+        broken[fingerprint] = found
+        broken.move_to_end(fingerprint)
+        _bound(broken, MOST_BROKEN)
+        while found.at - next(iter(broken.values())).at > BREAK_KEEP:
+            broken.popitem(last=False)
         self._broken_by_target.move_to_end(target)
         _bound(self._broken_by_target, MOST_TARGETS)
-        return False
 
     def ended(self, target: int, now: float) -> list[str]:
         """
@@ -123,7 +134,7 @@
         """
         self._ended_at_by_target[target] = now
         _bound(self._ended_at_by_target, MOST_TARGETS)
-        broken = self._broken_by_target.pop(target, {})
+        broken = self._broken_by_target.pop(target, OrderedDict())
         for name, found in broken.items():
             if now - found.at <= BREAK_KEEP:
                 self._strike(name, target, now, found.is_tried)
--- a/pimentolink/suspectstore.py
+++ b/pimentolink/suspectstore.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
@@ -120,7 +121,9 @@
         self._log = log
         self._revision = 0
         self._written: list[_Told] = []
-        self._unwritten: list[SuspectCleared] = []
+        # What this gateway cleared and has not written; the oldest goes if the store is
+        # away for long.
+        self._unwritten: deque[SuspectCleared] = deque(maxlen=MOST_NEWS)
         self._timer: Timer | None = None
         self._due_at = 0.0
         self._writing: Deferred[None] | None = None
@@ -226,10 +229,10 @@
         self._log.write(LogEvent.SUSPECTS_STORED, news=len(told), revision=revision)
 
     def _mark_written(self, message: TargetCrashed | SuspectCleared) -> None:
-        if isinstance(message, SuspectCleared):
-            self._unwritten.remove(message)
-        else:
+        if isinstance(message, TargetCrashed):
             self._mark_stored(message)
+        elif message in self._unwritten:
+            self._unwritten.remove(message)
 
     def _mark_stored(self, crash: TargetCrashed) -> None:
         for fingerprint in crash.fingerprints:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -8,6 +8,7 @@
 
 from pimentolink.errors import Quarantined
 from pimentolink.suspects import (
+    MOST_BROKEN,
     MOST_STRUCK_ONCE,
     MOST_SUSPECTS,
     PAUSE_SPREAD,
@@ -252,6 +253,15 @@
         (stored,) = [item for item in suspects.unstored(1, 1.0) if item.target == 4]
         assert len(stored.fingerprints) == MOST_STRUCK_ONCE
 
+    def test_what_a_target_that_lives_on_cuts_off_is_forgotten(self, suspects):
+        """Callers that leave cut exchanges off all day, at targets that never end."""
+        for number in range(3 * MOST_BROKEN):
+            suspects.broke(f"{number:032x}", "", 1, 0.001 * number)
+        assert len(suspects.ended(1, 0.001 * number)) <= MOST_BROKEN
+        for number in range(100):
+            suspects.broke(f"{number:032x}", "", 2, 10.0 * number)
+        assert sum(len(item) for item in suspects._broken_by_target.values()) <= 2
+
     def test_suspects_are_bounded(self, suspects):
         for number in range(MOST_SUSPECTS + 10):
             for target in (1, 2):
