Count a sending that is held back as none

What operators would have read: a request that became a suspect between its reading and its writing named a target in 'targets' that it never reached, and had spent one repeat of the budget that all gateways share.

Change: what reached no target, because nothing listened or because it was held back, is one tuple in errors; attempts, budget and readings go by it.

Measured: the new case of tests/test_attempts.py failed before; tests of attempts, budget, fatal requests and gateway passed.

--- a/pimentolink/attempts.py
+++ b/pimentolink/attempts.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from pimentolink.errors import (
+    UNSENT,
     Failure,
     LateAnswer,
-    NotListening,
     OutcomeUnknown,
     TargetFailed,
 )
@@ -65,7 +65,7 @@
 
         :param failure: its ``ran`` tells whether the request may have run.
         """
-        if isinstance(failure, NotListening):
+        if isinstance(failure, UNSENT):
             self.not_sent()
         elif failure.ran:
             self.ran()
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -199,6 +199,10 @@
     code = "draining"
 
 
+# A sending that ends so reached no target: it counts as none, and costs no budget.
+UNSENT = (NotListening, Quarantined)
+
+
 class LateAnswer(Failure):
     """The answer did not come within the request's patience."""
 
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -9,6 +9,7 @@
 from pimentolink.calls import Call, Caller
 from pimentolink.dialect import Dialect, ReadPrompt, Sending, Verdict
 from pimentolink.errors import (
+    UNSENT,
     USUAL_PAUSE,
     ConnectionBroken,
     Failure,
@@ -195,7 +196,7 @@
             reading = self._read_at(work, ticket)
             prepared = await with_timeout(self._timers, patience, reading)
             is_good = True
-        except NotListening:
+        except UNSENT:
             relay.readings -= 1
             self._refund_repeat(work, is_repeat)
             raise
@@ -285,7 +286,7 @@
             call = await self._caller.begin(work.request, belief, sending, is_once)
         except Failure as failure:
             work.attempts.failed(failure)
-            if isinstance(failure, NotListening):
+            if isinstance(failure, UNSENT):
                 self._refund_repeat(work, is_repeat)
             raise
         work.attempts.ran()
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -7,9 +7,9 @@
 from pimentolink.calls import Caller
 from pimentolink.dialect import Dialect, Sending, Verdict
 from pimentolink.errors import (
+    UNSENT,
     Failure,
     NoTarget,
-    NotListening,
     Quarantined,
     ReplyInvalid,
     RetryBudgetSpent,
@@ -122,7 +122,7 @@
                 reply = await self._exchange(work, belief)
         except Failure as failure:
             work.attempts.failed(failure)
-            if is_repeat and isinstance(failure, NotListening):
+            if is_repeat and isinstance(failure, UNSENT):
                 self._budgets.refund(work.service)
             return failure
         work.attempts.ran()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,5 +1,7 @@
 """What may be sent again, and which final answer is true."""
 
+import pytest
+
 from pimentolink.attempts import Attempts
 from pimentolink.errors import (
     CannotBeInTime,
@@ -7,6 +9,7 @@
     LateAnswer,
     NotListening,
     OutcomeUnknown,
+    Quarantined,
     RejectedUnrun,
 )
 from pimentolink.routes import Repeatability
@@ -40,9 +43,10 @@
         rejected = RejectedUnrun()
         assert self.attempts.final(rejected) is rejected
 
-    def test_sending_that_nothing_listened_to_is_none(self):
+    @pytest.mark.parametrize("failure", [NotListening(), Quarantined()])
+    def test_sending_that_reached_no_target_is_none(self, failure):
         self.attempts.sent("a")
-        self.attempts.failed(NotListening())
+        self.attempts.failed(failure)
         assert self.attempts.count == 0
         assert self.attempts.may_repeat()
 
