--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,12 @@
 from tests.soak import Asked, Ran, problems, problems_of_fatal
 
 # Seeds that once failed stay here, each with its cause.
-FAILED_SEEDS: list[int] = []
+FAILED_SEEDS = [
+    # What all callers ask was held for a minute beside the request to blame.
+    901,
+    # A gateway that tries a suspect ends before the outcome shows, and tells nobody.
+    1015,
+]
 
 
 def asked(kind, status=200, name="a", body=None, is_whole=True):
