--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,11 +8,13 @@
 import http.client
 import json
 import random
+import shutil
 import signal
 import socket
 import sys
 import threading
 import time
+from pathlib import Path
 from typing import NamedTuple
 from uuid import uuid4
 
@@ -442,8 +444,12 @@
         return f"version {self.world.version}"
 
 
-def play(seed: int) -> list[str]:
-    """Play one seed; return what was wrong."""
+def play(seed: int, keep: Path | None = None) -> list[str]:
+    """
+    Play one seed; return what was wrong.
+
+    :param keep: folder that takes the logs of a run that failed.
+    """
     with Fleet() as fleet:
         world = SoakWorld(fleet)
         world.start()
@@ -467,6 +473,8 @@
         found += fleet.faults()
         outcomes = sorted({request.status for request in asked})
         print(f"seed {seed}: {len(asked)} requests, {outcomes}, {played}", flush=True)
+        if found and keep is not None:
+            shutil.copytree(fleet.folder, keep / f"{seed}-{uuid4().hex[:6]}")
     return found
 
 
@@ -503,10 +511,11 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--keep", type=Path, help="folder for the logs of failed runs")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        found = play(seed)
+        found = play(seed, options.keep)
         failed += bool(found)
         for line in found[:10]:
             print(f"seed {seed}: PROBLEM {line}", flush=True)
