Tell revisions and leases of the store with its epoch

The store may come back from a copy some seconds old. What was written since is gone, leases too, and its counters go back: the same revisions and leases are given out again for other things. A write under an old revision could then overwrite a newer value, a renewal keep another's lease alive, a watch go on from a revision that means something else, and a fencing number, which is a revision, go down.

Weighed: each user of the store compares epochs by itself (five places, one forgotten is a fault), or revisions and leases bear the epoch in their upper bits, put on and taken off in the adapter.

One suite runs over the store in memory and over HTTP: 5 tests of a restore and one of writes guarded by a second key, each on both.

--- a/pimentolink/memorykeyspace.py
+++ b/pimentolink/memorykeyspace.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred, fail, succeed
 
 from pimentolink.errors import HistoryLost, KeyValueUnavailable, LeaseLost
-from pimentolink.keyspace import Change, Changes, Item, Snapshot, Write
+from pimentolink.keyspace import (
+    Change,
+    Changes,
+    Item,
+    Snapshot,
+    Write,
+    epoch_of,
+    lease_with_epoch,
+    with_epoch,
+    without_epoch,
+)
 from pimentolink.timers import Timer, Timers
 
 
@@ -21,6 +32,13 @@
         self.timer: Timer | None = None
 
 
+class Copy(NamedTuple):
+    """What a copy of the store holds; leases are not part of it."""
+
+    items_by_key: dict[str, Item]
+    revision: int
+
+
 class MemoryKeyspace:
     """Keys with revisions, history and leases."""
 
@@ -39,6 +57,8 @@
         self._seconds_by_lease: dict[int, float] = {}
         self._expiry_by_lease: dict[int, Timer] = {}
         self._next_lease = 1
+        self.epoch = 0
+        self.on_restored: Callable[[], None] = lambda: None
         self.revision = 0
         self.calls = 0
         self.is_down = False
@@ -56,7 +76,7 @@
         """Wait for changes after a revision."""
         if (refused := self._refused()) is not None:
             return refused
-        if after < self._oldest:
+        if after < self._oldest or epoch_of(after) != self.epoch:
             return fail(HistoryLost(f"changes after {after} are no longer kept"))
         pending: Deferred[Changes] = Deferred(lambda _: self._drop(watch))
         watch = _Watch(prefix, after, pending)
@@ -78,6 +98,10 @@
         found = self._items_by_key.get(write.key)
         if (found.revision if found is not None else 0) != write.expected:
             return succeed(None)
+        if write.guard is not None:
+            guard = self._items_by_key.get(write.guard[0])
+            if (guard.revision if guard is not None else 0) != write.guard[1]:
+                return succeed(None)
         if write.lease and write.lease not in self._seconds_by_lease:
             return fail(LeaseLost(f"lease {write.lease} has ended"))
         revision = self.put(write.key, write.value, write.lease)
@@ -138,6 +162,34 @@
             if held_by == lease:
                 self.remove(key)
 
+    def copy(self) -> Copy:
+        """Make a copy that the store can be restored from."""
+        return Copy(dict(self._items_by_key), self.revision)
+
+    def restore(self, copy: Copy) -> None:
+        """
+        Come back from a copy, in a new epoch.
+
+        Revisions and leases go on from those of the copy and are given out again.
+        """
+        for lease in list(self._seconds_by_lease):
+            self._seconds_by_lease.pop(lease)
+            self._expiry_by_lease.pop(lease).cancel()
+        self._leases_by_key.clear()
+        self._cut(KeyValueUnavailable("restored from a copy"))
+        self._history.clear()
+        self.epoch += 1
+        self._next_lease = lease_with_epoch(self.epoch, 1)
+        self._items_by_key = {
+            key: item._replace(revision=self._in_epoch(item.revision))
+            for key, item in copy.items_by_key.items()
+        }
+        self.revision = self._oldest = self._in_epoch(copy.revision)
+        self.on_restored()
+
+    def _in_epoch(self, revision: int) -> int:
+        return with_epoch(self.epoch, without_epoch(revision))
+
     def compact(self) -> None:
         """Forget the history; watches that wait fail with it."""
         self._history.clear()
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -9,12 +9,22 @@
 from twisted.web.server import Request
 
 from pimentolink.errors import HistoryLost, LeaseLost
-from pimentolink.keyspace import Change, Changes, Item, Write
-from pimentolink.memorykeyspace import MemoryKeyspace
+from pimentolink.keyspace import (
+    Change,
+    Changes,
+    Item,
+    Write,
+    lease_with_epoch,
+    lease_without_epoch,
+    with_epoch,
+    without_epoch,
+)
+from pimentolink.memorykeyspace import Copy, MemoryKeyspace
 from pimentolink.timers import ReactorTimers
 from standins.web import Routes, answer, argument, body_of, reactor, serve
 
 ITEMS_PER_PAGE = 50
+FIRST_EPOCH = 3
 OPERATORS_PREFIXES = ("op/", "servers/")
 
 
@@ -24,6 +34,7 @@
     def __init__(self) -> None:
         """Start empty and without faults."""
         self.keys = MemoryKeyspace(ReactorTimers(reactor))
+        self.kept: Copy = self.keys.copy()
         self.faults: dict[str, Any] = {"down": "", "lose_answers": 0, "status": 503}
         self.routes = Routes()
         for method, path, handler in (
@@ -39,6 +50,8 @@
         self.routes.add("PUT", "/faults", self.set_faults)
         self.routes.add("PUT", "/compact", self.compact)
         self.routes.add("PUT", "/operator", self.operate)
+        self.routes.add("PUT", "/copy", self.copy)
+        self.routes.add("PUT", "/restore", self.restore)
 
     def set_faults(self, request: Request) -> None:
         """Switch faults on or off: ``down`` is ``busy``, ``reset`` or ``silent``."""
@@ -54,6 +67,20 @@
         self.keys.compact()
         answer(request, {})
 
+    def copy(self, request: Request) -> None:
+        """Make a copy to be restored from."""
+        self.kept = self.keys.copy()
+        answer(request, {})
+
+    def restore(self, request: Request) -> None:
+        """Come back from the last copy."""
+        self.keys.restore(self.kept)
+        answer(request, {"epoch": self.keys.epoch})
+
+    def _revision(self, revision: int) -> int:
+        """Read a revision of a caller, which counts without epochs."""
+        return with_epoch(self.keys.epoch, revision) if revision else 0
+
     def operate(self, request: Request) -> None:
         """Write or remove a key as the operator or a target does."""
         key = argument(request, "key")
@@ -69,9 +96,11 @@
 
         def found(item: Item | None) -> None:
             if item is None:
-                answer(request, {"currentRev": self.keys.revision}, 404)
+                current = without_epoch(self.keys.revision)
+                answer(request, {"currentRev": current}, 404)
             else:
-                answer(request, _item(item) | {"currentRev": self.keys.revision})
+                current = without_epoch(self.keys.revision)
+                answer(request, _item(item) | {"currentRev": current})
 
         self.keys.read(argument(request, "key")).addCallback(found)
 
@@ -83,7 +112,8 @@
             items = sorted(item for item in snapshot.items if item.key > after)
             page = [_item(item) for item in items[:ITEMS_PER_PAGE]]
             more = len(items) > ITEMS_PER_PAGE
-            told = {"items": page, "morePages": more, "currentRev": snapshot.revision}
+            current = without_epoch(snapshot.revision)
+            told = {"items": page, "morePages": more, "currentRev": current}
             answer(request, told)
 
         self.keys.read_all(prefix).addCallback(found)
@@ -91,12 +121,13 @@
     def watch(self, request: Request) -> None:
         """Wait for changes."""
         wait = int(argument(request, "waitMs", "0")) / 1000
-        after = int(argument(request, "after", "0"))
+        after = with_epoch(self.keys.epoch, int(argument(request, "after", "0")))
         pending = self.keys.changes(argument(request, "prefix"), after, wait)
 
         def found(changes: Changes) -> None:
             events = [_event(change) for change in changes.changes]
-            answer(request, {"events": events, "currentRev": changes.revision})
+            current = without_epoch(changes.revision)
+            answer(request, {"events": events, "currentRev": current})
 
         def failed(failure: Any) -> None:
             is_lost = failure.check(HistoryLost)
@@ -108,20 +139,27 @@
     def write(self, request: Request) -> None:
         """Make a transaction of one write."""
         body = body_of(request)
-        put, expected = body["puts"][0], body["expected"][0]
+        put, expected = body["puts"][0], body["expected"]
         if put["key"].startswith(OPERATORS_PREFIXES):
             answer(request, {"error": "not yours"}, 403)
             return
         value = base64.b64decode(put["value"])
         lease = put.get("lease", 0)
-        write = Write(put["key"], value, expected["revision"], lease)
+        rows = [(row["key"], self._revision(row["revision"])) for row in expected]
+        write = Write(
+            put["key"],
+            value,
+            rows[0][1],
+            lease_with_epoch(self.keys.epoch, lease) if lease else 0,
+            rows[1] if len(rows) > 1 else None,
+        )
         pending: Deferred[int | None] = self.keys.write(write)
 
         def written(revision: int | None) -> None:
             if revision is None:
                 answer(request, {"items": []}, 412)
             else:
-                answer(request, {"revision": revision})
+                answer(request, {"revision": without_epoch(revision)})
 
         def failed(failure: Any) -> None:
             if failure.check(LeaseLost):
@@ -135,12 +173,16 @@
         """Grant a lease."""
         milliseconds = body_of(request)["ttlMs"]
         self.keys.grant(milliseconds / 1000).addCallback(
-            lambda lease: answer(request, {"lease": lease, "ttlMs": milliseconds})
+            lambda lease: answer(
+                request, {"lease": lease_without_epoch(lease), "ttlMs": milliseconds}
+            )
         )
 
     def renew(self, request: Request) -> None:
         """Renew a lease."""
-        lease = int(request.path.decode().rpartition("/")[2])
+        lease = lease_with_epoch(
+            self.keys.epoch, int(request.path.decode().rpartition("/")[2])
+        )
         self.keys.renew(lease).addCallbacks(
             lambda _: answer(request, {"ttlMs": 0}),
             lambda _: answer(request, {"error": "lease"}, 404),
@@ -148,11 +190,14 @@
 
     def end(self, request: Request) -> None:
         """End a lease."""
-        lease = int(request.path.decode().rpartition("/")[2])
+        lease = lease_with_epoch(
+            self.keys.epoch, int(request.path.decode().rpartition("/")[2])
+        )
         self.keys.end(lease).addCallback(lambda _: answer(request, {}))
 
     def _unless_down(self, handler: Any) -> Any:
         def guarded(request: Request) -> None:
+            request.setHeader("Store-Era", str(self.keys.epoch + FIRST_EPOCH))
             down = self.faults["down"]
             if not down:
                 handler(request)
@@ -166,12 +211,14 @@
 
 def _item(item: Item) -> dict[str, Any]:
     value = base64.b64encode(item.value).decode()
-    return {"key": item.key, "value": value, "revision": item.revision}
+    revision = without_epoch(item.revision)
+    return {"key": item.key, "value": value, "revision": revision}
 
 
 def _event(change: Change) -> dict[str, Any]:
     if change.value is None:
-        return {"key": change.key, "revision": change.revision, "deleted": True}
+        revision = without_epoch(change.revision)
+        return {"key": change.key, "revision": revision, "deleted": True}
     return _item(Item(change.key, change.value, change.revision))
 
 
--- a/tests/test_keyspace.py
+++ b/tests/test_keyspace.py
@@ -64,6 +64,12 @@
     def compact(self):
         reactor.callFromThread(self._keyspace.compact)
 
+    def copy(self):
+        self._copy = self._keyspace.copy()
+
+    def restore(self):
+        reactor.callFromThread(self._keyspace.restore, self._copy)
+
 
 class HttpFaults:
     def __init__(self, service):
@@ -78,6 +84,12 @@
     def compact(self):
         call(self._service.url("store", "/compact"), "PUT")
 
+    def copy(self):
+        call(self._service.url("store", "/copy"), "PUT")
+
+    def restore(self):
+        call(self._service.url("store", "/restore"), "PUT")
+
 
 @pytest.fixture(params=["memory", "platform"])
 def store(request, loop):
@@ -158,6 +170,69 @@
             store.write(Write(key, b"one", 0, lease))
 
 
+class TestGuards:
+    def test_write_is_made_only_while_the_other_key_is_as_told(self, store, key):
+        guard = store.write(Write(f"{key}/guard", b"g", 0))
+        told = Write(key, b"one", 0, guard=(f"{key}/guard", guard))
+        first = store.write(told)
+        assert first > guard
+        store.write(Write(f"{key}/guard", b"h", guard))
+        assert store.write(told._replace(value=b"two", expected=first)) is None
+        assert store.read(key).value == b"one"
+
+
+class TestRestore:
+    """
+    The store comes back from an older copy of itself. What was written since is gone,
+    and its counters go back, so that the same revisions and leases are given out
+    again for other things.
+    """
+
+    def test_revisions_rise_all_the_same(self, store, key):
+        store.write(Write(key, b"one", 0))
+        store.fault.copy()
+        before = store.write(Write(f"{key}/lost", b"lost", 0))
+        store.fault.restore()
+        assert store.read(f"{key}/lost") is None
+        assert store.read(key).value == b"one"
+        assert store.write(Write(f"{key}/new", b"new", 0)) > before
+
+    def test_write_on_a_revision_from_before_is_not_made(self, store, key):
+        store.fault.copy()
+        before = store.write(Write(key, b"one", 0))
+        store.fault.restore()
+        store.read(key)
+        assert store.write(Write(key, b"two", 0)) is not None
+        assert store.write(Write(key, b"three", before)) is None
+
+    def test_guard_of_a_revision_from_before_does_not_hold(self, store, key):
+        guard = store.write(Write(f"{key}/guard", b"g", 0))
+        store.fault.copy()
+        store.fault.restore()
+        store.read(key)
+        assert store.write(Write(key, b"x", 0, guard=(f"{key}/guard", guard))) is None
+
+    def test_lease_from_before_has_ended(self, store, key):
+        lease = store.grant(60.0)
+        store.fault.copy()
+        store.fault.restore()
+        store.read(key)
+        with pytest.raises(LeaseLost):
+            store.renew(lease)
+        with pytest.raises(LeaseLost):
+            store.write(Write(key, b"one", 0, lease))
+        store.end(lease)
+
+    def test_changes_after_a_revision_from_before_are_lost(self, store, key):
+        store.fault.copy()
+        after = store.write(Write(key, b"one", 0))
+        store.fault.restore()
+        with pytest.raises((HistoryLost, KeyValueUnavailable)):
+            store.changes(key, after, 0.1)
+        with pytest.raises(HistoryLost):
+            store.changes(key, after, 0.1)
+
+
 class TestFaults:
     def test_write_whose_answer_is_lost_may_have_been_made(self, store, key):
         store.fault.lose_answer()
