Count requests by organisation and window, and report each window once

Counts: each gateway counts a request once, as it begins to run, in the window of the time on which gateways agree (the median of their wall clocks, each kept as its distance from a clock that does not jump). Totals only grow, so they are told again and out of order without harm: to the leader and two others, changes each 0.2 s, all of it each 0.6 s. Weighed: telling everybody (20 datagrams in place of 3 each time), writing to the store (a write a gateway and window, and a kill loses up to a window).

Reports: the leader commits a window's counts in the store, under the condition that it still leads (one write is both), then sends them; what has no answer is sent again as it was committed, also by the next leader. After a restore, windows that ended before are only reported if the report is known here, since a lost commitment may have been sent. A leader whose API is silent for 3 s while others may reach it stands back.

Tests play four gateways in virtual time: lost datagrams, jumped clocks, leaders killed, cut from the API, commitments without an answer, outages, restores from copies of 0.5 to 11 s.

--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -139,6 +139,12 @@
     code = "no_configuration"
 
 
+class ConfigurationOutdated(NotRun):
+    """The configuration here may be older than the newest; keys cannot be trusted."""
+
+    code = "configuration_outdated"
+
+
 class ClaimUnavailable(NotRun):
     """The key-value service does not take claims, so the call was not made."""
 
@@ -327,8 +333,15 @@
     ran = True
 
 
+class ReportRefused(Failure):
+    """A usage report was not taken; it may be sent again."""
+
+    code = "report_refused"
+    status = 503
+
+
 class Unauthenticated(Failure):
-    """A peer could not prove that it belongs to the system."""
+    """A caller or peer did not prove who it is."""
 
     code = "unauthenticated"
     status = 401
--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -171,6 +171,22 @@
     most_changing: Ratio = 0.25
 
 
+class UsageSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """
+    Reports of how many requests of each organisation began to run.
+
+    :ivar address: of the API that takes them.
+    :ivar window: seconds that are reported together, counted from 1970.
+    :ivar late: seconds after a window's end until which a report of it counts.
+    :ivar timeout: seconds until a report counts as unanswered.
+    """
+
+    address: Address
+    window: Seconds
+    late: Seconds
+    timeout: Seconds = 1.0
+
+
 class GatewaySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """
     Settings of a gateway.
@@ -188,6 +204,9 @@
     :ivar order_lease_ms: milliseconds within which two processes may not both give
         orders.
     :ivar stop_within: seconds that a graceful stop may take.
+    :ivar revoke_within_ms: milliseconds after which no revoked API key may be used,
+        whether the store is reached or not; ``None`` for no such bound.
+    :ivar usage: reports of usage; ``None`` if nobody takes any.
     """
 
     instance: str
@@ -207,3 +226,5 @@
     is_first_start: bool = False
     order_lease_ms: Count = 3000
     stop_within: Seconds = 8.0
+    revoke_within_ms: Count | None = None
+    usage: UsageSettings | None = None
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -60,6 +60,16 @@
         logging.ERROR,
         "An entry on the list names no target to use; told once for each content.",
     )
+    KEYS_TRUSTED = (
+        "E1104",
+        logging.INFO,
+        "The configuration is known to be current; requests with API keys are served.",
+    )
+    KEYS_DISTRUSTED = (
+        "E1105",
+        logging.WARNING,
+        "The configuration may be outdated; requests with API keys are refused.",
+    )
     KEY_VALUE_LOST = (
         "E1201",
         logging.WARNING,
@@ -71,6 +81,11 @@
         logging.WARNING,
         "The store no longer keeps the changes since a revision; all is read again.",
     )
+    STORE_RESTORED = (
+        "E1218",
+        logging.WARNING,
+        "The store came back from an older copy; all is read and written again.",
+    )
     TARGET_LISTED = (
         "E1205",
         logging.INFO,
@@ -237,8 +252,8 @@
         "Another sidecar took over a partition of claims; this one stopped using it.",
     )
     PLAN_WRITTEN = ("E1600", logging.INFO, "This entry wrote a new plan for a group.")
-    ORDERS_TAKEN = ("E1604", logging.INFO, "This gateway may now give orders.")
-    ORDERS_LOST = ("E1605", logging.WARNING, "This gateway may no longer give orders.")
+    ORDERS_TAKEN = ("E1604", logging.INFO, "This gateway leads; it may act.")
+    ORDERS_LOST = ("E1605", logging.WARNING, "This gateway leads no more.")
     ORDER_STARTED = ("E1601", logging.INFO, "An order to the engine began.")
     ORDER_DONE = ("E1602", logging.INFO, "An order to the engine took effect.")
     ORDER_FAILED = (
@@ -246,6 +261,22 @@
         logging.ERROR,
         "An order failed; it is tried again as the plan stands then.",
     )
+    USAGE_COMMITTED = (
+        "E1801",
+        logging.INFO,
+        "The usage of a window was committed; no other counts are sent for it.",
+    )
+    USAGE_REPORTED = ("E1802", logging.INFO, "A report of usage was taken.")
+    USAGE_UNREPORTED = (
+        "E1803",
+        logging.WARNING,
+        "A report of usage had no answer or was refused; it is sent again.",
+    )
+    USAGE_MISSED = (
+        "E1804",
+        logging.ERROR,
+        "The usage of a window was not reported in time.",
+    )
     UNHANDLED_ERROR = (
         "E1901",
         logging.ERROR,
--- a/pimentolink/peermessages.py
+++ b/pimentolink/peermessages.py
@@ -159,9 +159,35 @@
     targets: Annotated[list[_Natural], msgspec.Meta(max_length=MOST_CRASHES)]
 
 
+class ClockTold(msgspec.Struct, tag="w", array_like=True):
+    """
+    What the sender's wall clock shows.
+
+    :ivar wall_ms: milliseconds since 1970.
+    """
+
+    wall_ms: _Natural
+
+
+class UsageTold(msgspec.Struct, tag="u", array_like=True):
+    """
+    How many requests began to run in a window, of some organisations.
+
+    :ivar life: of the process that counted them, which may be another's than the
+        sender's.
+    :ivar window: its number.
+    :ivar counts: totals so far, by organisation.
+    """
+
+    life: str
+    window: _Natural
+    counts: dict[str, _Natural]
+
+
 LoadNews = ReadingBegan | ReadingEnded | OpenReadings | InFlight | RoleChanging
 SuspectNews = TargetCrashed | SuspectTried | SuspectCleared
-Message = LoadNews | SuspectNews
+UsageNews = ClockTold | UsageTold
+Message = LoadNews | SuspectNews | UsageNews
 
 
 class Datagram(msgspec.Struct, array_like=True):
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -21,6 +21,7 @@
     Message,
     OpenReadings,
     SuspectNews,
+    UsageNews,
 )
 from pimentolink.registration import GatewayEntry
 from pimentolink.settings import split_address
@@ -149,6 +150,7 @@
         self._log = log
         self._metrics = metrics
         self._uplink = uplink
+        self._life = life
         self._outbox = PeerOutbox(life)
         self._repeater: Repeater | None = None
         self._flushing: Timer | None = None
@@ -162,6 +164,8 @@
         self.open_readings: Callable[[], OpenReadings] = lambda: OpenReadings(0, [])
         self._addresses: list[tuple[str, int]] = []
         self.waiting_work: Callable[[], dict[str, float]] = dict
+        self.on_usage: Callable[[str, UsageNews], None] = lambda life, news: None
+        self.address_of: Callable[[str], str | None] = lambda gateway: None
         self.on_suspects: Callable[[SuspectNews, str], None] = lambda news, source: None
 
     def tell_to(self, addresses: Iterable[str]) -> None:
@@ -198,6 +202,21 @@
             wait = min(MOST_WAIT, queued)
             self._flushing = self._timers.call_later(wait, self._flush)
 
+    def tell_some(self, gateways: Iterable[str], messages: list[Message]) -> None:
+        """
+        Tell some gateways, of any cell.
+
+        :param gateways: their names; those that are not listed are left out.
+        """
+        addresses = [self.address_of(name) for name in gateways]
+        listed = [split_address(address) for address in addresses if address]
+        outbox = PeerOutbox(self._life)
+        for message in messages:
+            if not outbox.add(message):
+                self._metrics.count("peer_messages", "too_large")
+        for datagram in outbox.take():
+            self._send(datagram, listed)
+
     def _turn(self) -> None:
         now = self._timers.now()
         self._book.expire(now)
@@ -239,7 +258,7 @@
         if now - self._told_at >= TELL_LEAST:
             self._add_in_flight(now)
         for datagram in self._outbox.take():
-            self._send(datagram)
+            self._send(datagram, self._addresses)
 
     def _add_open(self) -> None:
         found = self.open_readings()
@@ -283,13 +302,13 @@
         if not self._outbox.add(message):
             self._metrics.count("peer_messages", "too_large")
 
-    def _send(self, datagram: bytes) -> None:
+    def _send(self, datagram: bytes, addresses: list[tuple[str, int]]) -> None:
         transport: Any = self.transport
         if transport is None:
             self._metrics.count("peer_messages", "not_sent")
             return
-        self._uplink.sent(len(self._addresses) * (len(datagram) + UDP_HEAD))
-        for address in self._addresses:
+        self._uplink.sent(len(addresses) * (len(datagram) + UDP_HEAD))
+        for address in addresses:
             try:
                 transport.write(datagram, address)
             except OSError:
@@ -307,6 +326,8 @@
         for message in found.messages:
             if isinstance(message, SuspectNews):
                 self.on_suspects(message, "peer")
+            elif isinstance(message, UsageNews):
+                self.on_usage(found.life, message)
             else:
                 self._book.take(found.life, message, self._timers.now())
         self._on_news()
--- /dev/null
+++ b/tests/test_usagereporter.py
@@ -0,0 +1,430 @@
+"""Each window's usage is reported once, whatever happens to leader, store and API."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from pimentolink.errors import KeyValueUnavailable, NotConnected, ReportRefused
+from pimentolink.gatewaysettings import UsageSettings
+from pimentolink.keyspace import Change
+from pimentolink.leadership import LEADER_KEY, Leadership
+from pimentolink.logs import Log
+from pimentolink.memorykeyspace import MemoryKeyspace
+from pimentolink.metering import Metering
+from pimentolink.timers import ManualTimers
+from pimentolink.usagereporter import USAGE_KEY
+from tests.gatewayparts import gateway_settings
+
+WINDOW = 5.0
+LATE = 10.0
+DELAY = 0.002
+
+
+class Api:
+    """Takes reports as they come, and keeps what it saw."""
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.taken = []
+        self.is_down = False
+        self.loses_answers = False
+        self.refuses = False
+        self.unreachable_from = set()
+
+    async def report(self, report, leader, fence):
+        if self.is_down or leader in self.unreachable_from:
+            raise NotConnected("no answer")
+        if self.refuses:
+            raise ReportRefused("status 429")
+        self.taken.append((self.timers.wall_time(), leader, fence, report))
+        if self.loses_answers:
+            await Deferred()
+
+
+class Bus:
+    """Carries messages between gateways, late and with losses."""
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.random = Random(1)
+        self.loss = 0.0
+        self.hearers = {}
+
+    def send(self, sender, name, message):
+        if self.random.random() >= self.loss:
+            self.timers.call_later(DELAY, lambda: self._arrive(sender, name, message))
+
+    def _arrive(self, sender, name, message):
+        if name in self.hearers:
+            self.hearers[name].on_usage(sender, message)
+
+
+class Peers:
+    def __init__(self, bus, name, life):
+        self.bus, self.name, self.life = bus, name, life
+        self.on_usage = lambda life, message: None
+        bus.hearers[name] = self
+
+    def tell(self, message):
+        self.tell_some(list(self.bus.hearers), [message])
+
+    def tell_some(self, names, messages):
+        for name in names:
+            if name != self.name:
+                for message in messages:
+                    self.bus.send(self.life, name, message)
+
+
+class Wall:
+    """The timers of one gateway, whose wall clock may be off."""
+
+    def __init__(self, timers):
+        self._timers = timers
+        self.jump = 0.0
+
+    def __getattr__(self, name):
+        return getattr(self._timers, name)
+
+    def wall_time(self):
+        return self._timers.wall_time() + self.jump
+
+
+class Gateway:
+    """What counts and reports in one gateway."""
+
+    def __init__(self, world, name, life):
+        self.world, self.name = world, name
+        self.clock = Wall(world.timers)
+        settings = gateway_settings(instance=name)
+        self.leadership = Leadership(
+            settings, life, world.store, self.clock, Random(life), Log()
+        )
+        self.metering = Metering(
+            UsageSettings(address="127.0.0.1:1", window=WINDOW, late=LATE),
+            life,
+            self.leadership,
+            world.store,
+            world.api,
+            Peers(world.bus, name, life),
+            self.clock,
+            Log(),
+        )
+        self.metering.teller.gateways = lambda: world.gateways_by_name
+        self.is_alive = True
+        for key in (LEADER_KEY, USAGE_KEY):
+            found = world.store._items_by_key.get(key)
+            value = found.value if found else None
+            self._changed(Change(key, value, found.revision if found else 0))
+        self.leadership.start()
+        self.metering.start()
+        self._follow()
+
+    def _changed(self, change):
+        if change.key == LEADER_KEY:
+            self.leadership.key_changed(change)
+        elif change.key == USAGE_KEY:
+            self.metering.key_changed(change)
+
+    def _follow(self):
+        """Follow the store, and read all of it after anything was missed."""
+        store = self.world.store
+
+        def told(found):
+            if not self.is_alive:
+                return
+            for change in found.changes:
+                self._changed(change)
+            self._follow()
+
+        def failed(_):
+            if self.is_alive:
+                self.world.timers.call_later(0.1, self._read_again)
+
+        store.changes("pimentolink/", store.revision, 3600.0).addCallbacks(told, failed)
+
+    def _read_again(self):
+        if self.world.store.is_down:
+            self.world.timers.call_later(0.1, self._read_again)
+            return
+        for key in (LEADER_KEY, USAGE_KEY):
+            found = self.world.store._items_by_key.get(key)
+            revision = found.revision if found else self.world.store.revision
+            self._changed(Change(key, found.value if found else None, revision))
+        self._follow()
+
+    def kill(self):
+        """End without a word."""
+        self.is_alive = False
+        self.leadership._running.cancel()
+        self.metering.reporter.stop()
+        for repeater in self.metering.teller._repeaters:
+            repeater.cancel()
+        self.world.bus.hearers.pop(self.name, None)
+        self.world.gateways_by_name.pop(self.name, None)
+
+    @property
+    def leads(self):
+        return bool(self.leadership.lease)
+
+
+class World:
+    """Gateways that begin requests of many organisations, and what was really begun."""
+
+    def __init__(self, gateways=4):
+        self.timers = ManualTimers()
+        self.random = Random(3)
+        self.store = MemoryKeyspace(self.timers)
+        self.api = Api(self.timers)
+        self.bus = Bus(self.timers)
+        self.gateways_by_name = {}
+        self.begun = {}
+        self.lives = 0
+        for number in range(gateways):
+            self.start(f"g{number}")
+
+    def start(self, name):
+        self.lives += 1
+        gateway = Gateway(self, name, f"life-{self.lives}")
+        self.gateways_by_name[name] = gateway
+        return gateway
+
+    def run(self, seconds, rate=40):
+        """Let requests begin for a while, most organisations with a few of them."""
+        for _ in range(int(seconds * rate)):
+            self.timers.advance(1 / rate)
+            gateway = self.random.choice(list(self.gateways_by_name.values()))
+            number = int(72 * self.random.random() ** 3)
+            name = f"organisation-{number}"
+            window = int(self.timers.wall_time() // WINDOW)
+            self.begun.setdefault(window, Counter())[name] += 1
+            gateway.metering.begun(name, self.timers.now())
+
+    def leader(self):
+        found = [item for item in self.gateways_by_name.values() if item.leads]
+        return found[0] if found else None
+
+    def reports(self):
+        """Check what must hold of all reports; return the counts by window."""
+        counts_by_window = {}
+        fences = [fence for _, _, fence, _ in self.api.taken]
+        assert fences == sorted(fences)
+        leader_by_fence = {}
+        for _, leader, fence, report in self.api.taken:
+            assert leader_by_fence.setdefault(fence, leader) == leader
+            known = counts_by_window.setdefault(report.window, report.counts)
+            assert known == report.counts
+        return counts_by_window
+
+    def wrong(self):
+        """List the whole windows that were not reported in time, or not right."""
+        counts_by_window = self.reports()
+        in_time = {
+            report.window
+            for at, _, _, report in self.api.taken
+            if at <= (report.window + 1) * WINDOW + LATE
+        }
+        now = self.timers.wall_time()
+        due = [item for item in self.begun if (item + 1) * WINDOW + LATE < now]
+        return [
+            window
+            for window in sorted(due)
+            if window not in in_time or counts_by_window[window] != self.begun[window]
+        ]
+
+
+@pytest.fixture
+def world():
+    found = World()
+    # Off the windows' bounds, where a rounding error would decide.
+    found.timers.advance(8.013)
+    return found
+
+
+class TestCalm:
+    def test_every_window_is_reported_once_and_right(self, world):
+        world.run(120.0)
+        assert world.wrong() == []
+        windows = [report.window for _, _, _, report in world.api.taken]
+        assert windows == sorted(set(windows))
+
+    def test_a_report_costs_one_write(self, world):
+        world.run(60.0)
+        before = world.store.revision
+        world.run(60.0)
+        assert world.store.revision - before == 60 / WINDOW
+
+    def test_lost_datagrams_cost_nothing(self, world):
+        world.bus.loss = 0.2
+        world.run(120.0)
+        assert world.wrong() == []
+
+    def test_clocks_that_jump_on_some_instances_cost_nothing(self, world):
+        gateways = list(world.gateways_by_name.values())
+        world.run(20.0)
+        gateways[0].clock.jump = 3.0
+        world.run(20.0)
+        gateways[0].clock.jump = -2.0
+        world.run(40.0)
+        assert world.wrong() == []
+
+    def test_leader_whose_clock_jumps_reports_as_before(self, world):
+        world.run(20.0)
+        world.leader().clock.jump = -4.0
+        world.run(40.0)
+        assert world.wrong() == []
+
+
+class TestLeader:
+    def test_killed_leader_costs_no_window_of_the_others(self, world):
+        for _ in range(4):
+            world.run(23.0)
+            name = world.leader().name
+            world.timers.advance(0.3)
+            world.leader().kill()
+            world.run(12.0)
+            world.start(name)
+        world.run(20.0)
+        assert world.wrong() == []
+
+    def test_killed_gateway_takes_at_most_a_fraction_of_a_second_with_it(self, world):
+        world.run(21.0)
+        victim = next(
+            item for item in world.gateways_by_name.values() if not item.leads
+        )
+        victim.kill()
+        world.run(20.0)
+        reported = world.reports()
+        for window in world.wrong():
+            lost = world.begun[window] - Counter(reported[window])
+            assert sum(lost.values()) <= 0.3 * 40 / 4
+
+    def test_leader_and_a_gateway_killed_at_once(self, world):
+        world.run(21.0)
+        others = [item for item in world.gateways_by_name.values() if not item.leads]
+        world.timers.advance(0.3)
+        world.leader().kill()
+        others[0].kill()
+        world.run(40.0)
+        assert world.wrong() == []
+
+    def test_leader_that_is_cut_off_from_the_api_hands_over(self, world):
+        world.run(21.0)
+        leader = world.leader()
+        world.api.unreachable_from = {leader.name}
+        world.run(40.0)
+        assert world.leader() is not leader
+        assert len(world.wrong()) <= 1
+
+    def test_leader_that_wakes_late_sends_nothing_old(self, world):
+        world.run(22.0)
+        leader = world.leader()
+        lease = leader.leadership.lease
+        world.store.lapse(lease)
+        world.run(40.0)
+        world.reports()
+        assert world.wrong() == []
+
+
+class TestApi:
+    def test_report_without_an_answer_is_sent_again_as_it_was(self, world):
+        world.run(12.0)
+        world.api.loses_answers = True
+        world.run(7.0)
+        world.api.loses_answers = False
+        world.run(30.0)
+        assert world.wrong() == []
+
+    def test_successor_sends_what_its_predecessor_committed(self, world):
+        world.run(12.0)
+        world.api.loses_answers = True
+        world.run(5.0)
+        world.leader().kill()
+        world.api.loses_answers = False
+        world.run(30.0)
+        world.reports()
+
+    def test_what_was_missed_follows_in_order(self, world):
+        world.run(11.0)
+        world.api.is_down = True
+        world.run(8.0)
+        world.api.is_down = False
+        world.run(30.0)
+        windows = [report.window for _, _, _, report in world.api.taken]
+        assert windows == sorted(windows)
+        assert len(world.wrong()) <= 1
+
+    def test_calls_are_few_while_the_api_refuses(self, world):
+        calls = []
+        report = world.api.report
+        world.api.report = lambda *told: calls.append(told) or report(*told)
+        world.api.refuses = True
+        world.run(60.0)
+        assert len(calls) <= 60 / 0.8
+
+
+class TestStore:
+    def test_commitment_whose_answer_was_lost_is_found_again(self, world):
+        world.run(11.0)
+        for _ in range(5):
+            world.store.answers_to_lose = 1
+            world.run(WINDOW)
+        world.run(20.0)
+        assert world.wrong() == []
+
+    def test_outage_delays_reports_only(self, world):
+        world.run(11.0)
+        world.store.set_down(True)
+        world.run(4.0)
+        world.store.set_down(False)
+        world.run(30.0)
+        assert len(world.wrong()) <= 1
+
+    @pytest.mark.parametrize("age", [0.5, 2.0, 6.0, 11.0])
+    def test_no_window_is_reported_twice_after_a_restore(self, world, age):
+        world.run(31.0 - age)
+        copy = world.store.copy()
+        world.run(age)
+        world.store.set_down(True)
+        world.run(1.0)
+        world.store.set_down(False)
+        world.store.restore(copy)
+        world.run(40.0)
+        world.reports()
+        assert len(world.wrong()) <= 2
+
+    def test_leader_killed_with_the_restore(self, world):
+        for age in (1.0, 3.0, 5.0):
+            world.run(31.0 - age)
+            copy = world.store.copy()
+            world.run(age)
+            name = world.leader().name
+            world.leader().kill()
+            world.store.restore(copy)
+            world.run(30.0)
+            world.start(name)
+        world.reports()
+
+
+class TestGatewayThatStarts:
+    def test_it_reports_no_window_that_ended_before(self, world):
+        world.run(31.0)
+        copy = world.store.copy()
+        world.run(4.0)
+        for gateway in list(world.gateways_by_name.values()):
+            gateway.kill()
+        world.store.restore(copy)
+        world.timers.advance(1.0)
+        for number in range(4):
+            world.start(f"g{number}")
+        world.run(30.0)
+        world.reports()
+
+
+def test_store_that_is_away_raises_nothing(world):
+    world.store.set_down(True)
+    world.run(30.0)
+    failed = []
+    world.store.read("x").addErrback(lambda failure: failed.append(failure.type))
+    assert failed == [KeyValueUnavailable]
--- a/tools/docs.py
+++ b/tools/docs.py
@@ -36,6 +36,7 @@
     settings.ClaimSettings,
     settings.OrderSettings,
     gatewaysettings.GatewaySettings,
+    gatewaysettings.UsageSettings,
     gatewaysettings.StoreSettings,
     gatewaysettings.ConnectionSettings,
     gatewaysettings.CallerSettings,
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -26,6 +26,7 @@
     ReadingBegan,
     ReadingEnded,
     SuspectNews,
+    UsageNews,
 )
 from pimentolink.placement import Placement, Placer, SizeScale, WaitingPrompt
 from pimentolink.readingqueue import ReadingQueue
@@ -415,6 +416,8 @@
         if isinstance(message, SuspectNews):
             self.crashes.take(message, "peer")
             return
+        if isinstance(message, UsageNews):
+            return
         self._book.take(sender, message, self._replay.timers.now())
         if isinstance(message, ReadingBegan | ReadingEnded):
             self.readings.look()
