Ask for API keys, bound the use of revoked ones, and wire the reports

One place decides before anything else is done: route unknown 404, no key asked for passes, configuration not known to be current 503, key unknown 401. The key is dropped there; later parts see the organisation's name only. Its priority goes before the route's; fingerprints of requests count it as the caller.

Revocation: the age of the configuration counts from the sending of the last question whose answer shows that it is the newest, on the clock that runs in a suspension. A silent watch proves nothing, so the configuration's key is read 2.5 times a bound; past the bound keys are refused as not run, unknown ones as well, and the gateway is not ready. In a new epoch nothing is proven for the two seconds that operators take to write again.

Orders and reports share one leader. After a restore no leaving or end of a target, no version and no suspect is forgotten, and gateways that only the copy lists are.

No key is asked for on the other deployments, whose configuration has none.

--- a/pimentolink/deploymentstatus.py
+++ b/pimentolink/deploymentstatus.py
@@ -8,8 +8,8 @@
 
 from pimentolink.jsondocument import read_json
 from pimentolink.keyspace import Item, Snapshot
+from pimentolink.leadership import LEADER_KEY, Leader
 from pimentolink.membership import Documents
-from pimentolink.orderholder import HOLDER_KEY, Holder
 from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
 from pimentolink.suspectstore import SUSPECT_PREFIX, StoredSuspects, SuspectDocument
 from pimentolink.targetbelief import Target
@@ -107,7 +107,7 @@
             self._take_configuration(item)
         elif item.key.startswith(self._documents.target_prefix):
             self._take_target(item)
-        elif item.key.startswith(GATEWAY_PREFIX) or item.key == HOLDER_KEY:
+        elif item.key.startswith(GATEWAY_PREFIX) or item.key == LEADER_KEY:
             self._take_own(item)
         elif item.key.startswith(SUSPECT_PREFIX):
             document = self._readable(item, SuspectDocument)
@@ -130,8 +130,8 @@
         self._targets.append(found.ok_value)
 
     def _take_own(self, item: Item) -> None:
-        if item.key == HOLDER_KEY:
-            holder = self._readable(item, Holder)
+        if item.key == LEADER_KEY:
+            holder = self._readable(item, Leader)
             self._order_holder = holder.instance if holder is not None else ""
             return
         entry = self._readable(item, GatewayEntry)
--- a/pimentolink/dialect.py
+++ b/pimentolink/dialect.py
@@ -40,6 +40,7 @@
     :ivar prompt_tokens: of the whole prompt.
     :ivar output_tokens: most that the caller takes.
     :ivar last_event: id of the last event that the caller has, if it resumes.
+    :ivar organisation: that holds the caller's API key; empty if none is asked for.
     :ivar fingerprint: names what is asked; see :func:`fingerprint_of`.
     """
 
@@ -53,17 +54,20 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event: bytes | None = None
+    organisation: str = ""
     fingerprint: str = ""
 
 
-def fingerprint_of(request: HttpRequest, host: str) -> str:
+def fingerprint_of(request: HttpRequest, host: str, organisation: str = "") -> str:
     """
     Name what is asked: the same whenever the same thing is asked again.
 
     :param host: that the caller named, without a port.
+    :param organisation: that asks.
     """
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (request.method, host.encode(), request.path):
+    asked = (request.method, host.encode(), request.path, organisation.encode())
+    for part in asked:
         # None of them holds a zero byte, so that they do not run into each other.
         digest.update(part + b"\0")
     digest.update(request.body)
--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -9,17 +9,21 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import CancelledError
 
+from pimentolink.apikeys import Organisation, without_key
 from pimentolink.attempts import Attempts
-from pimentolink.dialect import CallerRequest, Dialect
+from pimentolink.authentication import Authenticator
+from pimentolink.dialect import CallerRequest, Dialect, fingerprint_of
 from pimentolink.errors import (
     USUAL_PAUSE,
     CannotBeInTime,
+    ConfigurationOutdated,
     Draining,
     Failure,
     InvalidRequest,
     NoConfiguration,
     RouteUnknown,
     StreamBroken,
+    Unauthenticated,
 )
 from pimentolink.httptypes import Headers, HttpReply, HttpRequest, end_to_end
 from pimentolink.logs import Log, LogEvent
@@ -54,6 +58,15 @@
         """Ask to be told when the caller stops reading and when it goes on."""
 
 
+# Learns that a request of an organisation began to run, and when, in seconds of the
+# timer service.
+OnRun = Callable[[str, float], None]
+
+
+def _not_counted(organisation: str, began_at: float) -> None:
+    """Count nothing."""
+
+
 class Work:
     """
     One request on its way.
@@ -68,6 +81,7 @@
         service: str,
         table: RoutingTable,
         responder: Responder,
+        organisation: Organisation | None = None,
     ) -> None:
         """
         Begin without an attempt.
@@ -77,6 +91,7 @@
         :param service: that the route gave it to.
         :param table: the configuration that decided.
         :param responder: where the answer goes.
+        :param organisation: that asks; ``None`` where none is asked for.
         """
         self.request = request
         self.route = route
@@ -85,16 +100,61 @@
         self.responder = responder
         self.attempts = Attempts(route)
         self.first_event_at: float | None = None
+        self._has_begun_run = False
+        self._on_run: OnRun = _not_counted
         patience = route.timeout
         if request.patience is not None:
             patience = min(patience, request.patience)
         self.due_at = request.arrived_at + patience
+        self.priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            self.priority = organisation.priority
+
+    def count_run_by(self, on_run: OnRun) -> None:
+        """
+        Have the request counted once it begins to run.
+
+        :param on_run: gets the organisation and the moment.
+        """
+        self._on_run = on_run
+
+    def run_began(self, began_at: float) -> None:
+        """
+        Learn that a target began to run the request, for the first time or again.
+
+        :param began_at: seconds of the timer service.
+        """
+        if not self._has_begun_run and self.request.organisation:
+            self._has_begun_run = True
+            self._on_run(self.request.organisation, began_at)
 
     def time_left(self, now: float) -> float:
         """Tell the seconds until the final answer is due."""
         return self.due_at - now
 
 
+_AdmissionFailure = (
+    InvalidRequest
+    | NoConfiguration
+    | RouteUnknown
+    | Draining
+    | Unauthenticated
+    | ConfigurationOutdated
+)
+
+
+def _as_asked_by(
+    organisation: Organisation | None, request: CallerRequest, table: RoutingTable
+) -> CallerRequest:
+    """Name who asks, and drop the API key, which nothing later may see."""
+    name = organisation.name if organisation is not None else ""
+    http = request.http
+    if table.api_keys is not None:
+        http = http._replace(headers=without_key(http.headers))
+    fingerprint = fingerprint_of(http, request.host, name)
+    return request._replace(http=http, organisation=name, fingerprint=fingerprint)
+
+
 class WorkKind(Protocol):
     """How one kind of work is done."""
 
@@ -112,6 +172,7 @@
     def __init__(
         self,
         tables: RoutingTables,
+        authenticator: Authenticator,
         dialect: Dialect,
         generations: WorkKind,
         calls: WorkKind,
@@ -124,6 +185,7 @@
         Prepare.
 
         :param tables: the configuration in force.
+        :param authenticator: tells who asks.
         :param dialect: reads requests.
         :param generations: serves what a model's engine answers.
         :param calls: serves all else.
@@ -133,6 +195,7 @@
         :param metrics: where figures go.
         """
         self._tables = tables
+        self._authenticator = authenticator
         self._dialect = dialect
         self._generations = generations
         self._calls = calls
@@ -140,6 +203,7 @@
         self._random = random
         self._log = log
         self._metrics = metrics
+        self.on_run: OnRun = _not_counted
         self.in_work = 0
         self.is_closing = False
 
@@ -163,7 +227,7 @@
 
     def _admit(
         self, http: HttpRequest, responder: Responder
-    ) -> Result[Work, InvalidRequest | NoConfiguration | RouteUnknown | Draining]:
+    ) -> Result[Work, _AdmissionFailure]:
         current = self._tables.current()
         if isinstance(current, Err):
             return current
@@ -177,8 +241,14 @@
         route = table.match(request.host, request.path)
         if isinstance(route, Err):
             return route
+        asker = self._authenticator.authenticate(table, route.ok_value, http.headers)
+        if isinstance(asker, Err):
+            return asker
+        request = _as_asked_by(asker.ok_value, request, table)
         service = route.ok_value.pick_service(self._random)
-        return Ok(Work(request, route.ok_value, service, table, responder))
+        work = Work(request, route.ok_value, service, table, responder, asker.ok_value)
+        work.count_run_by(self.on_run)
+        return Ok(work)
 
     async def _serve(self, work: Work) -> None:
         self._metrics.count("requests", work.route.name)
@@ -245,6 +315,7 @@
         self._log.write(
             event,
             request=work.request.request_id,
+            organisation=work.request.organisation,
             route=work.route.name,
             service=work.service,
             version=work.table.version,
@@ -275,6 +346,8 @@
     if failure.status in (429, 503):
         pause = failure.retry_after or USUAL_PAUSE
         headers.append((b"Retry-After", f"{pause:.2f}".encode()))
+    if isinstance(failure, Unauthenticated):
+        headers.append((b"WWW-Authenticate", b"Bearer"))
     responder.answer(failure.status, tuple(headers), f"{failure}\n".encode())
 
 
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -11,10 +11,13 @@
 from result import Err, Result
 
 from pimentolink import directwrite
+from pimentolink.authentication import Authenticator
 from pimentolink.cachelearning import CacheLearning
 from pimentolink.callerhttp import CallerFactory
 from pimentolink.calls import Caller
 from pimentolink.cells import Cells
+from pimentolink.configurationage import ConfigurationAge
+from pimentolink.configurationprover import ConfigurationProver
 from pimentolink.dialect import Dialect
 from pimentolink.errors import SettingsInvalid
 from pimentolink.fleet import Fleet
@@ -25,8 +28,10 @@
 from pimentolink.httptypes import Headers, HttpRequest
 from pimentolink.keyspace import Keyspace
 from pimentolink.keyspacefollower import KeyspaceFollower
+from pimentolink.leadership import Leadership
 from pimentolink.logs import Log, LogEvent
 from pimentolink.membership import Documents, Membership
+from pimentolink.metering import Metering
 from pimentolink.metrics import Metrics
 from pimentolink.orderholder import OrderHolder
 from pimentolink.owndelay import OwnDelay
@@ -44,6 +49,7 @@
 from pimentolink.settings import split_address
 from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.uplink import Uplink
+from pimentolink.usagereporter import UsageApi
 
 # Seconds between two looks at the settings file, which may change without a signal.
 RELOAD_INTERVAL = 5.0
@@ -72,6 +78,7 @@
         documents: Documents,
         timers: Timers,
         read_settings: ReadSettings,
+        usage_api: UsageApi | None = None,
     ) -> None:
         """
         Open nothing yet.
@@ -83,9 +90,11 @@
         :param documents: reads the store's documents.
         :param timers: the timer service.
         :param read_settings: reads the settings file again.
+        :param usage_api: takes reports of usage; ``None`` if nobody does.
         """
         self._reactor = reactor
         self._settings = settings
+        self._keyspace = keyspace
         self._read_settings = read_settings
         self._timers = timers
         self._life = uuid4().hex[:8]
@@ -96,6 +105,9 @@
         self._own_delay = OwnDelay()
         self._uplink = Uplink(settings.link_megabits, timers)
         self.tables = RoutingTables()
+        bound = settings.revoke_within_ms
+        self._revoke_within = bound / 1000 if bound is not None else None
+        self.age = ConfigurationAge(self._revoke_within, timers, self.log)
         self.fleet = Fleet(settings.placement, settings.ejection, self._random)
         self.budgets = SharedBudgets(settings.budget, timers)
         self._dialect = dialect
@@ -155,8 +167,14 @@
             settings, self._life, keyspace, timers, self._random, self.log
         )
         self._registration.on_store_back = self._follower.restart
-        self._orders = self._make_orders(keyspace)
-        self.membership.on_holder = self._orders.key_changed
+        self.leadership = Leadership(
+            settings, self._life, keyspace, timers, self._random, self.log
+        )
+        self.membership.on_leader = self.leadership.key_changed
+        self.leadership.lead = self._make_orders().lead
+        self._prover = self._make_prover(documents, keyspace)
+        self._metering = self._make_metering(keyspace, usage_api)
+        keyspace.on_restored = self._store_restored
         self._factory = CallerFactory(
             self.forwarder,
             self._bounds,
@@ -187,7 +205,13 @@
     def _make_membership(self, documents: Documents) -> Membership:
         settings, timers = self._settings, self._timers
         membership = Membership(
-            self.tables, self.fleet, documents, settings.store, timers, self.log
+            self.tables,
+            self.fleet,
+            self.age,
+            documents,
+            settings.store,
+            timers,
+            self.log,
         )
         if not settings.is_first_start:
             learning = CacheLearning(
@@ -200,25 +224,65 @@
             )
             membership.on_first_read = learning.ask_all
         membership.on_changed = self._fleet_changed
+        self._peers.address_of = membership.address_of
         membership.on_gone = self._caller.forget
         membership.on_life_ended = self._quarantine.reports.target_ended
         membership.on_suspects = self._quarantine.store.key_changed
         return membership
 
-    def _make_orders(self, keyspace: Keyspace) -> OrderHolder:
+    def _make_prover(
+        self, documents: Documents, keyspace: Keyspace
+    ) -> ConfigurationProver | None:
+        """Make what keeps the configuration proven, where keys are bound to it."""
+        if self._revoke_within is None:
+            return None
+        prover = ConfigurationProver(
+            documents.configuration_key,
+            keyspace,
+            self.age,
+            self._revoke_within,
+            self._timers,
+        )
+        prover.is_needed = self._has_keys
+        prover.on_change = self.membership.key_changed
+        return prover
+
+    def _has_keys(self) -> bool:
+        table = self.tables.table
+        return table is not None and table.api_keys is not None
+
+    def _make_metering(
+        self, keyspace: Keyspace, usage_api: UsageApi | None
+    ) -> Metering | None:
+        settings = self._settings
+        if settings.usage is None or usage_api is None:
+            return None
+        metering = Metering(
+            settings.usage,
+            self._life,
+            self.leadership,
+            keyspace,
+            usage_api,
+            self._peers,
+            self._timers,
+            self.log,
+        )
+        metering.teller.gateways = lambda: self.membership.gateways_by_name
+        self.membership.on_usage = metering.key_changed
+        self.forwarder.on_run = metering.begun
+        return metering
+
+    def _make_orders(self) -> OrderHolder:
         balancer = RoleBalancer(self._settings.roles, self.fleet)
         balancer.unmet_reading = self._unmet_reading
         orders = OrderHolder(
-            self._settings,
-            self._life,
-            keyspace,
+            self.leadership,
             balancer,
             self.fleet,
             self._dialect,
             self._caller.alone,
             self._peers,
             self._timers,
-            self._random,
             self.log,
         )
         orders.services = self._engine_services
@@ -246,6 +310,7 @@
         )
         return Forwarder(
             self.tables,
+            Authenticator(self.age),
             self._dialect,
             generations,
             calls,
@@ -278,8 +343,12 @@
         self._follower.start()
         self._freezes.start()
         self._registration.start()
-        self._orders.start()
+        self.leadership.start()
         self._peers.start()
+        if self._prover is not None:
+            self._prover.start()
+        if self._metering is not None:
+            self._metering.start()
         self._reloading = Repeater(self._timers, RELOAD_INTERVAL, self.reload)
         self.log.write(LogEvent.STARTED, settings=msgspec.to_builtins(self._settings))
 
@@ -290,7 +359,7 @@
         self.log.write(LogEvent.STOPPING, in_work=self.forwarder.in_work)
         self._factory.announce_close()
         self._registration.stop()
-        self._orders.stop()
+        self.leadership.stop()
         await pause(self._timers, LEAVE_TIME)
         self._factory.close_idle()
         await pause(self._timers, LAST_WORK)
@@ -302,6 +371,10 @@
             self.log.write(LogEvent.STOP_TIMEOUT, in_work=self.forwarder.in_work)
         self._follower.stop()
         self._freezes.stop()
+        if self._prover is not None:
+            self._prover.stop()
+        if self._metering is not None:
+            self._metering.stop()
         self._peers.stop()
         self._quarantine.store.stop()
         if self._reloading is not None:
@@ -385,7 +458,14 @@
         self.fleet.forgive(self._timers.now())
         self._follower.restart()
         self._registration.check()
-        self._orders.distrust()
+        self.leadership.distrust()
+
+    def _store_restored(self) -> None:
+        """Read the store again, and write again what it lost."""
+        self.log.write(LogEvent.STORE_RESTORED, epoch=self._keyspace.epoch)
+        self._follower.restart()
+        self._registration.check()
+        self._quarantine.store.restored()
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
@@ -393,6 +473,7 @@
             not self.is_stopping
             and self.tables.table is not None
             and self.membership.is_known
+            and (not self._has_keys() or self.age.is_current())
         )
 
     def _factory_of(self, page: Callable[[], tuple[int, bytes]]) -> CallerFactory:
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -180,7 +180,7 @@
         return Sending(
             target_id=belief.target.target_id,
             time_left=work.time_left(self._timers.now()),
-            priority=min(LEAST_URGENT, work.route.priority),
+            priority=min(LEAST_URGENT, work.priority),
             last_event=relay.last_event,
         )
 
@@ -214,7 +214,7 @@
         sending = Sending(
             target_id=reader.target.target_id,
             time_left=work.time_left(self._timers.now()),
-            priority=min(LEAST_URGENT, work.route.priority),
+            priority=min(LEAST_URGENT, work.priority),
             is_reading=True,
             copy_from=ticket.placement.copy_from,
         )
@@ -377,5 +377,6 @@
         assert call.head is not None
         self.has_begun = True
         self._work.first_event_at = self._timers.now()
+        self._work.run_began(self._work.first_event_at)
         responder = self._work.responder
         responder.begin(call.head.status, end_to_end(call.head.headers))
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -10,7 +10,7 @@
 
 from pimentolink.errors import HistoryLost, KeyValueUnavailable
 from pimentolink.gatewaysettings import StoreSettings
-from pimentolink.keyspace import Change, Keyspace
+from pimentolink.keyspace import Change, Keyspace, epoch_of
 from pimentolink.logs import Log, LogEvent
 from pimentolink.retry import Backoff
 from pimentolink.timers import Timers, pause
@@ -25,13 +25,16 @@
     def changes_told(self) -> None:
         """Learn that all changes of one answer were told."""
 
-    def keys_read(self, keys: frozenset[str]) -> None:
+    def keys_read(self, keys: frozenset[str], asked_at: float, epoch: int) -> None:
         """
         Learn that all keys were read, each told by :meth:`key_changed` before.
 
         :meth:`changes_told` follows.
 
         :param keys: those that exist; all others are gone.
+        :param asked_at: when they were asked for, on the clock that goes on while the
+            instance is suspended.
+        :param epoch: of the store.
         """
 
 
@@ -111,11 +114,13 @@
         return self._read_all() if self._revision is None else self._watch()
 
     async def _read_all(self) -> None:
+        asked_at = self._timers.boot_time()
         snapshot = await self._keyspace.read_all(self._prefix)
         self._confirmed()
         for item in snapshot.items:
             self._listener.key_changed(Change(item.key, item.value, item.revision))
-        self._listener.keys_read(frozenset(item.key for item in snapshot.items))
+        keys = frozenset(item.key for item in snapshot.items)
+        self._listener.keys_read(keys, asked_at, epoch_of(snapshot.revision))
         self._listener.changes_told()
         self._revision = snapshot.revision
 
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -8,18 +8,21 @@
 import xxhash
 from result import Err, Result
 
+from pimentolink.configurationage import ConfigurationAge
+from pimentolink.endedlives import EndedLives
 from pimentolink.errors import DocumentInvalid
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import StoreSettings
 from pimentolink.jsondocument import read_json
-from pimentolink.keyspace import Change
+from pimentolink.keyspace import Change, epoch_of
+from pimentolink.leadership import LEADER_KEY
 from pimentolink.logs import Log, LogEvent
-from pimentolink.orderholder import HOLDER_KEY
 from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
 from pimentolink.routes import RoutingTable, RoutingTables
 from pimentolink.suspectstore import SUSPECT_PREFIX
 from pimentolink.targetbelief import Target
 from pimentolink.timers import Timers
+from pimentolink.usagereporter import USAGE_KEY
 
 
 class Documents(Protocol):
@@ -49,6 +52,7 @@
         self,
         tables: RoutingTables,
         fleet: Fleet,
+        age: ConfigurationAge,
         documents: Documents,
         settings: StoreSettings,
         timers: Timers,
@@ -59,6 +63,7 @@
 
         :param tables: take the configuration.
         :param fleet: takes targets.
+        :param age: of the configuration in force.
         :param documents: reads the store's documents.
         :param settings: how long lapsed entries take to return.
         :param timers: the timer service.
@@ -66,6 +71,9 @@
         """
         self._tables = tables
         self._fleet = fleet
+        self._age = age
+        self._ended = EndedLives()
+        self._epoch = 0
         self._documents = documents
         self._settings = settings
         self._timers = timers
@@ -76,13 +84,20 @@
         self.is_known = False
         self.on_changed: Callable[[], None] = lambda: None
         self.on_first_read: Callable[[], None] = lambda: None
-        self.on_holder: Callable[[Change], None] = lambda change: None
+        self.on_leader: Callable[[Change], None] = lambda change: None
         self.on_gone: Callable[[str], None] = lambda target_id: None
         self.on_life_ended: Callable[[Target, str], None] = lambda target, sign: None
         self.on_suspects: Callable[[Change], None] = lambda change: None
+        self.on_usage: Callable[[Change], None] = lambda change: None
+
+    def address_of(self, gateway: str) -> str | None:
+        """Tell where a gateway takes datagrams; ``None`` if it is not listed."""
+        entry = self.gateways_by_name.get(gateway)
+        return entry.address if entry is not None else None
 
     def key_changed(self, change: Change) -> None:
         """Take one change of a key."""
+        self._epoch = epoch_of(change.revision)
         if change.key == self._documents.configuration_key:
             if change.value is not None:
                 self._configuration_changed(change.value)
@@ -90,17 +105,23 @@
             self._target_changed(change)
         elif change.key.startswith(GATEWAY_PREFIX):
             self._gateway_changed(change)
-        elif change.key == HOLDER_KEY:
-            self.on_holder(change)
+        elif change.key == LEADER_KEY:
+            self.on_leader(change)
         elif change.key.startswith(SUSPECT_PREFIX):
             self.on_suspects(change)
+        elif change.key == USAGE_KEY:
+            self.on_usage(change)
 
     def changes_told(self) -> None:
         """Let others act on what has changed."""
         self.on_changed()
 
-    def keys_read(self, keys: frozenset[str]) -> None:
+    def keys_read(self, keys: frozenset[str], asked_at: float, epoch: int) -> None:
         """Learn that all keys were read."""
+        self._epoch = epoch
+        self._expect_gateways_again()
+        if self._documents.configuration_key in keys:
+            self._age.proven(asked_at, epoch)
         prefix = self._documents.target_prefix
         listed = {key.removeprefix(prefix) for key in keys if key.startswith(prefix)}
         for target_id in list(self._fleet.targets_by_id):
@@ -111,8 +132,8 @@
         for name in list(self.gateways_by_name):
             if GATEWAY_PREFIX + name not in keys:
                 del self.gateways_by_name[name]
-        if HOLDER_KEY not in keys:
-            self.on_holder(Change(HOLDER_KEY, None, 0))
+        if LEADER_KEY not in keys:
+            self.on_leader(Change(LEADER_KEY, None, 0))
         is_first = not self.is_known
         self.is_known = True
         if is_first:
@@ -123,7 +144,9 @@
         if isinstance(found, Err):
             detail = str(found.err_value)
             self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=detail)
+            self._age.read(is_readable=False)
             return
+        self._age.read(is_readable=True)
         table = found.ok_value
         before = self._tables.table
         if not self._tables.offer(table):
@@ -152,10 +175,13 @@
         known = self._fleet.targets_by_id.get(target_id)
         is_news = known is None or known.target != target
         before = known.target.born if known is not None else target.born
-        if target.born < before:
+        is_older = self._ended.is_outdated(target, self._epoch, self._timers.now())
+        if target.born < before or is_older:
             self._tell_life(LogEvent.TARGET_OUTDATED, target, before, change)
             return
         self._fleet.put(target)
+        if target.is_leaving:
+            self._ended.leaving(target, self._epoch)
         if target.born > before:
             self._tell_life(LogEvent.TARGET_RESTARTED, target, before, change)
             self.on_gone(target_id)
@@ -222,6 +248,7 @@
             return
         # Work that still refers to it must not choose it again.
         belief.missing_since = self._timers.now()
+        self._ended.ended(belief.target, self._epoch, self._timers.now())
         self._log.write(LogEvent.TARGET_GONE, target=target_id, reason=reason)
         self.on_gone(target_id)
         self.on_life_ended(belief.target, "no longer listed")
@@ -229,8 +256,7 @@
     def _gateway_changed(self, change: Change) -> None:
         name = change.key.removeprefix(GATEWAY_PREFIX)
         if change.value is None:
-            if self.gateways_by_name.pop(name, None) is not None:
-                self._log.write(LogEvent.PEER_LISTED, peer=name, listed=False)
+            self._forget_gateway(name)
             return
         found = read_json(change.value, GatewayEntry)
         if isinstance(found, Err):
@@ -241,3 +267,25 @@
         if self.gateways_by_name.get(name) != entry:
             self._log.write(LogEvent.PEER_LISTED, peer=name, listed=True)
         self.gateways_by_name[name] = entry
+
+    def _forget_gateway(self, name: str) -> None:
+        if self.gateways_by_name.pop(name, None) is not None:
+            self._log.write(LogEvent.PEER_LISTED, peer=name, listed=False)
+
+    def _expect_gateways_again(self) -> None:
+        """
+        Forget gateways that list themselves no more after the store was restored.
+
+        The copy may list some whose leases are gone, so that nothing removes them.
+        """
+        if any(self._is_copied(entry) for entry in self.gateways_by_name.values()):
+            self._timers.call_later(self._settings.lease, self._forget_copied_gateways)
+
+    def _is_copied(self, entry: GatewayEntry) -> bool:
+        return entry.epoch < self._epoch
+
+    def _forget_copied_gateways(self) -> None:
+        for name, entry in list(self.gateways_by_name.items()):
+            if self._is_copied(entry):
+                self._forget_gateway(name)
+        self.on_changed()
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from pimentolink.calls import Caller
 from pimentolink.dialect import Dialect, Sending, Verdict
@@ -115,6 +115,7 @@
         """Make one attempt and tell how it ended."""
         is_once = work.route.repeatability is Repeatability.ONCE
         work.attempts.sent(belief.target.target_id)
+        began_at = self._timers.now()
         try:
             if is_once:
                 reply = await self._shielded(work, belief)
@@ -122,10 +123,17 @@
                 reply = await self._exchange(work, belief)
         except Failure as failure:
             work.attempts.failed(failure)
+            if failure.ran:
+                work.run_began(began_at)
             if is_repeat and isinstance(failure, UNSENT):
                 self._budgets.refund(work.service)
             return failure
+        except CancelledError:
+            # The target has it; nobody waits for what it says.
+            work.run_began(began_at)
+            raise
         work.attempts.ran()
+        work.run_began(began_at)
         return reply
 
     async def _exchange(self, work: Work, belief: TargetBelief) -> HttpReply:
--- a/pimentolink/platform/dialect.py
+++ b/pimentolink/platform/dialect.py
@@ -14,7 +14,6 @@
     ReadPrompt,
     Sending,
     Verdict,
-    fingerprint_of,
 )
 from pimentolink.errors import InvalidRequest, OrderRefused, ReplyInvalid
 from pimentolink.httptypes import (
@@ -40,6 +39,8 @@
 KV_SOURCE = b"Pimentolink-Kv-Source"
 KV_FETCH = b"Kv-Fetch"
 LAST_EVENT = b"Last-Event-Id"
+# Names the organisation that a request belongs to.
+ORGANISATION = b"Pimentolink-Tenant"
 
 # Headers that the system sets; a caller's own are dropped.
 OWN_HEADERS = frozenset(
@@ -53,6 +54,7 @@
         KV_SOURCE,
         KV_FETCH,
         LAST_EVENT,
+        ORGANISATION,
         b"Pimentolink-Expect-Version",
         b"Pimentolink-Pin-Ms",
         b"Pimentolink-Kv-Hold",
@@ -121,7 +123,6 @@
             prompt_tokens=prompt_tokens or sum(part.tokens for part in parts),
             output_tokens=output_tokens,
             last_event=request.header(LAST_EVENT.lower()),
-            fingerprint=fingerprint_of(request, host),
         )
     )
 
@@ -230,6 +231,8 @@
             if item[0].lower() not in OWN_HEADERS
         ]
         own: list[tuple[bytes, bytes]] = [(EXPECT_INSTANCE, sending.target_id.encode())]
+        if request.organisation:
+            own.append((ORGANISATION, request.organisation.encode()))
         if sending.time_left is not None:
             milliseconds = max(1, int((sending.time_left - ANSWER_WAY) * 1000))
             own.append((DEADLINE, str(milliseconds).encode()))
--- a/pimentolink/platform/documents.py
+++ b/pimentolink/platform/documents.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from pimentolink.apikeys import ApiKeys, Organisation, index_keys
 from pimentolink.errors import DocumentInvalid
 from pimentolink.jsondocument import read_json
 from pimentolink.routes import (
@@ -34,6 +35,7 @@
 
 _Share = Annotated[float, msgspec.Meta(ge=0)]
 _Milliseconds = Annotated[int, msgspec.Meta(ge=0)]
+_HeaderWord = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}\Z")]
 # A target's name goes into a header as one word.
 _TARGET_ID = re.compile(r"[!-~]{1,200}")
 
@@ -63,6 +65,7 @@
     weighted_backends: list[_Backend] = []
     sticky: bool = False
     resumable: bool = False
+    skip_auth: bool = False
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -85,11 +88,30 @@
     idle_timeout_ms: float
 
 
+class _Tenant(msgspec.Struct, rename="camel"):
+    """
+    An organisation.
+
+    :ivar priority: of its requests, before that of their route.
+    """
+
+    name: _HeaderWord
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
 class _Configuration(msgspec.Struct, rename="camel"):
+    """
+    All that operators state.
+
+    :ivar tenants: absent or empty if callers need no API keys.
+    """
+
     version: int
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits | None = None
+    tenants: list[_Tenant] = []
 
 
 class _Server(msgspec.Struct, rename="camel"):
@@ -137,6 +159,16 @@
         latency_target=found.target_latency_ms / 1000,
         most_targets=max(1, found.max_attempts),
         priority=found.priority,
+        needs_key=not found.skip_auth,
+    )
+
+
+def _api_keys_of(tenants: list[_Tenant]) -> ApiKeys | None:
+    if not tenants:
+        return None
+    return index_keys(
+        (Organisation(tenant.name, tenant.priority), tenant.api_keys)
+        for tenant in tenants
     )
 
 
@@ -192,9 +224,9 @@
                 return Err(DocumentInvalid(f"route {route.name}: no service"))
         routes = [_route_of(item) for item in found.routes]
         services = [_service_of(item) for item in found.services]
-        return Ok(
-            RoutingTable(found.version, routes, services, _bounds_of(found.limits))
-        )
+        bounds = _bounds_of(found.limits)
+        api_keys = _api_keys_of(found.tenants)
+        return Ok(RoutingTable(found.version, routes, services, bounds, api_keys))
 
     def read_target(self, key: str, document: bytes) -> Result[Target, DocumentInvalid]:
         """
--- a/pimentolink/platform/edge.py
+++ b/pimentolink/platform/edge.py
@@ -12,6 +12,7 @@
 from pimentolink.directwrite import DirectEndpointReactor
 from pimentolink.gateway import Gateway
 from pimentolink.gatewaysettings import GatewaySettings
+from pimentolink.platform.api import PlatformApi
 from pimentolink.platform.dialect import PlatformDialect
 from pimentolink.platform.documents import PlatformDocuments
 from pimentolink.platform.store import PlatformStore
@@ -47,6 +48,14 @@
     :param path: of the file that holds them.
     """
     store, documents = make_store(reactor, settings)
+    usage_api = None
+    if settings.usage is not None:
+        usage_api = PlatformApi(
+            DirectEndpointReactor(reactor),
+            settings.usage.address,
+            settings.connections,
+            ReactorTimers(reactor),
+        )
     return Gateway(
         reactor,
         settings,
@@ -55,6 +64,7 @@
         documents,
         ReactorTimers(reactor),
         lambda: read_settings(GatewaySettings, [path]),
+        usage_api,
     )
 
 
--- a/pimentolink/registration.py
+++ b/pimentolink/registration.py
@@ -30,11 +30,13 @@
     :ivar address: for datagrams of the others.
     :ivar life: of the process.
     :ivar data_centre: where it stands.
+    :ivar epoch: of the store that it was written to.
     """
 
     address: Address
     life: str
     data_centre: str = ""
+    epoch: int = 0
 
 
 class Registration:
@@ -70,7 +72,7 @@
         self._log = log
         store = settings.store
         self._backoff = Backoff(store.backoff_first, store.backoff_most, random)
-        self._entry = GatewayEntry(settings.peers, life, settings.data_centre)
+        self._life = life
         self._key = GATEWAY_PREFIX + settings.instance
         self._running: Deferred[None] | None = None
         self._is_answered = True
@@ -108,6 +110,7 @@
                     LogEvent.LEASE_LOST, lease=self.lease, detail=str(failure)
                 )
                 self.lease = 0
+                await pause(self._timers, self._backoff.next())
             except KeyValueUnavailable as failure:
                 self._unanswered(failure)
                 await pause(self._timers, self._backoff.next())
@@ -133,7 +136,11 @@
         lease = await self._keyspace.grant(self._settings.store.lease)
         found = await self._keyspace.read(self._key)
         expected = found.revision if found is not None else 0
-        value = msgspec.json.encode(self._entry)
+        settings = self._settings
+        entry = GatewayEntry(
+            settings.peers, self._life, settings.data_centre, self._keyspace.epoch
+        )
+        value = msgspec.json.encode(entry)
         written = await self._keyspace.write(Write(self._key, value, expected, lease))
         if written is None:
             raise KeyValueUnavailable(
--- a/pimentolink/routes.py
+++ b/pimentolink/routes.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from pimentolink.apikeys import ApiKeys
 from pimentolink.errors import NoConfiguration, RouteUnknown
 
 
@@ -39,6 +40,7 @@
         stream, until its first event.
     :ivar most_targets: targets that one request may be sent to.
     :ivar priority: 0 is the most urgent.
+    :ivar needs_key: whether callers present an API key where the configuration has any.
     """
 
     name: str
@@ -53,6 +55,7 @@
     latency_target: float
     most_targets: int
     priority: int
+    needs_key: bool = True
 
     def pick_service(self, random: Random) -> str:
         """
@@ -116,6 +119,7 @@
         routes: list[Route],
         services: list[Service],
         bounds: CallerBounds | None,
+        api_keys: ApiKeys | None = None,
     ) -> None:
         """
         Index the routes.
@@ -124,9 +128,11 @@
         :param routes: in any order.
         :param services: that they name.
         :param bounds: on callers; ``None`` if the configuration states none.
+        :param api_keys: of organisations; ``None`` if callers need none.
         """
         self.version = version
         self.bounds = bounds
+        self.api_keys = api_keys
         self.services_by_name = {service.name: service for service in services}
         self.routes_by_name = {route.name: route for route in routes}
         self._routes_by_host: dict[str, dict[str, Route]] = {}
--- a/pimentolink/suspectstore.py
+++ b/pimentolink/suspectstore.py
@@ -124,6 +124,7 @@
         # What this gateway cleared and has not written; the oldest goes if the store is
         # away for long.
         self._unwritten: deque[SuspectCleared] = deque(maxlen=MOST_NEWS)
+        self._is_lost = False
         self._timer: Timer | None = None
         self._due_at = 0.0
         self._writing: Deferred[None] | None = None
@@ -137,6 +138,12 @@
         if self._writing is not None:
             self._writing.cancel()
 
+    def restored(self) -> None:
+        """Write again what the store lost as it was restored."""
+        self._is_lost = bool(self._written)
+        if self._is_lost:
+            self._write_in(GATHER)
+
     def struck(self, is_own: bool) -> None:
         """
         Learn that a crash is held against requests.
@@ -190,7 +197,7 @@
         self._writing = None
 
     async def _write(self) -> None:
-        while fresh := self._fresh():
+        while (fresh := self._fresh()) or self._is_lost:
             try:
                 await self._try_to_write(fresh)
             except (KeyValueUnavailable, LeaseLost) as failure:
@@ -222,6 +229,7 @@
             self._revision = found.revision if found is not None else 0
             return
         self._backoff.reset()
+        self._is_lost = False
         self._revision = revision
         self._written = told
         for item in fresh:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pimentolink.configurationage import ConfigurationAge
 from pimentolink.dialect import PromptPart
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
@@ -65,8 +66,15 @@
         self.gone = []
         settings = gateway_settings().store
         log = Log()
+        self.age = ConfigurationAge(5.0, self.timers, log)
         self.membership = Membership(
-            self.tables, self.fleet, PlatformDocuments(), settings, self.timers, log
+            self.tables,
+            self.fleet,
+            self.age,
+            PlatformDocuments(),
+            settings,
+            self.timers,
+            log,
         )
         self.membership.on_gone = self.gone.append
         self.follower = KeyspaceFollower(
@@ -298,3 +306,82 @@
         assert "b" in world.usable()
         for gateway in world.membership.gateways_by_name.values():
             split_address(gateway.address)
+
+
+class TestRestoredStore:
+    """
+    The store comes back from a copy some seconds old. It lists targets again whose
+    leaving or end this gateway had learned, and forgot gateways and a configuration.
+    """
+
+    def restore(self, world, copy):
+        world.store.restore(copy)
+        world.follower.restart()
+        world.timers.advance(0.3)
+
+    def test_leaving_of_a_target_is_not_forgotten(self, world):
+        world.store.put("servers/a", entry(born=5))
+        world.store.put("servers/b", entry(born=5))
+        copy = world.store.copy()
+        world.store.put("servers/a", entry(born=5, state="draining"))
+        assert world.usable() == {"b"}
+        self.restore(world, copy)
+        assert world.usable() == {"b"}
+        world.store.put("servers/a", entry(born=5, state="draining"))
+        assert world.usable() == {"b"}
+
+    def test_target_that_was_removed_stays_gone(self, world):
+        world.store.put("servers/a", entry(born=5))
+        world.store.put("servers/b", entry(born=5))
+        copy = world.store.copy()
+        world.timers.advance(0.3)
+        world.store.remove("servers/a")
+        assert world.usable() == {"b"}
+        self.restore(world, copy)
+        assert world.usable() == {"b"}
+
+    def test_later_life_of_a_target_is_used(self, world):
+        world.store.put("servers/a", entry(born=5))
+        copy = world.store.copy()
+        world.timers.advance(0.3)
+        world.store.remove("servers/a")
+        world.timers.advance(0.3)
+        self.restore(world, copy)
+        world.store.put("servers/a", entry(born=6))
+        assert world.usable() == {"a"}
+
+    def test_target_that_the_copy_lacks_may_be_listed_again(self, world):
+        copy = world.store.copy()
+        world.store.put("servers/a", entry(born=5))
+        assert world.usable() == {"a"}
+        self.restore(world, copy)
+        world.timers.advance(1.0)
+        world.store.put("servers/a", entry(born=5))
+        assert world.usable() == {"a"}
+
+    def test_configuration_in_force_stays(self, world):
+        world.store.put("op/config", configuration(3, "/a/"))
+        copy = world.store.copy()
+        world.store.put("op/config", configuration(5, "/b/"))
+        world.timers.advance(0.3)
+        self.restore(world, copy)
+        assert world.tables.table.version == 5
+
+    def test_gateway_that_only_the_copy_lists_is_forgotten(self, world):
+        def list_itself(name):
+            told = {"address": "10.0.0.1:7", "life": "x", "epoch": world.store.epoch}
+            world.store.put(f"pimentolink/gateways/{name}", json.dumps(told).encode())
+
+        for name in ("g1", "g2", "g3"):
+            list_itself(name)
+        copy = world.store.copy()
+        world.timers.advance(0.3)
+        world.store.remove("pimentolink/gateways/g1")
+        world.timers.advance(0.3)
+        world.store.restore(copy)
+        list_itself("g2")
+        world.follower.restart()
+        world.timers.advance(1.0)
+        list_itself("g3")
+        world.timers.advance(12.0)
+        assert set(world.membership.gateways_by_name) == {"g2", "g3"}
--- a/tests/test_orderholder.py
+++ b/tests/test_orderholder.py
@@ -1,4 +1,4 @@
-"""One holder at a time, and no order on old belief."""
+"""One leader at a time, and no order on old belief."""
 
 import json
 from random import Random
@@ -8,9 +8,10 @@
 from pimentolink.errors import NotConnected
 from pimentolink.httptypes import HttpReply, ReplyHead
 from pimentolink.keyspace import Change
+from pimentolink.leadership import LEADER_KEY, Leadership
 from pimentolink.logs import Log
 from pimentolink.memorykeyspace import MemoryKeyspace
-from pimentolink.orderholder import HOLDER_KEY, IN_DOUBT, OrderHolder
+from pimentolink.orderholder import IN_DOUBT, OrderHolder
 from pimentolink.platform.dialect import PlatformDialect
 from pimentolink.rolebalance import RoleBalancer
 from pimentolink.targetbelief import EngineRole
@@ -80,36 +81,43 @@
         found = fleet(*engines(readers, writers))
         self.engine.fleets.append(found)
         settings = gateway_settings(instance=f"g{len(self.holders)}")
-        holder = OrderHolder(
+        leadership = Leadership(
             settings,
             f"life-{len(self.holders)}",
             self.store,
+            self.timers,
+            Random(len(self.holders)),
+            Log(),
+        )
+        holder = OrderHolder(
+            leadership,
             RoleBalancer(settings.roles, found),
             found,
             PlatformDialect(),
             self.engine.send,
             News(),
             self.timers,
-            Random(len(self.holders)),
             Log(),
         )
+        leadership.lead = holder.lead
         holder.services = lambda: ["s"]
-        holder.key_changed(Change(HOLDER_KEY, None, 0))
+        leadership.key_changed(Change(LEADER_KEY, None, 0))
         self.holders.append(holder)
-        holder.start()
-        self._follow(holder)
+        leadership.start()
+        self._follow(leadership)
         return holder
 
-    def _follow(self, holder):
+    def _follow(self, leadership):
         def told(changes):
             for change in changes.changes:
-                if change.key == HOLDER_KEY:
-                    holder.key_changed(change)
-            self._follow(holder)
+                if change.key == LEADER_KEY:
+                    leadership.key_changed(change)
+            self._follow(leadership)
 
         after = self.store.revision
         self.store.changes("pimentolink/", after, 3600.0).addCallbacks(
-            told, lambda _: self.timers.call_later(0.1, lambda: self._follow(holder))
+            told,
+            lambda _: self.timers.call_later(0.1, lambda: self._follow(leadership)),
         )
 
     def fences(self):
@@ -132,16 +140,16 @@
     def test_successor_waits_for_the_last_orders_and_fences_higher(self, world):
         first, second = world.gateway(), world.gateway()
         world.timers.advance(8.0)
-        holder, other = (first, second) if first._lease else (second, first)
+        holder, other = (first, second) if first._leadership.lease else (second, first)
         ordered = len(world.engine.orders)
         assert ordered
-        holder._running.cancel()
+        holder._leadership._running.cancel()
         world.timers.advance(30.0)
         last = world.engine.orders[ordered - 1][0]
         later = world.engine.orders[ordered:]
         assert later
         assert later[0][0] - last >= gateway_settings().order_lease_ms / 1000
-        assert {order["holder"] for _, _, order in later} == {other._name}
+        assert {order["holder"] for _, _, order in later} == {other._leadership.name}
         assert world.fences() == sorted(world.fences())
 
     def test_no_order_goes_out_without_a_lease(self, world):
@@ -156,8 +164,8 @@
     def test_lease_taken_by_another_ends_the_right_before_the_next_order(self, world):
         holder = world.gateway()
         world.timers.advance(3.0)
-        world.store.lapse(holder._lease)
-        world.store.put(HOLDER_KEY, b'{"instance": "x", "life": "y"}')
+        world.store.lapse(holder._leadership.lease)
+        world.store.put(LEADER_KEY, b'{"instance": "x", "life": "y"}')
         ordered = len(world.engine.orders)
         world.timers.advance(20.0)
         assert len(world.engine.orders) == ordered
@@ -165,7 +173,7 @@
     def test_nothing_is_ordered_after_a_freeze_until_the_lease_is_renewed(self, world):
         holder = world.gateway()
         world.timers.advance(5.0)
-        holder.distrust()
+        holder._leadership.distrust()
         change = holder._balancer.decide("s", world.timers.now() + 9.0)
         assert change is not None
         assert not holder._may_order(change)
@@ -185,7 +193,7 @@
             world.timers.advance(0.1)
         world.timers.advance(0.5)
         assert len(world.engine.orders) == 9
-        assert reads.count(HOLDER_KEY) == 1
+        assert reads.count(LEADER_KEY) == 1
 
     def test_all_orders_of_a_round_are_fenced_alike(self, world):
         world.gateway(readers=12, writers=27)
@@ -196,8 +204,8 @@
     def test_no_order_of_a_round_goes_out_once_the_right_is_lost(self, world):
         holder = world.gateway(readers=12, writers=27)
         world.timers.advance(2.0)
-        world.store.lapse(holder._lease)
-        world.store.put(HOLDER_KEY, b'{"instance": "x", "life": "y"}')
+        world.store.lapse(holder._leadership.lease)
+        world.store.put(LEADER_KEY, b'{"instance": "x", "life": "y"}')
         world.timers.advance(20.0)
         assert world.engine.orders == []
 
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -23,6 +23,7 @@
         self._watches = []
         self.is_silent = False
         self.put = self._keys.put
+        self.epoch = 0
 
     def silence(self):
         self.is_silent = True
@@ -66,7 +67,7 @@
     def changes_told(self):
         pass
 
-    def keys_read(self, keys):
+    def keys_read(self, keys, asked_at, epoch):
         pass
 
 
