--- a/tests/test_usagereporter.py
+++ b/tests/test_usagereporter.py
@@ -408,6 +408,25 @@
 
 
 class TestGatewayThatStarts:
+    def test_it_reports_windows_that_ended_before_when_it_leads(self, world):
+        """
+        Gateways were restarted one after the other. One that had just started took
+        over from the leader, and left out the windows that had ended before its start,
+        though the others still had all counts of them.
+        """
+        world.run(23.5)
+        for name in ("g0", "g1", "g2", "g3"):
+            gateway = world.gateways_by_name[name]
+            if not gateway.leads:
+                gateway.metering.stop()
+                gateway.leadership.stop()
+                gateway.kill()
+                world.start(name)
+                world.run(0.2)
+        world.leader().kill()
+        world.run(30.0)
+        assert world.wrong() == []
+
     def test_it_reports_no_window_that_ended_before(self, world):
         world.run(31.0)
         copy = world.store.copy()
