Let a leader that has just started report windows that ended before

Callers saw nothing; the platform got no report of windows that had ended before the leader's start, since a commitment of them might have been lost in a restore of the store. But the newest commitment tells its epoch now: if it is the store's, it was made after the last restore, and so no later window was committed before it.

Ruled out: that the counts were missing; the new leader had them from the others.

A gateway that stops hands on all that it knows, not only its own counts: the test showed that counts were lost where deputies restart one after the other within a window. The test's kill comes 0.3 s after the last requests, since what a killed gateway counted in its last 0.2 s is not promised.

--- a/pimentolink/usagereporter.py
+++ b/pimentolink/usagereporter.py
@@ -40,10 +40,12 @@
     The usage of one window, as it was committed.
 
     :ivar counts: requests that began to run, by organisation.
+    :ivar epoch: of the store that it was committed in.
     """
 
     window: int
     counts: dict[str, int]
+    epoch: int = 0
 
 
 class UsageApi(Protocol):
@@ -171,6 +173,9 @@
         self._key_revision = item.revision
         self._is_key_known = True
         report = found.ok_value
+        if report.epoch == epoch_of(item.revision):
+            # All later windows are uncommitted: this one ended after the last restore.
+            self._first = min(self._first, report.window + 1)
         if self._committed is None or report.window >= self._committed.report.window:
             is_known = self._committed is not None and self._committed.report == report
             if not is_known:
@@ -228,7 +233,8 @@
             window += 1
         if now < self._end_of(window) + SETTLE_TIME:
             return _Step.IDLE
-        report = UsageReport(window, self._teller.book.totals(window))
+        counts = self._teller.book.totals(window)
+        report = UsageReport(window, counts, self._keyspace.epoch)
         guard = (LEADER_KEY, self._leadership.fence)
         value = msgspec.json.encode(report)
         write = Write(USAGE_KEY, value, self._key_revision, guard=guard)
--- a/pimentolink/usageteller.py
+++ b/pimentolink/usageteller.py
@@ -92,8 +92,8 @@
         ]
 
     def stop(self) -> None:
-        """Tell what is left, and nothing more."""
-        self._tell_open(self._all_own())
+        """Tell all that is known here, also of other gateways, and nothing more."""
+        self._tell_open(self.book.all_totals(self.book.windows()))
         for repeater in self._repeaters:
             repeater.cancel()
 
@@ -160,7 +160,8 @@
     def _tell_open(self, totals: Iterable[WindowTotals]) -> None:
         told = list(totals)
         for item in told:
-            self._told(item.window).update(item.counts)
+            if item.life == self._life:
+                self._told(item.window).update(item.counts)
         if told:
             self._peers.tell_some(self._listeners(), _messages(told))
 
--- a/tests/test_usagereporter.py
+++ b/tests/test_usagereporter.py
@@ -423,6 +423,8 @@
                 gateway.kill()
                 world.start(name)
                 world.run(0.2)
+        # What was counted in the last fraction of a second goes with a killed gateway.
+        world.timers.advance(0.3)
         world.leader().kill()
         world.run(30.0)
         assert world.wrong() == []
