Have one gateway in 24 read the configuration's key, and the others ask it

Now some gateways of a cell, which all derive alike, read it; the others ask one of them and take its answer's age from the moment of their own question. A question that proves nothing is followed by a reading of one's own.

A gateway that the store turns away but others reach goes on serving keys, safely: ages add up, clocks of others do not count.

Tests: gateways turned away by the store one by one and all at once, late answers, no answers, a suspended gateway, a gateway behind the others.

--- a/pimentolink/configurationage.py
+++ b/pimentolink/configurationage.py
@@ -54,6 +54,8 @@
             :meth:`clock`.
         :param epoch: of the store.
         """
+        if self._epoch is not None and epoch < self._epoch:
+            return
         if self._epoch is not None and epoch > self._epoch:
             self._not_before = self.clock() + REWRITE_TIME
         self._epoch = epoch
@@ -72,6 +74,11 @@
         """
         self._is_readable = is_readable
 
+    @property
+    def epoch(self) -> int:
+        """The newest epoch of the store that is known."""
+        return self._epoch or 0
+
     def age(self) -> float | None:
         """Tell the age in seconds; ``None`` before the first proof."""
         if self._proven_at is None:
--- a/pimentolink/configurationprover.py
+++ b/pimentolink/configurationprover.py
@@ -1,87 +1,179 @@
-"""Asks the store at a steady pace whether the configuration in force is the newest."""
+"""Keeps proving at a steady pace that the configuration in force is the newest."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
+import xxhash
 from twisted.internet.defer import CancelledError, Deferred
 
 from pimentolink.configurationage import ConfigurationAge
 from pimentolink.errors import KeyValueUnavailable
 from pimentolink.keyspace import Change, Item, Keyspace, epoch_of
+from pimentolink.peermessages import Message, ProofAsked, ProofNews, ProofTold
 from pimentolink.timers import Timers, pause
 
-# Questions within the bound on the age. A question without an answer leaves the time
-# for another one, on a new connection, before the configuration counts as outdated.
-QUESTIONS = 2.5
-# Share of the pause between two questions after which one without an answer is asked
-# again.
-RETRY_SHARE = 0.15
+# Share of the bound on the age after which a proof is renewed, and at which another
+# gateway's is still taken. Together they leave time for a question without an answer.
+RENEWAL_SHARE = 0.3
+OLDEST_SHARE = 0.4
+# Share after which a question that proved nothing is asked again.
+RETRY_SHARE = 0.06
+# Seconds in which another gateway answers, and for which one that did not is not asked.
+PEER_TIMEOUT = 0.1
+PEER_PAUSE = 5.0
+# Gateways for each one that reads the key, so that answering costs it little.
+ASKERS = 24
+
+
+class ProofPeers(Protocol):
+    """Sends messages to some gateways."""
+
+    def tell_some(self, gateways: Iterable[str], messages: list[Message]) -> None:
+        """Tell some gateways, by name."""
 
 
 class ConfigurationProver:
     """
-    Reads the configuration's key, which only then proves the one in force current.
+    Reads the configuration's key, or asks a gateway that reads it.
 
     A watch without news proves nothing: one whose connection fell silent, or that the
-    store forgot, looks the same.
+    store forgot, looks the same. So the key is read by some gateways of a cell, which
+    all derive alike, and the others ask one of those. A gateway whose question proves
+    nothing reads the key itself.
+
+    An answer of another gateway is worth what it proves at its oldest: its age is taken
+    from the moment at which the question was sent here, on the clock here.
     """
 
     def __init__(
         self,
+        instance: str,
         key: str,
         keyspace: Keyspace,
         age: ConfigurationAge,
         bound: float,
+        peers: ProofPeers,
         timers: Timers,
     ) -> None:
         """
         Prepare; :meth:`start` begins.
 
+        :param instance: this gateway's.
         :param key: of the configuration.
         :param keyspace: the store.
         :param age: learns what the answers prove.
         :param bound: seconds after which the configuration counts as outdated.
+        :param peers: the other gateways.
         :param timers: the timer service.
         """
+        self._instance = instance
         self._key = key
         self._keyspace = keyspace
         self._age = age
-        self._interval = bound / QUESTIONS
+        self._bound = bound
+        self._peers = peers
         self._timers = timers
         self._revision = 0
+        self._number = 0
+        self._answer: Deferred[ProofTold | None] | None = None
+        self._silent_until: dict[str, float] = {}
         self._running: Deferred[None] | None = None
         self.is_needed: Callable[[], bool] = lambda: True
+        self.gateways: Callable[[], Iterable[str]] = tuple
+        self.version: Callable[[], int] = int
         self.on_change: Callable[[Change], None] = lambda change: None
 
     def start(self) -> None:
-        """Ask from now on."""
+        """Prove from now on."""
         self._running = Deferred.fromCoroutine(self._run())
         self._running.addErrback(lambda failure: failure.trap(CancelledError))
 
     def stop(self) -> None:
-        """Ask no more."""
+        """Prove no more."""
         if self._running is not None:
             self._running.cancel()
 
     def restart(self) -> None:
-        """Ask now: this process stood still, or the store was restored."""
+        """Prove now: this process stood still, or the store was restored."""
         self.stop()
         self.start()
 
+    def take(self, message: ProofNews) -> None:
+        """Answer another gateway, or take its answer."""
+        if isinstance(message, ProofAsked):
+            self._tell(message)
+        elif message.number == self._number:
+            self._answered(message)
+
+    def _tell(self, asked: ProofAsked) -> None:
+        age = self._age.age()
+        if age is None:
+            return
+        # Rounded up: an answer must not look newer than it is.
+        age_ms = int(age * 1000) + 1
+        told = ProofTold(asked.number, self.version(), self._age.epoch, age_ms)
+        self._peers.tell_some([asked.gateway], [told])
+
     async def _run(self) -> None:
         while True:
-            is_answered = not self.is_needed() or await self._ask()
+            is_proven = not self.is_needed() or await self._prove()
             self._age.look()
-            share = 1.0 if is_answered else RETRY_SHARE
-            await pause(self._timers, share * self._interval)
+            share = RENEWAL_SHARE if is_proven else RETRY_SHARE
+            await pause(self._timers, share * self._bound)
 
-    async def _ask(self) -> bool:
+    async def _prove(self) -> bool:
         """
-        Ask once.
+        Prove once.
 
         :returns: whether there was an answer.
         """
+        reader = self._reader()
+        if reader is not None and await self._ask_gateway(reader):
+            return True
+        return await self._ask_store()
+
+    def _reader(self) -> str | None:
+        """Choose who reads the key for this gateway; ``None`` if it does so itself."""
+        order = sorted({*self.gateways(), self._instance}, key=_rank)
+        readers = order[: -(-len(order) // ASKERS)]
+        if self._instance in readers:
+            return None
+        reader = readers[_rank(self._instance) % len(readers)]
+        is_silent = self._silent_until.get(reader, 0.0) > self._timers.now()
+        return None if is_silent else reader
+
+    async def _ask_gateway(self, gateway: str) -> bool:
+        asked_at = self._age.clock()
+        answer = await self._answer_of(gateway)
+        if answer is None:
+            self._silent_until = {gateway: self._timers.now() + PEER_PAUSE}
+            return False
+        age = answer.age_ms / 1000
+        if answer.version > self.version() or age > OLDEST_SHARE * self._bound:
+            return False
+        self._age.proven(asked_at - age, answer.epoch)
+        return True
+
+    async def _answer_of(self, gateway: str) -> ProofTold | None:
+        self._number += 1
+        waiting: Deferred[ProofTold | None] = Deferred()
+        self._answer = waiting
+        self._peers.tell_some([gateway], [ProofAsked(self._number, self._instance)])
+        timer = self._timers.call_later(PEER_TIMEOUT, lambda: self._answered(None))
+        try:
+            return await waiting
+        finally:
+            timer.cancel()
+            self._answer = None
+
+    def _answered(self, answer: ProofTold | None) -> None:
+        waiting, self._answer = self._answer, None
+        if waiting is not None:
+            waiting.callback(answer)
+
+    async def _ask_store(self) -> bool:
         asked_at = self._age.clock()
         try:
             found = await self._keyspace.read(self._key)
@@ -96,3 +188,7 @@
         if found.revision != self._revision:
             self._revision = found.revision
             self.on_change(Change(found.key, found.value, found.revision))
+
+
+def _rank(gateway: str) -> int:
+    return int(xxhash.xxh3_64_intdigest(gateway.encode()))
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -102,6 +102,7 @@
         self.metrics = Metrics()
         self._random = Random(self._life)
         self._cells = Cells()
+        self._cell_gateways: tuple[str, ...] = ()
         self._own_delay = OwnDelay()
         self._uplink = Uplink(settings.link_megabits, timers)
         self.tables = RoutingTables()
@@ -237,13 +238,18 @@
         if self._revoke_within is None:
             return None
         prover = ConfigurationProver(
+            self._settings.instance,
             documents.configuration_key,
             keyspace,
             self.age,
             self._revoke_within,
+            self._peers,
             self._timers,
         )
         prover.is_needed = self._has_keys
+        prover.gateways = lambda: self._cell_gateways
+        prover.version = lambda: self.tables.table.version if self.tables.table else 0
+        self._peers.on_proof = prover.take
         prover.on_change = self.membership.key_changed
         return prover
 
@@ -446,6 +452,7 @@
                 gateways=len(gateways),
             )
         peers = choose_peers(settings.instance, cell, self._cells, gateways)
+        self._cell_gateways = tuple(peers)
         self._peers.tell_to(peers.values())
         self.budgets.gateways = max(1, len(gateways))
         self.readings.look()
@@ -459,6 +466,8 @@
         self._follower.restart()
         self._registration.check()
         self.leadership.distrust()
+        if self._prover is not None:
+            self._prover.restart()
 
     def _store_restored(self) -> None:
         """Read the store again, and write again what it lost."""
@@ -466,6 +475,8 @@
         self._follower.restart()
         self._registration.check()
         self._quarantine.store.restored()
+        if self._prover is not None:
+            self._prover.restart()
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
--- a/pimentolink/peermessages.py
+++ b/pimentolink/peermessages.py
@@ -184,10 +184,38 @@
     counts: dict[str, _Natural]
 
 
+class ProofAsked(msgspec.Struct, tag="p", array_like=True):
+    """
+    How old is the proof that the receiver's configuration is the newest?
+
+    :ivar number: names the question, among those of the sender's life.
+    :ivar gateway: that asks.
+    """
+
+    number: _Natural
+    gateway: str
+
+
+class ProofTold(msgspec.Struct, tag="q", array_like=True):
+    """
+    The answer to :class:`ProofAsked`.
+
+    :ivar version: of the configuration that was the newest.
+    :ivar epoch: of the store that showed it.
+    :ivar age_ms: milliseconds between the question that showed it and this answer.
+    """
+
+    number: _Natural
+    version: _Natural
+    epoch: _Natural
+    age_ms: _Natural
+
+
 LoadNews = ReadingBegan | ReadingEnded | OpenReadings | InFlight | RoleChanging
 SuspectNews = TargetCrashed | SuspectTried | SuspectCleared
 UsageNews = ClockTold | UsageTold
-Message = LoadNews | SuspectNews | UsageNews
+ProofNews = ProofAsked | ProofTold
+Message = LoadNews | SuspectNews | UsageNews | ProofNews
 
 
 class Datagram(msgspec.Struct, array_like=True):
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -20,6 +20,7 @@
     InFlight,
     Message,
     OpenReadings,
+    ProofNews,
     SuspectNews,
     UsageNews,
 )
@@ -164,6 +165,7 @@
         self.open_readings: Callable[[], OpenReadings] = lambda: OpenReadings(0, [])
         self._addresses: list[tuple[str, int]] = []
         self.waiting_work: Callable[[], dict[str, float]] = dict
+        self.on_proof: Callable[[ProofNews], None] = lambda news: None
         self.on_usage: Callable[[str, UsageNews], None] = lambda life, news: None
         self.address_of: Callable[[str], str | None] = lambda gateway: None
         self.on_suspects: Callable[[SuspectNews, str], None] = lambda news, source: None
@@ -326,6 +328,8 @@
         for message in found.messages:
             if isinstance(message, SuspectNews):
                 self.on_suspects(message, "peer")
+            elif isinstance(message, ProofNews):
+                self.on_proof(message)
             elif isinstance(message, UsageNews):
                 self.on_usage(found.life, message)
             else:
--- a/tests/test_configurationprover.py
+++ b/tests/test_configurationprover.py
@@ -48,11 +48,33 @@
         return super().changes(prefix, after, wait)
 
 
+class Peers:
+    """Carries questions and answers between gateways, late, or not at all."""
+
+    def __init__(self, timers):
+        self.timers = timers
+        self.provers = {}
+        self.delay = 0.002
+        self.is_cut = False
+        self.sent = 0
+
+    def tell_some(self, gateways, messages):
+        for name in gateways:
+            for message in messages:
+                self.sent += 1
+                if not self.is_cut:
+                    self.timers.call_later(self.delay, self._carry(name, message))
+
+    def _carry(self, name, message):
+        return lambda: self.provers[name].take(message)
+
+
 class Gateway:
     """What decides on keys in one gateway."""
 
-    def __init__(self, timers, store):
+    def __init__(self, timers, store, name="g0", peers=None):
         self.store = store
+        peers = peers or Peers(timers)
         settings, log = gateway_settings().store, Log()
         self.tables = RoutingTables()
         self.age = ConfigurationAge(BOUND, timers, log)
@@ -63,8 +85,11 @@
             "", store, self.membership, settings, timers, Random(1), log
         )
         self.prover = ConfigurationProver(
-            CONFIGURATION_KEY, store, self.age, BOUND, timers
+            name, CONFIGURATION_KEY, store, self.age, BOUND, peers, timers
         )
+        peers.provers[name] = self.prover
+        self.prover.gateways = lambda: peers.provers
+        self.prover.version = lambda: self.tables.table.version
         self.prover.on_change = self.membership.key_changed
         self.follower.start()
         self.prover.start()
@@ -199,10 +224,99 @@
         assert not gateway.serves(b"k")
 
 
-class TestQuestions:
-    def test_two_and_a_half_questions_a_bound(self, timers, store):
-        Gateway(timers, store)
-        timers.advance(1.0)
-        before = store.calls
+class World:
+    """Gateways that ask each other; each may be cut off from the store by itself."""
+
+    def __init__(self, timers, gateways):
+        self.timers = timers
+        self.peers = Peers(timers)
+        self.stores = []
+        self.gateways = []
+        for number in range(gateways):
+            store = SilentKeyspace(timers)
+            self.stores.append(store)
+            store.put(CONFIGURATION_KEY, configuration(1, "k", "l"))
+            found = Gateway(timers, store, f"g{number}", self.peers)
+            self.gateways.append(found)
+
+    def revoke(self):
+        for store in self.stores:
+            store.put(CONFIGURATION_KEY, configuration(2, "l"))
+
+    def calls(self):
+        return sum(store.calls for store in self.stores)
+
+
+class TestOtherGateways:
+    def test_one_reads_the_key_for_all(self, timers):
+        world = World(timers, 12)
+        timers.advance(10.0)
+        before = world.calls()
         timers.advance(60.0)
-        assert store.calls - before <= 60 / BOUND * 2.5 + 60 / 20 + 1
+        reads = 60 / (0.3 * BOUND)
+        watches = 12 * 60 / 20
+        assert world.calls() - before <= reads + watches + 12
+        assert all(gateway.serves(b"k") for gateway in world.gateways)
+
+    @pytest.mark.parametrize("number", range(4))
+    def test_gateway_that_the_store_turns_away_goes_on(self, timers, number):
+        world = World(timers, 4)
+        timers.advance(10.3)
+        world.stores[number].set_down(True)
+        reader = world.gateways[0].prover._reader() or "g0"
+        for _ in range(200):
+            timers.advance(0.05)
+            if reader != f"g{number}":
+                assert world.gateways[number].serves(b"k")
+
+    def test_gateways_that_are_all_turned_away_stop_within_the_bound(self, timers):
+        """Ages add up: gateways that only hear each other prove nothing."""
+        world = World(timers, 5)
+        timers.advance(10.3)
+        for store in world.stores:
+            store.set_down(True)
+        for gateway in world.gateways:
+            assert longest_use(timers, gateway, b"k", 8.0) < BOUND
+
+    def test_late_answers_prove_no_more_than_prompt_ones(self, timers):
+        world = World(timers, 5)
+        timers.advance(10.3)
+        world.peers.delay = 0.045
+        for store in world.stores:
+            store.is_deaf = True
+        for gateway in world.gateways:
+            gateway.follower.restart()
+        world.revoke()
+        revoked_at = timers.now()
+        while timers.now() - revoked_at < BOUND:
+            timers.advance(0.05)
+        assert not any(gateway.serves(b"k") for gateway in world.gateways)
+        assert all(gateway.serves(b"l") for gateway in world.gateways)
+
+    def test_gateways_that_do_not_hear_each_other_ask_the_store(self, timers):
+        world = World(timers, 5)
+        timers.advance(10.3)
+        world.peers.is_cut = True
+        for _ in range(200):
+            timers.advance(0.05)
+            assert all(gateway.serves(b"k") for gateway in world.gateways)
+
+    def test_gateway_behind_the_others_reads_the_newer_configuration(self, timers):
+        world = World(timers, 3)
+        for store in world.stores:
+            store.is_deaf = True
+        timers.advance(10.3)
+        for gateway in world.gateways:
+            gateway.follower.restart()
+        world.revoke()
+        timers.advance(BOUND)
+        assert [gateway.tables.table.version for gateway in world.gateways] == [2] * 3
+
+    def test_suspended_gateway_tells_its_whole_age(self, timers):
+        world = World(timers, 2)
+        timers.advance(10.3)
+        for store in world.stores:
+            store.set_down(True)
+        timers.suspend(BOUND)
+        timers.advance(0.5)
+        assert not any(gateway.serves(b"k") for gateway in world.gateways)
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -22,11 +22,11 @@
 from pimentolink.peerbook import PeerBook
 from pimentolink.peermessages import (
     InFlight,
+    LoadNews,
     Message,
     ReadingBegan,
     ReadingEnded,
     SuspectNews,
-    UsageNews,
 )
 from pimentolink.placement import Placement, Placer, SizeScale, WaitingPrompt
 from pimentolink.readingqueue import ReadingQueue
@@ -416,7 +416,7 @@
         if isinstance(message, SuspectNews):
             self.crashes.take(message, "peer")
             return
-        if isinstance(message, UsageNews):
+        if not isinstance(message, LoadNews):
             return
         self._book.take(sender, message, self._replay.timers.now())
         if isinstance(message, ReadingBegan | ReadingEnded):
