--- a/pimentolink/memorykeyspace.py
+++ b/pimentolink/memorykeyspace.py
@@ -196,9 +196,19 @@
         self._oldest = self.revision
         self._cut(HistoryLost("compacted"))
 
-    def set_down(self, is_down: bool) -> None:
-        """Begin or end an outage; watches that wait fail with it."""
+    def set_down(self, is_down: bool, pauses_leases: bool = False) -> None:
+        """
+        Begin or end an outage; watches that wait fail with it.
+
+        :param pauses_leases: whether no lease runs out before the outage ends.
+        """
         self.is_down = is_down
+        if pauses_leases:
+            for timer in self._expiry_by_lease.values():
+                timer.cancel()
+        elif not is_down:
+            for lease in self._seconds_by_lease:
+                self._extend(lease)
         if is_down:
             self._cut(KeyValueUnavailable("down"))
 
--- a/tests/test_usagereporter.py
+++ b/tests/test_usagereporter.py
@@ -381,6 +381,21 @@
         world.run(30.0)
         assert len(world.wrong()) <= 1
 
+    def test_leader_whose_lease_was_paused_goes_on_at_once(self, world):
+        """
+        The store fell silent for 8 s, just as a window ended, and paused all leases.
+        The leader had given its lease up, so that its key stood in the way of any
+        other until it ran out, and two windows were not reported in time.
+        """
+        world.run(11.97)
+        leader = world.leader()
+        world.store.set_down(True, pauses_leases=True)
+        world.run(8.0)
+        world.store.set_down(False)
+        world.run(20.0)
+        assert world.leader() is leader
+        assert world.wrong() == []
+
     @pytest.mark.parametrize("age", [0.5, 2.0, 6.0, 11.0])
     def test_no_window_is_reported_twice_after_a_restore(self, world, age):
         world.run(31.0 - age)
