Keep a leader's lease through an outage of the store

After an outage in which the store paused leases nobody led until the last leader's lease ran out, 3.5 s later, and then for the wait of a take-over: windows of usage were not reported in time.

Cause: the leader forgot its lease once its own count of it had passed, while the store still kept it. It may not act then, which its validity tells already; but renewing it is what shows whether it was lost.

Ruled out: slow notice of the return (the first gateway read the store 0.3 s after it).

It holds since nothing is done on a lease whose renewal was not answered, and the key is read before each act: one that lapsed is found gone by the renewal.

--- a/pimentolink/leadership.py
+++ b/pimentolink/leadership.py
@@ -198,9 +198,9 @@
             except LeaseLost as failure:
                 self.lost(failure)
             except KeyValueUnavailable:
-                # The follower logs outages; the lease may run out meanwhile.
-                if self._timers.now() > self._valid_until:
-                    self._give_up()
+                # The follower logs outages. The store may pause leases meanwhile: given
+                # up here, this one would keep others from leading until it runs out.
+                pass
             await pause(self._timers, self.lease_time / RENEWALS)
 
     def _may_campaign(self) -> bool:
