Ask the store by renewals only while it is away, and answer proofs where asked

While the store turned a gateway away, its follower, its prover and its registration each asked again by themselves, at the full price of a read. Now only the renewals of its entry do, at a tenth; the others go on at the first that is answered. Gateways that had just started were not answered by the one that reads the configuration's key, which did not list them yet, and read it by themselves for 5 s; the answer goes to where the question came from.

--- a/pimentolink/configurationprover.py
+++ b/pimentolink/configurationprover.py
@@ -18,8 +18,10 @@
 # gateway's is still taken. Together they leave time for a question without an answer.
 RENEWAL_SHARE = 0.3
 OLDEST_SHARE = 0.4
-# Share after which a question that proved nothing is asked again.
-RETRY_SHARE = 0.06
+# Shares after which a question that proved nothing is asked again: the first time, and
+# at most.
+RETRY_FIRST = 0.06
+RETRY_MOST = 0.2
 # Seconds in which another gateway answers, and for which one that did not is not asked.
 PEER_TIMEOUT = 0.1
 PEER_PAUSE = 5.0
@@ -81,6 +83,8 @@
         self._silent_until: dict[str, float] = {}
         self._running: Deferred[None] | None = None
         self.is_needed: Callable[[], bool] = lambda: True
+        # Whether the store may answer; while it does not, each try costs a call.
+        self.may_ask: Callable[[], bool] = lambda: True
         self.gateways: Callable[[], Iterable[str]] = tuple
         self.version: Callable[[], int] = int
         self.on_change: Callable[[Change], None] = lambda change: None
@@ -100,27 +104,33 @@
         self.stop()
         self.start()
 
-    def take(self, message: ProofNews) -> None:
-        """Answer another gateway, or take its answer."""
+    def take(self, message: ProofNews, answer: Callable[[Message], None]) -> None:
+        """
+        Answer another gateway, or take its answer.
+
+        :param answer: sends a message back to where this one came from; a gateway that
+            has just started may not be listed here yet.
+        """
         if isinstance(message, ProofAsked):
-            self._tell(message)
+            self._tell(message, answer)
         elif message.number == self._number:
             self._answered(message)
 
-    def _tell(self, asked: ProofAsked) -> None:
+    def _tell(self, asked: ProofAsked, answer: Callable[[Message], None]) -> None:
         age = self._age.age()
         if age is None:
             return
         # Rounded up: an answer must not look newer than it is.
         age_ms = int(age * 1000) + 1
-        told = ProofTold(asked.number, self.version(), self._age.epoch, age_ms)
-        self._peers.tell_some([asked.gateway], [told])
+        answer(ProofTold(asked.number, self.version(), self._age.epoch, age_ms))
 
     async def _run(self) -> None:
+        retry = RETRY_FIRST
         while True:
             is_proven = not self.is_needed() or await self._prove()
             self._age.look()
-            share = RENEWAL_SHARE if is_proven else RETRY_SHARE
+            share = RENEWAL_SHARE if is_proven else retry
+            retry = RETRY_FIRST if is_proven else min(RETRY_MOST, 2 * retry)
             await pause(self._timers, share * self._bound)
 
     async def _prove(self) -> bool:
@@ -132,7 +142,7 @@
         reader = self._reader()
         if reader is not None and await self._ask_gateway(reader):
             return True
-        return await self._ask_store()
+        return self.may_ask() and await self._ask_store()
 
     def _reader(self) -> str | None:
         """Choose who reads the key for this gateway; ``None`` if it does so itself."""
@@ -160,7 +170,7 @@
         self._number += 1
         waiting: Deferred[ProofTold | None] = Deferred()
         self._answer = waiting
-        self._peers.tell_some([gateway], [ProofAsked(self._number, self._instance)])
+        self._peers.tell_some([gateway], [ProofAsked(self._number)])
         timer = self._timers.call_later(PEER_TIMEOUT, lambda: self._answered(None))
         try:
             return await waiting
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -167,7 +167,8 @@
         self._registration = Registration(
             settings, self._life, keyspace, timers, self._random, self.log
         )
-        self._registration.on_store_back = self._follower.restart
+        self._registration.on_store_back = self._store_back
+        self._follower.may_ask = self._may_ask_store
         self.leadership = Leadership(
             settings, self._life, keyspace, timers, self._random, self.log
         )
@@ -247,6 +248,7 @@
             self._timers,
         )
         prover.is_needed = self._has_keys
+        prover.may_ask = self._may_ask_store
         prover.gateways = lambda: self._cell_gateways
         prover.version = lambda: self.tables.table.version if self.tables.table else 0
         self._peers.on_proof = prover.take
@@ -469,6 +471,15 @@
         if self._prover is not None:
             self._prover.restart()
 
+    def _may_ask_store(self) -> bool:
+        return self._registration.is_answered
+
+    def _store_back(self) -> None:
+        """Read the store anew, which may have changed unseen."""
+        self._follower.restart()
+        if self._prover is not None:
+            self._prover.restart()
+
     def _store_restored(self) -> None:
         """Read the store again, and write again what it lost."""
         self.log.write(LogEvent.STORE_RESTORED, epoch=self._keyspace.epoch)
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any, Protocol
 
@@ -77,6 +77,8 @@
         self._running: Deferred[None] | None = None
         self._revision: int | None = None
         self.is_connected = False
+        # Whether the store may answer; while it does not, each try costs a call.
+        self.may_ask: Callable[[], bool] = lambda: True
         self.confirmed_at = timers.now()
 
     def start(self) -> None:
@@ -102,7 +104,10 @@
     async def _follow(self) -> None:
         while True:
             try:
-                await self._step()
+                if self.may_ask() or self.is_connected:
+                    await self._step()
+                else:
+                    await pause(self._timers, self._settings.backoff_first)
             except HistoryLost:
                 self._log.write(LogEvent.HISTORY_LOST, after=self._revision)
                 self._revision = None
--- a/pimentolink/peermessages.py
+++ b/pimentolink/peermessages.py
@@ -189,11 +189,9 @@
     How old is the proof that the receiver's configuration is the newest?
 
     :ivar number: names the question, among those of the sender's life.
-    :ivar gateway: that asks.
     """
 
     number: _Natural
-    gateway: str
 
 
 class ProofTold(msgspec.Struct, tag="q", array_like=True):
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -51,6 +51,10 @@
 MOST_COUNTS = 40
 
 
+# Sends a message back to where another one came from.
+Answer = Callable[[Message], None]
+
+
 def choose_peers(
     gateway: str, cell: int, cells: Cells, entries_by_name: dict[str, GatewayEntry]
 ) -> dict[str, str]:
@@ -165,7 +169,7 @@
         self.open_readings: Callable[[], OpenReadings] = lambda: OpenReadings(0, [])
         self._addresses: list[tuple[str, int]] = []
         self.waiting_work: Callable[[], dict[str, float]] = dict
-        self.on_proof: Callable[[ProofNews], None] = lambda news: None
+        self.on_proof: Callable[[ProofNews, Answer], None] = lambda news, answer: None
         self.on_usage: Callable[[str, UsageNews], None] = lambda life, news: None
         self.address_of: Callable[[str], str | None] = lambda gateway: None
         self.on_suspects: Callable[[SuspectNews, str], None] = lambda news, source: None
@@ -212,12 +216,17 @@
         """
         addresses = [self.address_of(name) for name in gateways]
         listed = [split_address(address) for address in addresses if address]
+        self._tell_at(listed, messages)
+
+    def _tell_at(
+        self, addresses: list[tuple[str, int]], messages: list[Message]
+    ) -> None:
         outbox = PeerOutbox(self._life)
         for message in messages:
             if not outbox.add(message):
                 self._metrics.count("peer_messages", "too_large")
         for datagram in outbox.take():
-            self._send(datagram, listed)
+            self._send(datagram, addresses)
 
     def _turn(self) -> None:
         now = self._timers.now()
@@ -329,7 +338,7 @@
             if isinstance(message, SuspectNews):
                 self.on_suspects(message, "peer")
             elif isinstance(message, ProofNews):
-                self.on_proof(message)
+                self.on_proof(message, lambda told: self._tell_at([addr], [told]))
             elif isinstance(message, UsageNews):
                 self.on_usage(found.life, message)
             else:
--- a/pimentolink/registration.py
+++ b/pimentolink/registration.py
@@ -79,6 +79,11 @@
         self.lease = 0
         self.on_store_back: Callable[[], None] = lambda: None
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the store answered the last call of this gateway's entry."""
+        return self._is_answered
+
     def start(self) -> None:
         """Write the entry and keep it."""
         self._running = Deferred.fromCoroutine(self._keep())
--- a/tests/test_configurationprover.py
+++ b/tests/test_configurationprover.py
@@ -58,15 +58,30 @@
         self.is_cut = False
         self.sent = 0
 
-    def tell_some(self, gateways, messages):
+    def of(self, name):
+        """Make what one gateway sends with."""
+        return _Sender(self, name)
+
+    def tell(self, sender, gateways, messages):
         for name in gateways:
             for message in messages:
-                self.sent += 1
-                if not self.is_cut:
-                    self.timers.call_later(self.delay, self._carry(name, message))
+                self._send(self.provers[name], message, sender)
+
+    def _send(self, receiver, message, sender):
+        def arrive():
+            receiver.take(message, lambda told: self._send(sender, told, receiver))
+
+        self.sent += 1
+        if not self.is_cut:
+            self.timers.call_later(self.delay, arrive)
 
-    def _carry(self, name, message):
-        return lambda: self.provers[name].take(message)
+
+class _Sender:
+    def __init__(self, peers, name):
+        self.peers, self.name = peers, name
+
+    def tell_some(self, gateways, messages):
+        self.peers.tell(self.peers.provers[self.name], gateways, messages)
 
 
 class Gateway:
@@ -85,7 +100,7 @@
             "", store, self.membership, settings, timers, Random(1), log
         )
         self.prover = ConfigurationProver(
-            name, CONFIGURATION_KEY, store, self.age, BOUND, peers, timers
+            name, CONFIGURATION_KEY, store, self.age, BOUND, peers.of(name), timers
         )
         peers.provers[name] = self.prover
         self.prover.gateways = lambda: peers.provers
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -111,6 +111,20 @@
         world.timers.advance(30.0)
         assert world.listener.known_at["op/config"] - back_at < 2.5
 
+    def test_outage_costs_renewals_only(self, world):
+        """Pattern: the store turns some gateways away for seconds, call by call."""
+        read = []
+        read_all = world.store._keys.read_all
+        world.store._keys.read_all = lambda prefix: read.append(1) or read_all(prefix)
+        world.follower.may_ask = lambda: world.registration.is_answered
+        world.timers.advance(3.3)
+        world.store._keys.set_down(True)
+        world.timers.advance(10.0)
+        assert len(read) <= 2
+        world.store._keys.set_down(False)
+        world.timers.advance(2.0)
+        assert world.follower.is_connected
+
     def test_steady_store_is_read_once(self, world):
         restarts = []
         world.registration.on_store_back = lambda: restarts.append(1)
