--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -455,3 +455,50 @@
         )
         answer = world.raw(data, within=1.5)
         assert answer.index(b"signed-p1") < answer.index(b"signed-p2")
+
+
+class TestApiKeys:
+    @pytest.fixture
+    def keyed(self, fleet):
+        found = PlatformWorld(fleet)
+        found.target("reader", "llm", "prefill")
+        found.target("writer", "llm", "decode")
+        found.target("plain-1", "plain")
+        found.configure(1, {"north": ["k-north"], "south": ["k-south"]})
+        found.gateway("gateway", revoke_within_ms=2000)
+        return found
+
+    def ask(self, world, key, path="/read/x"):
+        headers = {"Authorization": f"Bearer {key}", "Pimentolink-Tenant": "forged"}
+        return world.request(path, headers=headers)
+
+    def test_target_learns_the_organisation_and_never_the_key(self, keyed):
+        _, plain = self.ask(keyed, "k-north")
+        told = keyed.runs("plain-1")["headers"][plain]
+        assert told["Pimentolink-Tenant"] == "north"
+        assert "Authorization" not in told
+        headers = {"Authorization": "Bearer k-south"}
+        found, name = keyed.generate("/stream/x", **headers)
+        assert found.status == 200
+        for engine in ("reader", "writer"):
+            told = keyed.runs(engine)["headers"][name]
+            assert told["Pimentolink-Tenant"] == "south"
+            assert "Authorization" not in told
+
+    def test_unknown_and_revoked_keys_are_refused_and_logged_nowhere(self, keyed):
+        assert self.ask(keyed, "k-other")[0].status == 401
+        keyed.configure(2, {"north": ["k-north"], "south": []})
+        wait_until(lambda: self.ask(keyed, "k-south")[0].status == 401)
+        assert self.ask(keyed, "k-north")[0].status == 200
+        log = keyed.fleet.processes_by_name["gateway"].log_path.read_text()
+        assert not any(key in log for key in ("k-other", "k-south", "k-north"))
+
+    def test_no_key_is_served_past_the_bound_without_the_store(self, keyed):
+        assert self.ask(keyed, "k-north")[0].status == 200
+        keyed.fault("store", down="silent")
+        cut_at = time.monotonic()
+        wait_until(lambda: self.ask(keyed, "k-north")[0].status == 503)
+        assert time.monotonic() - cut_at < 2.5
+        wait_until(lambda: not keyed.is_ready("gateway"))
+        keyed.fault("store", down="")
+        wait_until(lambda: self.ask(keyed, "k-north")[0].status == 200)
--- a/tests/test_specs.py
+++ b/tests/test_specs.py
@@ -3,10 +3,10 @@
 import pytest
 from minicheck import check_safety
 
-from specs import attempts, authority, claims, holder, versions
+from specs import attempts, authority, claims, holder, revocation, versions
 
 MOST_STATES = 3_000_000
-SPECIFICATIONS = [attempts, authority, claims, holder, versions]
+SPECIFICATIONS = [attempts, authority, claims, holder, revocation, versions]
 GUARDS = [
     (specification, guard)
     for specification in SPECIFICATIONS
--- a/tools/platformworld.py
+++ b/tools/platformworld.py
@@ -65,8 +65,19 @@
         """Remove a key."""
         call(self.fleet.url("store", f"/operator?key={key}"), "PUT", b"null")
 
-    def configure(self, version: int, **extra_routes: str) -> None:
-        """Write a configuration; further routes are named with their service."""
+    def configure(
+        self,
+        version: int,
+        keys_by_organisation: dict[str, list[str]] | None = None,
+        **extra_routes: str,
+    ) -> None:
+        """
+        Write a configuration.
+
+        :param version: higher than the one before.
+        :param keys_by_organisation: API keys; none are asked for without.
+        :param extra_routes: further routes, named with their service.
+        """
 
         def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
             told = {
@@ -97,9 +108,13 @@
             {"name": "llm", "maxConnections": 100, "engine": engine},
             {"name": "plain", "maxConnections": 100},
         ]
-        self.put(
-            "op/config", {"version": version, "routes": routes, "services": services}
-        )
+        told = {"version": version, "routes": routes, "services": services}
+        if keys_by_organisation is not None:
+            told["tenants"] = [
+                {"name": name, "apiKeys": keys}
+                for name, keys in keys_by_organisation.items()
+            ]
+        self.put("op/config", told)
 
     def start_usual(self) -> None:
         """Two engines, two plain targets, one gateway that is ready."""
