Tell windows that were missed in one line

After hours without any gateway the first leader logged one line for each window since the last that was reported: 719 for an hour, at one moment. It skips them at once now and tells the first and the last.

The log's events are named for leading, not for orders, since the leader reports as well.

--- a/pimentolink/cli.py
+++ b/pimentolink/cli.py
@@ -258,7 +258,7 @@
             _print_json(found._asdict() | rows)
             return
         print(f"configuration: version {found.version}, {found.routes} routes")
-        print(f"orders are given by: {found.order_holder or 'nobody'}")
+        print(f"leader: {found.leader or 'nobody'}")
         print("\ntargets")
         _print_rows(targets)
         print("\ngateways")
--- a/pimentolink/deploymentstatus.py
+++ b/pimentolink/deploymentstatus.py
@@ -49,7 +49,7 @@
     :ivar revision: of the store.
     :ivar version: of the configuration; 0 before the first one.
     :ivar routes: that it has.
-    :ivar order_holder: instance that may give orders to engines; empty if none may.
+    :ivar leader: instance that may give orders to engines; empty if none may.
     :ivar suspects: requests that may crash targets, the worst first.
     :ivar unreadable: keys whose documents have faults, with the fault.
     """
@@ -59,7 +59,7 @@
     routes: int
     targets: list[Target]
     gateways: list[ListedGateway]
-    order_holder: str
+    leader: str
     suspects: list[ListedSuspect]
     unreadable: list[str]
 
@@ -78,7 +78,7 @@
         self._routes = 0
         self._targets: list[Target] = []
         self._gateways: list[ListedGateway] = []
-        self._order_holder = ""
+        self._leader = ""
         self._suspects = StoredSuspects()
         self._unreadable: list[str] = []
 
@@ -92,7 +92,7 @@
             self._routes,
             self._targets,
             self._gateways,
-            self._order_holder,
+            self._leader,
             self._listed_suspects(),
             self._unreadable,
         )
@@ -132,7 +132,7 @@
     def _take_own(self, item: Item) -> None:
         if item.key == LEADER_KEY:
             holder = self._readable(item, Leader)
-            self._order_holder = holder.instance if holder is not None else ""
+            self._leader = holder.instance if holder is not None else ""
             return
         entry = self._readable(item, GatewayEntry)
         if entry is not None:
--- a/pimentolink/leadership.py
+++ b/pimentolink/leadership.py
@@ -111,7 +111,7 @@
         :param seconds: for which this one does not try again.
         """
         self._stands_back_until = self._timers.now() + seconds
-        self._log.write(LogEvent.ORDERS_LOST, detail="this gateway stands back")
+        self._log.write(LogEvent.LEADERSHIP_LOST, detail="this gateway stands back")
         self._end_lease()
         self._give_up()
 
@@ -185,7 +185,7 @@
 
     def lost(self, failure: LeaseLost) -> None:
         """Learn that another gateway leads."""
-        self._log.write(LogEvent.ORDERS_LOST, detail=str(failure))
+        self._log.write(LogEvent.LEADERSHIP_LOST, detail=str(failure))
         self._give_up()
 
     async def _run(self) -> None:
@@ -224,7 +224,7 @@
         self._leader_revision = revision
         self._valid_until = asked_at + self.lease_time
         self._taken_at = self._timers.now()
-        self._log.write(LogEvent.ORDERS_TAKEN, fence=revision, lease=lease)
+        self._log.write(LogEvent.LEADERSHIP_TAKEN, fence=revision, lease=lease)
         self.on_leader()
 
     async def _hold(self) -> None:
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -252,8 +252,8 @@
         "Another sidecar took over a partition of claims; this one stopped using it.",
     )
     PLAN_WRITTEN = ("E1600", logging.INFO, "This entry wrote a new plan for a group.")
-    ORDERS_TAKEN = ("E1604", logging.INFO, "This gateway leads; it may act.")
-    ORDERS_LOST = ("E1605", logging.WARNING, "This gateway leads no more.")
+    LEADERSHIP_TAKEN = ("E1604", logging.INFO, "This gateway leads; it may act.")
+    LEADERSHIP_LOST = ("E1605", logging.WARNING, "This gateway leads no more.")
     ORDER_STARTED = ("E1601", logging.INFO, "An order to the engine began.")
     ORDER_DONE = ("E1602", logging.INFO, "An order to the engine took effect.")
     ORDER_FAILED = (
@@ -275,7 +275,7 @@
     USAGE_MISSED = (
         "E1804",
         logging.ERROR,
-        "The usage of a window was not reported in time.",
+        "The usage of a window, or of some up to the last, was not reported in time.",
     )
     UNHANDLED_ERROR = (
         "E1901",
--- a/pimentolink/usagereporter.py
+++ b/pimentolink/usagereporter.py
@@ -228,9 +228,10 @@
     async def _commit_next(self) -> _Step:
         now = self._clock.now()
         window = max(self._first, self._next_window())
-        while self._is_late(window, now):
-            self._missed(window, "its time has passed")
-            window += 1
+        oldest = self._teller.window_of(now - self._settings.late)
+        if window < oldest:
+            self._missed(window, oldest - 1, "their time has passed")
+            window = oldest
         if now < self._end_of(window) + SETTLE_TIME:
             return _Step.IDLE
         counts = self._teller.book.totals(window)
@@ -261,7 +262,7 @@
 
     async def _send(self, report: UsageReport, is_confirmed: bool = False) -> _Step:
         if self._is_late(report.window, self._clock.now()):
-            self._missed(report.window, "no report was answered in time")
+            self._give_up(report.window)
             return _Step.DONE
         if not is_confirmed and not await self._leadership.is_confirmed():
             return _Step.FAILED
@@ -300,13 +301,18 @@
             self._silent_since = None
             self._leadership.stand_back(STAND_BACK)
 
-    def _missed(self, window: int, reason: str) -> None:
-        self._reported = max(self._reported, window)
+    def _give_up(self, window: int) -> None:
+        """Send a committed report no more."""
         known = self._committed
-        if known is not None and known.report.window == window and not known.is_own:
-            # Its leader may have had an answer.
+        if known is not None and known.is_own:
+            self._missed(window, window, "no report was answered in time")
             return
-        self._log.write(LogEvent.USAGE_MISSED, window=window, reason=reason)
+        # The leader that committed it may have had an answer.
+        self._reported = max(self._reported, window)
+
+    def _missed(self, first: int, last: int, reason: str) -> None:
+        self._reported = max(self._reported, last)
+        self._log.write(LogEvent.USAGE_MISSED, window=first, last=last, reason=reason)
 
     def _end_of(self, window: int) -> float:
         return (window + 1) * self._settings.window
--- a/tests/test_usagereporter.py
+++ b/tests/test_usagereporter.py
@@ -423,6 +423,21 @@
 
 
 class TestGatewayThatStarts:
+    def test_it_reports_from_now_on_after_a_long_time_without_any(self, world, capfd):
+        world.run(21.0)
+        for gateway in list(world.gateways_by_name.values()):
+            gateway.kill()
+        world.timers.advance(3600.0)
+        capfd.readouterr()
+        for number in range(4):
+            world.start(f"g{number}")._read_again()
+        begun = len(world.api.taken)
+        world.run(30.0)
+        windows = [report.window for _, _, _, report in world.api.taken[begun:]]
+        assert windows == list(range(windows[0], windows[0] + len(windows)))
+        assert len(windows) >= 5
+        assert "".join(capfd.readouterr()).count("usage_missed") == 1
+
     def test_it_reports_windows_that_ended_before_when_it_leads(self, world):
         """
         Gateways were restarted one after the other. One that had just started took
