--- a/pimentolink/authentication.py
+++ b/pimentolink/authentication.py
@@ -6,14 +6,10 @@
 
 from pimentolink.apikeys import Organisation, read_key
 from pimentolink.configurationage import ConfigurationAge
-from pimentolink.errors import ConfigurationOutdated, Unauthenticated
+from pimentolink.errors import USUAL_PAUSE, ConfigurationOutdated, Unauthenticated
 from pimentolink.httptypes import Headers
 from pimentolink.routes import Route, RoutingTable
 
-# Seconds after which a caller may return to a gateway that knows no current
-# configuration; another one may serve it at once.
-OUTDATED_PAUSE = 0.3
-
 
 class Authenticator:
     """
@@ -49,7 +45,7 @@
         if not self._age.is_current():
             self._age.look()
             detail = "the configuration may be outdated"
-            return Err(ConfigurationOutdated(detail, OUTDATED_PAUSE))
+            return Err(ConfigurationOutdated(detail, USUAL_PAUSE))
         key = read_key(headers)
         if isinstance(key, Err):
             return key
--- a/pimentolink/configurationprover.py
+++ b/pimentolink/configurationprover.py
@@ -6,13 +6,13 @@
 from typing import Protocol
 
 import xxhash
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from pimentolink.configurationage import ConfigurationAge
 from pimentolink.errors import KeyValueUnavailable
 from pimentolink.keyspace import Change, Item, Keyspace, epoch_of
 from pimentolink.peermessages import Message, ProofAsked, ProofNews, ProofTold
-from pimentolink.timers import Timers, pause
+from pimentolink.timers import Timers, in_background, pause
 
 # Share of the bound on the age after which a proof is renewed, and at which another
 # gateway's is still taken. Together they leave time for a question without an answer.
@@ -80,7 +80,8 @@
         self._revision = 0
         self._number = 0
         self._answer: Deferred[ProofTold | None] | None = None
-        self._silent_until: dict[str, float] = {}
+        self._silent = ""
+        self._silent_until = 0.0
         self._running: Deferred[None] | None = None
         self.is_needed: Callable[[], bool] = lambda: True
         # Whether the store may answer; while it does not, each try costs a call.
@@ -91,8 +92,7 @@
 
     def start(self) -> None:
         """Prove from now on."""
-        self._running = Deferred.fromCoroutine(self._run())
-        self._running.addErrback(lambda failure: failure.trap(CancelledError))
+        self._running = in_background(self._run())
 
     def stop(self) -> None:
         """Prove no more."""
@@ -151,14 +151,15 @@
         if self._instance in readers:
             return None
         reader = readers[_rank(self._instance) % len(readers)]
-        is_silent = self._silent_until.get(reader, 0.0) > self._timers.now()
+        is_silent = reader == self._silent and self._timers.now() < self._silent_until
         return None if is_silent else reader
 
     async def _ask_gateway(self, gateway: str) -> bool:
         asked_at = self._age.clock()
         answer = await self._answer_of(gateway)
         if answer is None:
-            self._silent_until = {gateway: self._timers.now() + PEER_PAUSE}
+            self._silent = gateway
+            self._silent_until = self._timers.now() + PEER_PAUSE
             return False
         age = answer.age_ms / 1000
         if answer.version > self.version() or age > OLDEST_SHARE * self._bound:
--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -82,6 +82,7 @@
         table: RoutingTable,
         responder: Responder,
         organisation: Organisation | None = None,
+        on_run: OnRun = _not_counted,
     ) -> None:
         """
         Begin without an attempt.
@@ -92,6 +93,7 @@
         :param table: the configuration that decided.
         :param responder: where the answer goes.
         :param organisation: that asks; ``None`` where none is asked for.
+        :param on_run: counts it for the organisation once it begins to run.
         """
         self.request = request
         self.route = route
@@ -101,7 +103,7 @@
         self.attempts = Attempts(route)
         self.first_event_at: float | None = None
         self._has_begun_run = False
-        self._on_run: OnRun = _not_counted
+        self._on_run = on_run
         patience = route.timeout
         if request.patience is not None:
             patience = min(patience, request.patience)
@@ -110,14 +112,6 @@
         if organisation is not None and organisation.priority is not None:
             self.priority = organisation.priority
 
-    def count_run_by(self, on_run: OnRun) -> None:
-        """
-        Have the request counted once it begins to run.
-
-        :param on_run: gets the organisation and the moment.
-        """
-        self._on_run = on_run
-
     def run_began(self, began_at: float) -> None:
         """
         Learn that a target began to run the request, for the first time or again.
@@ -246,9 +240,17 @@
             return asker
         request = _as_asked_by(asker.ok_value, request, table)
         service = route.ok_value.pick_service(self._random)
-        work = Work(request, route.ok_value, service, table, responder, asker.ok_value)
-        work.count_run_by(self.on_run)
-        return Ok(work)
+        return Ok(
+            Work(
+                request,
+                route.ok_value,
+                service,
+                table,
+                responder,
+                asker.ok_value,
+                self.on_run,
+            )
+        )
 
     async def _serve(self, work: Work) -> None:
         self._metrics.count("requests", work.route.name)
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -167,7 +167,7 @@
         self._registration = Registration(
             settings, self._life, keyspace, timers, self._random, self.log
         )
-        self._registration.on_store_back = self._store_back
+        self._registration.on_store_back = self._read_again
         self._follower.may_ask = self._may_ask_store
         self.leadership = Leadership(
             settings, self._life, keyspace, timers, self._random, self.log
@@ -465,17 +465,15 @@
     def _thawed(self) -> None:
         """Read the store again before anything rests on older belief."""
         self.fleet.forgive(self._timers.now())
-        self._follower.restart()
+        self._read_again()
         self._registration.check()
         self.leadership.distrust()
-        if self._prover is not None:
-            self._prover.restart()
 
     def _may_ask_store(self) -> bool:
         return self._registration.is_answered
 
-    def _store_back(self) -> None:
-        """Read the store anew, which may have changed unseen."""
+    def _read_again(self) -> None:
+        """Read the store again, which may have changed unseen."""
         self._follower.restart()
         if self._prover is not None:
             self._prover.restart()
@@ -483,11 +481,9 @@
     def _store_restored(self) -> None:
         """Read the store again, and write again what it lost."""
         self.log.write(LogEvent.STORE_RESTORED, epoch=self._keyspace.epoch)
-        self._follower.restart()
+        self._read_again()
         self._registration.check()
         self._quarantine.store.restored()
-        if self._prover is not None:
-            self._prover.restart()
 
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -6,14 +6,14 @@
 from random import Random
 from typing import Any, Protocol
 
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from pimentolink.errors import HistoryLost, KeyValueUnavailable
 from pimentolink.gatewaysettings import StoreSettings
 from pimentolink.keyspace import Change, Keyspace, epoch_of
 from pimentolink.logs import Log, LogEvent
 from pimentolink.retry import Backoff
-from pimentolink.timers import Timers, pause
+from pimentolink.timers import Timers, in_background, pause
 
 
 class KeyspaceListener(Protocol):
@@ -83,8 +83,7 @@
 
     def start(self) -> None:
         """Read everything, then watch."""
-        self._running = Deferred.fromCoroutine(self._follow())
-        self._running.addErrback(lambda failure: failure.trap(CancelledError))
+        self._running = in_background(self._follow())
 
     def restart(self) -> None:
         """Read everything again now; what is known may be old."""
--- a/pimentolink/leadership.py
+++ b/pimentolink/leadership.py
@@ -8,14 +8,14 @@
 
 import msgspec
 from result import Err
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from pimentolink.errors import KeyValueUnavailable, LeaseLost
 from pimentolink.gatewaysettings import GatewaySettings
 from pimentolink.jsondocument import read_json
 from pimentolink.keyspace import Change, Keyspace, Write, epoch_of
 from pimentolink.logs import Log, LogEvent
-from pimentolink.timers import Timers, pause
+from pimentolink.timers import Timers, in_background, pause
 
 LEADER_KEY = "pimentolink/orders"
 # The lease is renewed this often within its time.
@@ -94,8 +94,7 @@
 
     def start(self) -> None:
         """Lead whenever nobody does."""
-        self._running = Deferred.fromCoroutine(self._run())
-        self._running.addErrback(lambda failure: failure.trap(CancelledError))
+        self._running = in_background(self._run())
 
     def stop(self) -> None:
         """Lead no more."""
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -13,7 +13,7 @@
 from pimentolink.errors import DocumentInvalid
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import StoreSettings
-from pimentolink.jsondocument import read_json
+from pimentolink.jsondocument import read_entry
 from pimentolink.keyspace import Change, epoch_of
 from pimentolink.leadership import LEADER_KEY
 from pimentolink.logs import Log, LogEvent
@@ -258,12 +258,9 @@
         if change.value is None:
             self._forget_gateway(name)
             return
-        found = read_json(change.value, GatewayEntry)
-        if isinstance(found, Err):
-            detail = f"{change.key}: {found.err_value.detail}"
-            self._log.write(LogEvent.PEER_MESSAGE_INVALID, detail=detail)
+        entry = read_entry(change.key, change.value, GatewayEntry, self._log)
+        if entry is None:
             return
-        entry = found.ok_value
         if self.gateways_by_name.get(name) != entry:
             self._log.write(LogEvent.PEER_LISTED, peer=name, listed=True)
         self.gateways_by_name[name] = entry
--- a/pimentolink/registration.py
+++ b/pimentolink/registration.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import msgspec
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from pimentolink.errors import KeyValueUnavailable, LeaseLost
 from pimentolink.gatewaysettings import GatewaySettings
@@ -14,7 +14,7 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.retry import Backoff
 from pimentolink.settings import Address
-from pimentolink.timers import Timers, pause
+from pimentolink.timers import Timers, in_background, pause
 
 GATEWAY_PREFIX = "pimentolink/gateways/"
 # Seconds between two renewals of the lease. They also tell whether the store answers: a
@@ -75,19 +75,14 @@
         self._life = life
         self._key = GATEWAY_PREFIX + settings.instance
         self._running: Deferred[None] | None = None
-        self._is_answered = True
+        # Whether the store answered the last call for this entry.
+        self.is_answered = True
         self.lease = 0
         self.on_store_back: Callable[[], None] = lambda: None
 
-    @property
-    def is_answered(self) -> bool:
-        """Whether the store answered the last call of this gateway's entry."""
-        return self._is_answered
-
     def start(self) -> None:
         """Write the entry and keep it."""
-        self._running = Deferred.fromCoroutine(self._keep())
-        self._running.addErrback(lambda failure: failure.trap(CancelledError))
+        self._running = in_background(self._keep())
 
     def stop(self) -> None:
         """Let the others know that this gateway is gone."""
@@ -122,14 +117,14 @@
 
     def _answered(self) -> None:
         self._backoff.reset()
-        if not self._is_answered:
-            self._is_answered = True
+        if not self.is_answered:
+            self.is_answered = True
             self._log.write(LogEvent.RENEWAL_ANSWERED, lease=self.lease)
             self.on_store_back()
 
     def _unanswered(self, failure: KeyValueUnavailable) -> None:
-        if self._is_answered:
-            self._is_answered = False
+        if self.is_answered:
+            self.is_answered = False
             self._log.write(
                 LogEvent.RENEWAL_UNANSWERED, lease=self.lease, detail=failure.detail
             )
--- a/pimentolink/suspectstore.py
+++ b/pimentolink/suspectstore.py
@@ -8,11 +8,10 @@
 from typing import NamedTuple
 
 import msgspec
-from result import Err
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from pimentolink.errors import KeyValueUnavailable, LeaseLost
-from pimentolink.jsondocument import read_json
+from pimentolink.jsondocument import read_entry
 from pimentolink.keyspace import Change, Keyspace, Write
 from pimentolink.logs import Log, LogEvent
 from pimentolink.peermessages import (
@@ -24,7 +23,7 @@
 from pimentolink.retry import Backoff
 from pimentolink.suspects import Suspects
 from pimentolink.suspicion import KEEP, SUSPECT_FROM
-from pimentolink.timers import Timer, Timers, pause
+from pimentolink.timers import Timer, Timers, in_background, pause
 
 SUSPECT_PREFIX = "pimentolink/suspects/"
 # Seconds in which further crashes join the same write.
@@ -165,12 +164,10 @@
         if change.value is None:
             # Its lease ran out; what it told has lapsed here as well.
             return
-        found = read_json(change.value, SuspectDocument)
-        if isinstance(found, Err):
-            detail = f"{change.key}: {found.err_value.detail}"
-            self._log.write(LogEvent.PEER_MESSAGE_INVALID, detail=detail)
+        found = read_entry(change.key, change.value, SuspectDocument, self._log)
+        if found is None:
             return
-        for message in found.ok_value.news:
+        for message in found.news:
             self.on_news(message, "store")
             if isinstance(message, TargetCrashed):
                 self._mark_stored(message)
@@ -189,8 +186,7 @@
 
     def _begin(self) -> None:
         self._timer = None
-        self._writing = Deferred.fromCoroutine(self._write())
-        self._writing.addErrback(lambda failure: failure.trap(CancelledError))
+        self._writing = in_background(self._write())
         self._writing.addCallback(self._ended)
 
     def _ended(self, _: object) -> None:
--- a/pimentolink/timers.py
+++ b/pimentolink/timers.py
@@ -65,6 +65,18 @@
     return pending
 
 
+def in_background(work: Coroutine[Any, Any, None]) -> Deferred[None]:
+    """
+    Begin work that goes on until it is cancelled.
+
+    :param work: a coroutine that awaits Deferreds.
+    :returns: what cancels it; being cancelled is no failure of it.
+    """
+    running = Deferred.fromCoroutine(work)
+    running.addErrback(lambda failure: failure.trap(CancelledError))
+    return running
+
+
 async def with_timeout(
     timers: Timers, seconds: float, work: Coroutine[Any, Any, Awaited]
 ) -> Awaited:
--- a/pimentolink/usagereporter.py
+++ b/pimentolink/usagereporter.py
@@ -7,16 +7,15 @@
 from typing import Any, NamedTuple, Protocol
 
 import msgspec
-from result import Err
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from pimentolink.errors import Failure, KeyValueUnavailable, LeaseLost, ReportRefused
 from pimentolink.gatewaysettings import UsageSettings
-from pimentolink.jsondocument import read_json
+from pimentolink.jsondocument import read_entry
 from pimentolink.keyspace import Change, Item, Keyspace, Write, epoch_of
 from pimentolink.leadership import LEADER_KEY, READ_AGE, Leadership
 from pimentolink.logs import Log, LogEvent
-from pimentolink.timers import Timers, pause, with_timeout
+from pimentolink.timers import Timers, in_background, pause, with_timeout
 from pimentolink.truetime import TrueTime
 from pimentolink.usageteller import UsageTeller
 
@@ -140,8 +139,7 @@
     def start(self) -> None:
         """Report whenever this gateway leads."""
         self._first = self._teller.window_of(self._clock.now())
-        self._running = Deferred.fromCoroutine(self._run())
-        self._running.addErrback(lambda failure: failure.trap(CancelledError))
+        self._running = in_background(self._run())
 
     def stop(self) -> None:
         """Report no more."""
@@ -163,16 +161,11 @@
             self._epoch = epoch
 
     def _take(self, item: Item) -> None:
-        found = read_json(item.value, UsageReport)
-        if isinstance(found, Err):
-            self._log.write(
-                LogEvent.PEER_MESSAGE_INVALID,
-                detail=f"{item.key}: {found.err_value.detail}",
-            )
+        report = read_entry(item.key, item.value, UsageReport, self._log)
+        if report is None:
             return
         self._key_revision = item.revision
         self._is_key_known = True
-        report = found.ok_value
         if report.epoch == epoch_of(item.revision):
             # All later windows are uncommitted: this one ended after the last restore.
             self._first = min(self._first, report.window + 1)
