Log each shared retry budget decision with its inputs

Problem: callers saw more repeated attempts to one service than the budget allows, and no log line showed how many each gateway had granted or on which part of the budget. Granting an attempt was not logged, and neither was the number of gateways by which the slack is divided.

Change: event E1423 retry_decided records each decision with the requests and repeated attempts in the window, the number of gateways and the allowed number of attempts. The metric pimentolink_retries_total counts granted and denied attempts. Plain calls and generations used duplicated code to request, refund and count attempts; both now use the new module retrylimiter. No decision changes.

Tests: the gateway, budget and log tests pass.

--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -44,6 +44,7 @@
 from pimentolink.readings import Readings
 from pimentolink.registration import Registration
 from pimentolink.retry import SharedBudgets
+from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.rolebalance import RoleBalancer
 from pimentolink.routes import CallerBounds, RoutingTables
 from pimentolink.settings import split_address
@@ -298,12 +299,13 @@
 
     def _make_forwarder(self, placer: Placer) -> Forwarder:
         settings, timers = self._settings, self._timers
+        retry_limiter = RetryLimiter(self.budgets, self.log, self.metrics)
         generations = Generations(
             self._caller,
             self._dialect,
             self.readings,
             placer,
-            self.budgets,
+            retry_limiter,
             timers,
             self.log,
         )
@@ -311,7 +313,7 @@
             self._caller,
             self._dialect,
             self.fleet,
-            self.budgets,
+            retry_limiter,
             settings.placement,
             settings.data_centre,
             timers,
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -26,7 +26,7 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.placement import MOST_SIZE, Placer, SizeScale, WaitingPrompt
 from pimentolink.readings import Readings, Ticket
-from pimentolink.retry import SharedBudgets
+from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.routes import Repeatability
 from pimentolink.targetbelief import TargetBelief
 from pimentolink.timers import Timers, with_timeout
@@ -64,7 +64,7 @@
         dialect: Dialect,
         readings: Readings,
         placer: Placer,
-        budgets: SharedBudgets,
+        retry_limiter: RetryLimiter,
         timers: Timers,
         log: Log,
     ) -> None:
@@ -75,7 +75,7 @@
         :param dialect: reads answers.
         :param readings: where prompts wait.
         :param placer: chooses engines that write.
-        :param budgets: bound repeated attempts.
+        :param retry_limiter: bounds repeated attempts.
         :param timers: the timer service.
         :param log: where events go.
         """
@@ -83,14 +83,14 @@
         self._dialect = dialect
         self._readings = readings
         self._placer = placer
-        self._budgets = budgets
+        self._retry_limiter = retry_limiter
         self._timers = timers
         self._log = log
         self._sizes = SizeScale()
 
     async def serve(self, work: Work) -> None:
         """Answer a request."""
-        self._budgets.earn(work.service)
+        self._retry_limiter.earn(work)
         relay = _Relay(work, self._timers)
         last: Failure | None = None
         while True:
@@ -122,13 +122,13 @@
 
         :raises RetryBudgetSpent: if nothing is left.
         """
-        if is_repeat and not self._budgets.spend(work.service):
+        if is_repeat and not self._retry_limiter.spend(work):
             raise RetryBudgetSpent("no repeated attempt is left", USUAL_PAUSE)
 
     def _refund_repeat(self, work: Work, is_repeat: bool) -> None:
         """Take a repeated sending back that reached no engine."""
         if is_repeat:
-            self._budgets.refund(work.service)
+            self._retry_limiter.refund(work)
 
     def _tell_broken(self, work: Work, relay: _Relay, failure: Failure) -> None:
         self._log.write(
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -191,6 +191,11 @@
         logging.INFO,
         "A prompt's reading ended, with the time it took and the time predicted.",
     )
+    RETRY_DECIDED = (
+        "E1423",
+        logging.INFO,
+        "The shared retry budget granted or denied a repeated attempt; its inputs.",
+    )
     STREAM_RESUMED = (
         "E1408",
         logging.WARNING,
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -18,7 +18,7 @@
 from pimentolink.forwarder import Work, pass_on
 from pimentolink.gatewaysettings import PlacementSettings
 from pimentolink.httptypes import HttpReply
-from pimentolink.retry import SharedBudgets
+from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.routes import Repeatability
 from pimentolink.targetbelief import TargetBelief
 from pimentolink.timers import Timers
@@ -41,7 +41,7 @@
         caller: Caller,
         dialect: Dialect,
         fleet: Fleet,
-        budgets: SharedBudgets,
+        retry_limiter: RetryLimiter,
         settings: PlacementSettings,
         data_centre: str,
         timers: Timers,
@@ -52,7 +52,7 @@
         :param caller: makes calls.
         :param dialect: reads answers.
         :param fleet: the targets.
-        :param budgets: bound repeated attempts.
+        :param retry_limiter: bounds repeated attempts.
         :param settings: weights.
         :param data_centre: where this gateway stands.
         :param timers: the timer service.
@@ -60,21 +60,21 @@
         self._caller = caller
         self._dialect = dialect
         self._fleet = fleet
-        self._budgets = budgets
+        self._retry_limiter = retry_limiter
         self._settings = settings
         self._data_centre = data_centre
         self._timers = timers
 
     async def serve(self, work: Work) -> None:
         """Answer a request."""
-        self._budgets.earn(work.service)
+        self._retry_limiter.earn(work)
         last: Failure | HttpReply | None = None
         while True:
             belief = self._choose(work)
             if belief is None:
                 break
             is_repeat = work.attempts.count > 0
-            if is_repeat and not self._budgets.spend(work.service):
+            if is_repeat and not self._retry_limiter.spend(work):
                 last = last or RetryBudgetSpent("no repeated attempt is left")
                 break
             last = await self._attempt(work, belief, is_repeat)
@@ -126,7 +126,7 @@
             if failure.ran:
                 work.run_began(began_at)
             if is_repeat and isinstance(failure, UNSENT):
-                self._budgets.refund(work.service)
+                self._retry_limiter.refund(work)
             return failure
         except CancelledError:
             # The target has it; nobody waits for what it says.
--- a/pimentolink/retry.py
+++ b/pimentolink/retry.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from random import Random
+from typing import NamedTuple
 
 from pimentolink.gatewaysettings import BudgetSettings
 from pimentolink.settings import RetrySettings
@@ -47,6 +48,24 @@
         return True
 
 
+class RetryDecision(NamedTuple):
+    """
+    The decision on a repeated attempt, with its inputs.
+
+    :ivar is_granted: whether the attempt may be made.
+    :ivar requests: requests to the service at this gateway within the window.
+    :ivar spent: repeated attempts granted earlier within the window.
+    :ivar gateways: number of gateways that share the slack.
+    :ivar allowed: limit on repeated attempts at this gateway within the window.
+    """
+
+    is_granted: bool
+    requests: int
+    spent: int
+    gateways: int
+    allowed: float
+
+
 class SharedBudget:
     """
     One gateway's part of a budget that all gateways share.
@@ -73,20 +92,22 @@
         self._requests.append(self._timers.now())
         self._forget()
 
-    def spend(self, gateways: int) -> bool:
+    def spend(self, gateways: int) -> RetryDecision:
         """
         Ask for one repeated attempt.
 
         :param gateways: that share the slack.
-        :returns: whether it is granted.
+        :returns: the decision with its inputs.
         """
         self._forget()
         earned = self.settings.ratio * len(self._requests)
         part = self.settings.slack / max(1, gateways)
-        if len(self._granted) + 1 > USED_SHARE * (earned + part):
-            return False
-        self._granted.append(self._timers.now())
-        return True
+        allowed = USED_SHARE * (earned + part)
+        spent = len(self._granted)
+        is_granted = spent + 1 <= allowed
+        if is_granted:
+            self._granted.append(self._timers.now())
+        return RetryDecision(is_granted, len(self._requests), spent, gateways, allowed)
 
     def refund(self) -> None:
         """Take back the last attempt that was granted: it reached no target."""
@@ -119,8 +140,12 @@
         """Count one request to a service."""
         self._budget(service).earn()
 
-    def spend(self, service: str) -> bool:
-        """Ask for one repeated attempt; tell whether it is granted."""
+    def spend(self, service: str) -> RetryDecision:
+        """
+        Ask for one repeated attempt.
+
+        :returns: the decision with its inputs.
+        """
         return self._budget(service).spend(self.gateways)
 
     def refund(self, service: str) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -152,6 +152,22 @@
         assert first != other
         assert all(line["after"] > 0 and line["others"] == 0 for line in failed)
 
+    def test_retry_decision_is_logged_and_counted(self, world):
+        world.fault("plain-1", status=500)
+        world.fault("plain-2", status=500)
+        _, name = world.request("/read/x")
+
+        def decisions():
+            lines = world.logged("gateway", name)
+            return [line for line in lines if line["event"] == "retry_decided"]
+
+        (line,) = wait_until(decisions)
+        assert line["granted"]
+        assert (line["requests"], line["spent"], line["gateways"]) == (1, 0, 1)
+        assert line["allowed"] > 1
+        url = f"http://{world.fleet.metrics_by_gateway['gateway']}/metrics"
+        assert b'pimentolink_retries_total{kind="granted"} 1.0' in call(url).body
+
     def failed_attempt(self, world, name):
         def found():
             lines = world.logged("gateway", name)
--- a/tests/test_sharedbudget.py
+++ b/tests/test_sharedbudget.py
@@ -17,7 +17,7 @@
                 budgets.gateways = 4
                 budgets.earn("s")
                 for _ in range(3):
-                    if budgets.spend("s"):
+                    if budgets.spend("s").is_granted:
                         granted.append(timers.now())
         for start in granted:
             inside = [at for at in granted if start <= at < start + 10.0]
@@ -32,22 +32,22 @@
         for _ in range(600):
             timers.advance(0.1)
             budgets.earn("s")
-        granted = sum(budgets.spend("s") for _ in range(200))
+        granted = sum(budgets.spend("s").is_granted for _ in range(200))
         assert granted <= 0.2 * 100 + 54 / 4
 
     def test_quiet_gateway_may_repeat_at_once(self):
         budgets = SharedBudgets(BudgetSettings(slack=54.0), ManualTimers())
         budgets.gateways = 4
-        assert budgets.spend("s")
+        assert budgets.spend("s").is_granted
 
     def test_services_do_not_spend_each_others_budget(self):
         budgets = SharedBudgets(BudgetSettings(slack=4.0), ManualTimers())
-        while budgets.spend("a"):
+        while budgets.spend("a").is_granted:
             pass
-        assert budgets.spend("b")
+        assert budgets.spend("b").is_granted
 
     def test_attempt_that_reached_no_target_costs_nothing(self):
         budgets = SharedBudgets(BudgetSettings(slack=4.0), ManualTimers())
         for _ in range(100):
-            assert budgets.spend("a")
+            assert budgets.spend("a").is_granted
             budgets.refund("a")
