Let each request earn retry credit once, with a lifetime of a quarter window

Impact on callers: when targets begin to fail after a period without failures while gateways are restarted, they receive more repeated attempts within the window than the budget allows, even if no slack is used. Found in a model while comparing ways to divide the budget.

Cause: a gateway granted repeated attempts up to the ratio of the requests in the last window, at any time. All the requests of a window without failures could be used at the start of the next one. The record of this ended with the process, so its successor used the ratio of that window's requests a second time (class: missing state, as with the slack).

Change: each request earns its fraction of a repeated attempt once, and this credit expires after a quarter of the window. A gateway with few requests keeps those that add up to one attempt. Use of the slack is counted separately. An attempt that reached no target is refunded to its source, and the credit keeps its age; before, the most recently granted attempt was refunded, which another request may have sent. Times are read from the boot clock, which continues during a suspension. The budget moves to its own module, sharedbudget; retry keeps the backoff and the entries' budget. E1423 tells what requests had earned.

Why the bound holds: each grant is matched with requests of its own that are at most a quarter of a window older, whichever process counted them; beyond that one attempt for each gateway with few requests, and attempts that were refunded, up to half a window. The share in use, 0.8, times 1.25 windows of requests equals the requests of one window.

Evidence: test_restarts_after_a_calm_time_stay_inside_the_deployments_budget counted 320 repeated attempts where 256 are allowed on the previous code, and passes now.

--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -43,11 +43,11 @@
 from pimentolink.readingqueue import ReadingQueue
 from pimentolink.readings import Readings
 from pimentolink.registration import Registration
-from pimentolink.retry import SharedBudgets
 from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.rolebalance import RoleBalancer
 from pimentolink.routes import CallerBounds, RoutingTables
 from pimentolink.settings import split_address
+from pimentolink.sharedbudget import SharedBudgets
 from pimentolink.timers import Repeater, Timers, pause
 from pimentolink.uplink import Uplink
 from pimentolink.usagereporter import UsageApi
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -10,14 +10,12 @@
 from pimentolink.dialect import Dialect, ReadPrompt, Sending, Verdict
 from pimentolink.errors import (
     UNSENT,
-    USUAL_PAUSE,
     ConnectionBroken,
     Failure,
     NoTarget,
     NotListening,
     RejectedUnrun,
     ReplyInvalid,
-    RetryBudgetSpent,
     StreamBroken,
 )
 from pimentolink.eventstream import EventSplitter, is_after
@@ -114,22 +112,6 @@
     def _may_go_on(self, work: Work) -> bool:
         return work.attempts.may_repeat() and work.time_left(self._timers.now()) > 0
 
-    def _spend_on_repeat(self, work: Work, is_repeat: bool) -> None:
-        """
-        Take a repeated sending out of the shared budget.
-
-        The first reading and the first run of a request are free.
-
-        :raises RetryBudgetSpent: if nothing is left.
-        """
-        if is_repeat and not self._retry_limiter.spend(work):
-            raise RetryBudgetSpent("no repeated attempt is left", USUAL_PAUSE)
-
-    def _refund_repeat(self, work: Work, is_repeat: bool) -> None:
-        """Take a repeated sending back that reached no engine."""
-        if is_repeat:
-            self._retry_limiter.refund(work)
-
     def _tell_broken(self, work: Work, relay: _Relay, failure: Failure) -> None:
         self._log.write(
             LogEvent.STREAM_RESUMED,
@@ -191,14 +173,14 @@
         is_good = False
         is_repeat = relay.readings > 0
         try:
-            self._spend_on_repeat(work, is_repeat)
+            attempt = self._retry_limiter.spend(work, is_repeat)
             relay.readings += 1
-            reading = self._read_at(work, ticket)
-            prepared = await with_timeout(self._timers, patience, reading)
+            with attempt:
+                reading = self._read_at(work, ticket)
+                prepared = await with_timeout(self._timers, patience, reading)
             is_good = True
         except UNSENT:
             relay.readings -= 1
-            self._refund_repeat(work, is_repeat)
             raise
         except TimeoutError:
             failure = ConnectionBroken(f"no reading within {patience:.2f} s")
@@ -280,14 +262,13 @@
         """Send the request to be run, and wait for the head of the answer."""
         is_once = work.route.repeatability is Repeatability.ONCE
         is_repeat = work.attempts.count > 0
-        self._spend_on_repeat(work, is_repeat)
+        attempt = self._retry_limiter.spend(work, is_repeat)
         work.attempts.sent(belief.target.target_id)
         try:
-            call = await self._caller.begin(work.request, belief, sending, is_once)
+            with attempt:
+                call = await self._caller.begin(work.request, belief, sending, is_once)
         except Failure as failure:
             work.attempts.failed(failure)
-            if isinstance(failure, UNSENT):
-                self._refund_repeat(work, is_repeat)
             raise
         work.attempts.ran()
         return call
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import AbstractContextManager
+
 from twisted.internet.defer import CancelledError, Deferred
 
 from pimentolink.calls import Caller
 from pimentolink.dialect import Dialect, Sending, Verdict
 from pimentolink.errors import (
-    UNSENT,
     Failure,
     NoTarget,
     Quarantined,
@@ -74,10 +75,12 @@
             if belief is None:
                 break
             is_repeat = work.attempts.count > 0
-            if is_repeat and not self._retry_limiter.spend(work):
-                last = last or RetryBudgetSpent("no repeated attempt is left")
+            try:
+                attempt = self._retry_limiter.spend(work, is_repeat)
+            except RetryBudgetSpent as failure:
+                last = last or failure
                 break
-            last = await self._attempt(work, belief, is_repeat)
+            last = await self._attempt(work, belief, attempt)
             if isinstance(last, Quarantined):
                 break
             if isinstance(last, HttpReply) and not self._is_repeatable(work, last):
@@ -110,23 +113,22 @@
         return reply.head.status >= 500 and work.attempts.may_repeat()
 
     async def _attempt(
-        self, work: Work, belief: TargetBelief, is_repeat: bool
+        self, work: Work, belief: TargetBelief, attempt: AbstractContextManager[None]
     ) -> HttpReply | Failure:
         """Make one attempt and tell how it ended."""
         is_once = work.route.repeatability is Repeatability.ONCE
         work.attempts.sent(belief.target.target_id)
         began_at = self._timers.now()
         try:
-            if is_once:
-                reply = await self._shielded(work, belief)
-            else:
-                reply = await self._exchange(work, belief)
+            with attempt:
+                if is_once:
+                    reply = await self._shielded(work, belief)
+                else:
+                    reply = await self._exchange(work, belief)
         except Failure as failure:
             work.attempts.failed(failure)
             if failure.ran:
                 work.run_began(began_at)
-            if is_repeat and isinstance(failure, UNSENT):
-                self._retry_limiter.refund(work)
             return failure
         except CancelledError:
             # The target has it; nobody waits for what it says.
--- a/pimentolink/retrylimiter.py
+++ b/pimentolink/retrylimiter.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import AbstractContextManager, nullcontext
+
+from pimentolink.errors import USUAL_PAUSE, RetryBudgetSpent
 from pimentolink.forwarder import Work
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
-from pimentolink.retry import SharedBudgets
+from pimentolink.sharedbudget import SharedBudgets
 
 
 class RetryLimiter:
@@ -16,8 +19,8 @@
         Create a limiter.
 
         :param budgets: the retry budget of each service.
-        :param log: where events go.
-        :param metrics: where figures go.
+        :param log: records the decisions.
+        :param metrics: counts the decisions.
         """
         self._budgets = budgets
         self._log = log
@@ -27,28 +30,30 @@
         """Count a request, which adds to the retry budget of its service."""
         self._budgets.earn(work.service)
 
-    def spend(self, work: Work) -> bool:
+    def spend(self, work: Work, is_repeat: bool) -> AbstractContextManager[None]:
         """
-        Ask for one repeated attempt.
+        Ask for one attempt; first attempts do not use the budget.
 
-        :returns: whether it is granted.
+        :param work: the request.
+        :param is_repeat: whether this is a repeated attempt.
+        :returns: a context manager that must enclose the attempt.
+        :raises RetryBudgetSpent: if a repeated attempt is denied.
         """
+        if not is_repeat:
+            return nullcontext()
         decision = self._budgets.spend(work.service)
-        outcome = "granted" if decision.is_granted else "denied"
-        self._metrics.count("retries", outcome)
+        is_granted = decision.grant is not None
+        self._metrics.count("retries", "granted" if is_granted else "denied")
         self._log.write(
             LogEvent.RETRY_DECIDED,
             request=work.request.request_id,
             service=work.service,
-            granted=decision.is_granted,
-            requests=decision.requests,
+            granted=is_granted,
+            earned=round(decision.earned, 2),
             spent=decision.spent,
             gateways=decision.gateways,
             part=round(decision.part, 2),
-            allowed=round(decision.allowed, 2),
         )
-        return decision.is_granted
-
-    def refund(self, work: Work) -> None:
-        """Return a granted attempt that reached no target to the budget."""
-        self._budgets.refund(work.service)
+        if decision.grant is None:
+            raise RetryBudgetSpent("no repeated attempt is left", USUAL_PAUSE)
+        return decision.grant
--- a/tools/platformworld.py
+++ b/tools/platformworld.py
@@ -116,14 +116,18 @@
             ]
         self.put("op/config", told)
 
-    def start_usual(self) -> None:
-        """Two engines, two plain targets, one gateway that is ready."""
+    def start_usual(self, **settings: Any) -> None:
+        """
+        Start two engines, two plain targets and one gateway that is ready.
+
+        :param settings: additional settings of the gateway.
+        """
         self.target("reader", "llm", "prefill")
         self.target("writer", "llm", "decode")
         self.target("plain-1", "plain")
         self.target("plain-2", "plain")
         self.configure(1)
-        self.gateway("gateway")
+        self.gateway("gateway", **settings)
 
     def gateway(self, name: str, **extra: Any) -> None:
         """Start a gateway and wait until it is ready."""
