Soak gateway restarts while all targets fail, and check the retry budget

Change: tests/soak_retries.py kills, stops and freezes three gateways and cuts them off from the store, in quick succession, while both targets of a service fail every request. It checks the retries that targets saw in every window against the requests that callers sent.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -222,9 +222,13 @@
 class SoakWorld(PlatformWorld):
     """A deployment whose every link goes through a fault proxy."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(
+        self, fleet: Fleet, gateway_count: int = 2, lease: float = 10.0
+    ) -> None:
         super().__init__(fleet)
-        self.gateways = ["gateway-1", "gateway-2"]
+        self.gateways = [f"gateway-{number}" for number in range(1, gateway_count + 1)]
+        self.lease = lease
+        self.gateway_settings: dict[str, object] = {}
         self.proxies: list[str] = []
         self.version = 1
         self.lives: dict[str, int] = {}
@@ -245,7 +249,8 @@
         for number, name in enumerate(self.gateways):
             store = self.proxy(f"store-link-{number}", self.fleet.address("store"))
             settings = {"address": store, "timeout": 0.5, "backoff_most": 0.5}
-            self.gateway(name, store=settings)
+            settings["lease"] = self.lease
+            self.gateway(name, store=settings, **self.gateway_settings)
 
     def proxy(self, name: str, target: str) -> str:
         front = f"127.0.0.1:{free_port()}"
@@ -311,7 +316,19 @@
     def play(self) -> list[str]:
         """Play faults for a while; return what was done, in order."""
         played = []
-        kinds = (
+        kinds = self.kinds()
+        end = time.monotonic() + FAULTS_FOR
+        while time.monotonic() < end:
+            played.append(self.random.choice(kinds)())
+            time.sleep(self.random.uniform(0.1, 0.8))
+            self.undo_due()
+            self.world.revive()
+        self.undo_due(everything=True)
+        return played
+
+    def kinds(self) -> tuple:
+        """Return the fault methods to choose from; repeating one raises its odds."""
+        return (
             self.link,
             self.link,
             self.reset,
@@ -325,14 +342,6 @@
             self.configure,
             self.hang_up,
         )
-        end = time.monotonic() + FAULTS_FOR
-        while time.monotonic() < end:
-            played.append(self.random.choice(kinds)())
-            time.sleep(self.random.uniform(0.1, 0.8))
-            self.undo_due()
-            self.world.revive()
-        self.undo_due(everything=True)
-        return played
 
     def later(self, seconds: float, call_back) -> None:
         self.undo.append((time.monotonic() + seconds, call_back))
--- /dev/null
+++ b/tests/soak_retries.py
@@ -0,0 +1,156 @@
+"""
+Gateway restarts while all targets of a service fail, checked against the retry budget.
+
+``python -m tests.soak_retries --seeds 50 --first 1`` plays seeds one after the other.
+"""
+
+import argparse
+import shutil
+import signal
+import sys
+import time
+from pathlib import Path
+from uuid import uuid4
+
+from tests.soak import Asked, Caller, Faults, Ran, SoakWorld
+from tools.fleet import Fleet
+
+GATEWAYS = 3
+CALLERS = 6
+RATIO = 0.2
+SLACK = 36.0
+WINDOW = 6.0
+LEASE = 2.0
+# A new gateway uses no slack for one window and one lease; the rest is margin.
+ESTABLISHED_AFTER = WINDOW + LEASE + 1.5
+
+
+def problems_of_retries(asked: list[Asked], ran: list[Ran]) -> list[str]:
+    """
+    Check that retries over all gateways stay within the budget in every window.
+
+    The bound uses the highest request count of the same window, the one half a window
+    earlier and the one a full window earlier.
+
+    :param asked: all requests to the service.
+    :param ran: the ``run`` events of its targets.
+    """
+    arrivals_by_name: dict[str, list[float]] = {}
+    for event in sorted(ran, key=lambda item: item.at):
+        arrivals_by_name.setdefault(event.name, []).append(event.at)
+    retries = sorted(at for times in arrivals_by_name.values() for at in times[1:])
+    for start in retries:
+        count = sum(start <= at < start + WINDOW for at in retries)
+        requests = max(
+            sum(
+                start - offset <= item.sent_at < start - offset + WINDOW
+                for item in asked
+            )
+            for offset in (0, WINDOW / 2, WINDOW)
+        )
+        allowed = RATIO * requests + SLACK
+        if count > allowed:
+            return [f"{count} retries for {requests} requests, {allowed:.1f} allowed"]
+    return []
+
+
+class ReadCaller(Caller):
+    """Sends retryable requests, at a rate where slack is about half of the budget."""
+
+    def run(self) -> None:
+        while not self.is_stopped.is_set():
+            self.asked.append(self.ask())
+            time.sleep(self.random.uniform(0.1, 0.2))
+
+    def ask(self, kind: str = "read") -> Asked:
+        return super().ask(kind)
+
+
+class GatewayFaults(Faults):
+    """Faults of gateways and of their links to the store only."""
+
+    def kinds(self) -> tuple:
+        return (
+            self.kill,
+            self.kill,
+            self.terminate,
+            self.freeze,
+            self.reset_store_link,
+            self.kill_all_gateways,
+        )
+
+    def reset_store_link(self) -> str:
+        name = self.random.choice([p for p in self.world.proxies if p[:5] == "store"])
+        self.mode(name, "reset")
+        self.later(self.random.uniform(0.5, 3.0), lambda: self.mode(name, "good"))
+        return f"{name} reset"
+
+    def kill_all_gateways(self) -> str:
+        for name in self.world.gateways:
+            process = self.world.fleet.processes_by_name[name]
+            if process.is_running:
+                process.send(signal.SIGCONT)
+                process.kill()
+                self.later(0.2, lambda n=name: self.start_again(n))
+        return "all gateways killed"
+
+
+def play(seed: int, keep: Path | None = None) -> list[str]:
+    """
+    Play one seed; return the problems found.
+
+    :param keep: folder to which the logs of a failed run are copied.
+    """
+    with Fleet() as fleet:
+        world = SoakWorld(fleet, GATEWAYS, LEASE)
+        budget = {"ratio": RATIO, "slack": SLACK, "window": WINDOW}
+        world.gateway_settings = {"budget": budget}
+        world.start()
+        callers = [ReadCaller(world, seed * 100 + n) for n in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        time.sleep(ESTABLISHED_AFTER)
+        for place in ("plain", "other-plain"):
+            world.fault(f"{place}-1", status=500)
+        played = GatewayFaults(world, seed).play()
+        for caller in callers:
+            caller.is_stopped.set()
+        for caller in callers:
+            caller.join(10)
+        asked = [request for caller in callers for request in caller.asked]
+        names = {request.name for request in asked}
+        ran = [
+            event
+            for event in world.ran()
+            if event.name in names and event.event == "run"
+        ]
+        found = problems_of_retries(asked, ran) + fleet.faults()
+        retry_count = len(ran) - len({event.name for event in ran})
+        print(
+            f"seed {seed}: {len(asked)} requests, {retry_count} retries, {played}",
+            flush=True,
+        )
+        if found and keep is not None:
+            shutil.copytree(fleet.folder, keep / f"{seed}-{uuid4().hex[:6]}")
+    return found
+
+
+def main() -> int:
+    """Play seeds; print the problems of each."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--keep", type=Path, help="folder for the logs of failed runs")
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        found = play(seed, options.keep)
+        failed += bool(found)
+        for line in found[:10]:
+            print(f"seed {seed}: PROBLEM {line}", flush=True)
+    print(f"{options.seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
