Expire requests that earned retry credit while no attempt is repeated

Cause: the move away from a sliding window lost the expiry on each request. Change: requests also expire whenever one is counted. Why it holds: what is kept is at most the requests of a quarter of the window, or the few that add up to one repeated attempt.

The two soak tests share the function that plays seeds.

--- a/pimentolink/sharedbudget.py
+++ b/pimentolink/sharedbudget.py
@@ -44,9 +44,14 @@
         # Fraction of the oldest request's credit that has been spent.
         self._spent_of_oldest = 0.0
 
-    def add(self) -> None:
-        """Count one request."""
+    def __len__(self) -> int:
+        """Return the number of stored requests."""
+        return len(self._requests)
+
+    def add(self, settings: BudgetSettings) -> None:
+        """Count one request and drop expired ones, which bounds memory use."""
         self._requests.append(self._timers.boot_time())
+        self._expire(settings)
 
     def available(self, settings: BudgetSettings) -> float:
         """Return how many repeated attempts the unspent credit allows."""
@@ -82,9 +87,11 @@
         cutoff = now - CREDIT_LIFETIME_SHARE * settings.window
         del self._refunded[: bisect_left(self._refunded, cutoff)]
         credit_per_request = USED_SHARE * settings.ratio
-        kept = math.ceil(1 / credit_per_request) if credit_per_request > 0 else 0
+        requests_per_attempt = (
+            math.ceil(1 / credit_per_request) if credit_per_request > 0 else 0
+        )
         requests = self._requests
-        while len(requests) > kept and requests[0] < cutoff:
+        while len(requests) > requests_per_attempt and requests[0] < cutoff:
             self._drop_oldest()
         while requests and requests[0] < now - settings.window:
             self._drop_oldest()
@@ -176,7 +183,7 @@
 
     def earn(self) -> None:
         """Count one request."""
-        self._credit.add()
+        self._credit.add(self.settings)
 
     def spend(self) -> RetryDecision:
         """
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -14,6 +14,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 from uuid import uuid4
@@ -515,8 +516,13 @@
         self.gateways = [gateway]
 
 
-def main() -> int:
-    """Play seeds; print what was wrong with each."""
+def main(play_seed: Callable[[int, Path | None], list[str]] = play) -> int:
+    """
+    Play seeds; print the problems found with each.
+
+    :param play_seed: plays one seed, given the seed and the folder for logs of failed
+        runs, and returns the problems found.
+    """
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=1)
@@ -524,7 +530,7 @@
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        found = play(seed, options.keep)
+        found = play_seed(seed, options.keep)
         failed += bool(found)
         for line in found[:10]:
             print(f"seed {seed}: PROBLEM {line}", flush=True)
--- a/tests/soak_retries.py
+++ b/tests/soak_retries.py
@@ -4,7 +4,6 @@
 ``python -m tests.soak_retries --seeds 50 --first 1`` plays seeds one after the other.
 """
 
-import argparse
 import shutil
 import signal
 import sys
@@ -12,7 +11,7 @@
 from pathlib import Path
 from uuid import uuid4
 
-from tests.soak import Asked, Caller, Faults, Ran, SoakWorld
+from tests.soak import Asked, Caller, Faults, Ran, SoakWorld, main
 from tools.fleet import Fleet
 
 GATEWAYS = 3
@@ -135,22 +134,5 @@
     return found
 
 
-def main() -> int:
-    """Play seeds; print the problems of each."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seeds", type=int, default=50)
-    parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--keep", type=Path, help="folder for the logs of failed runs")
-    options = parser.parse_args()
-    failed = 0
-    for seed in range(options.first, options.first + options.seeds):
-        found = play(seed, options.keep)
-        failed += bool(found)
-        for line in found[:10]:
-            print(f"seed {seed}: PROBLEM {line}", flush=True)
-    print(f"{options.seeds - failed} passed, {failed} failed")
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(play))
--- a/tests/test_sharedbudget.py
+++ b/tests/test_sharedbudget.py
@@ -10,7 +10,7 @@
 
 from pimentolink.errors import NotListening
 from pimentolink.gatewaysettings import BudgetSettings
-from pimentolink.sharedbudget import SharedBudgets
+from pimentolink.sharedbudget import EarnedRetryCredit, SharedBudgets
 from pimentolink.slackshare import ListedGatewayCount
 from pimentolink.timers import ManualTimers
 from tests.gatewayparts import gateway_settings
@@ -162,6 +162,18 @@
         timers.advance(10.0)
         assert count_granted(budgets, 5) == 0
 
+    def test_requests_expire_while_no_attempt_is_repeated(self):
+        # Guards against unbounded memory use when no attempt fails.
+        timers = ManualTimers()
+        credit = EarnedRetryCredit(timers)
+        settings = BudgetSettings(ratio=0.2, window=10.0)
+        stored_counts = []
+        for _ in range(1_000):
+            credit.add(settings)
+            timers.advance(0.1)
+            stored_counts.append(len(credit))
+        assert max(stored_counts) <= 26
+
     def test_refunded_credit_keeps_its_age(self):
         # Guards against credit that never expires while a target refuses connections.
         timers = ManualTimers()
