Write each stand-in target event in a single call

With unbuffered standard output, print() writes the text and the newline in two calls (observed with strace). A target killed between them leaves an unterminated line, which its next process appends to.

Write the text and the newline in one call. The new test finds two writes on the previous code and one now.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import sys
 import time
 from collections import Counter
 from typing import Any
@@ -64,7 +65,9 @@
     def _log(self, event: str, name: str, **fields: Any) -> None:
         """Write what happened to standard output, which outlives this process."""
         told = {"event": event, "name": name, "at": time.time(), **fields}
-        print(json.dumps(told), flush=True)
+        # print() may write the newline separately; a kill in between omits it.
+        sys.stdout.write(json.dumps(told) + "\n")
+        sys.stdout.flush()
 
     def set_faults(self, request: Request) -> None:
         """Switch faults on or off."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,11 @@
 """The soak's checks catch planted faults; one short seed runs here."""
 
 import json
+from types import SimpleNamespace
 
 import pytest
 
+from standins.platform_engine import PlatformEngineStandIn
 from tests import soak
 from tests.soak import Asked, Ran, problems, problems_of_fatal
 
@@ -34,6 +36,18 @@
     return "".join(lines).encode()
 
 
+class TestTargetEvents:
+    def test_event_is_written_in_one_call(self, monkeypatch):
+        # Guards against an unterminated line that the next process appends to.
+        writes = []
+        stdout = SimpleNamespace(write=writes.append, flush=lambda: None)
+        monkeypatch.setattr("sys.stdout", stdout)
+        PlatformEngineStandIn._log(SimpleNamespace(), "run", "a")
+        (line,) = writes
+        assert line.endswith("\n")
+        assert json.loads(line)["name"] == "a"
+
+
 class TestPlantedFaults:
     def test_whole_and_single_answers_pass(self):
         whole = stream("b", range(1, soak.PIECES + 1))
