Keep the logs of processes that ran during a failed test

Of the five known failures three were seen once and never traced: a fleet of test processes kept its logs in a temporary directory that it removed as it was closed, so a failing run left nothing to read.

Folders of fleets are now made below pytest's base folder. When a test fails, the folders of all fleets that run or were closed during it stay; others are removed as the test ends. This includes tests that KNOWN-RED.txt lists, whose failure pytest counts as expected. The summary at the end of a run names the folders.

The new test runs four tests in a pytest of its own: the logs of a fleet that was closed before the assertion, of one that its module shares and of a listed test are kept, those of a test that passed are not. Before the change no folder was left and nothing was told.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""Test processes: the ports that they choose, and when they are there."""
+"""Test processes: their ports, when they are there, and what is left of them."""
 
 import socket
 import subprocess
@@ -39,3 +39,46 @@
             process.listens()
     finally:
         process.kill()
+
+
+TESTS = """
+import pytest
+from tools.fleet import Fleet
+
+@pytest.fixture(scope="module")
+def shared():
+    with Fleet() as fleet:
+        yield fleet
+
+def test_passes():
+    with Fleet() as fleet:
+        fleet.write("passed", {})
+
+def test_fails_after_its_fleet_ended():
+    with Fleet() as fleet:
+        fleet.write("ended", {})
+    assert False
+
+def test_fails_beside_a_fleet_of_its_module(shared):
+    shared.write("shared", {})
+    assert False
+
+@pytest.mark.xfail
+def test_listed():
+    with Fleet() as fleet:
+        fleet.write("listed", {})
+        assert False
+"""
+
+
+def test_logs_of_failed_tests_alone_are_kept(tmp_path):
+    """The logs of failures that were seen once were gone before they were read."""
+    path = tmp_path / "test_some.py"
+    path.write_text(TESTS)
+    words = [sys.executable, "-m", "pytest", "-p", "tests.conftest"]
+    words += ["-p", "no:cacheprovider", f"--basetemp={tmp_path / 'base'}", str(path)]
+    done = subprocess.run(words, capture_output=True, text=True, check=False)
+    kept = {file.stem: file.parent for file in tmp_path.glob("base/**/*.json")}
+    assert kept.keys() == {"ended", "shared", "listed"}
+    for folder in kept.values():
+        assert f"logs in {folder}" in done.stdout
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -14,7 +15,7 @@
 import urllib.error
 import urllib.request
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, ClassVar, NamedTuple
 
 SHARED_KEY = "a shared key for loopback only"
 START_WITHIN = 20.0
@@ -163,13 +164,61 @@
         return self.popen.poll() is None
 
 
+class LogRetention:
+    """Keeps the folders of fleets that ran during a failed test, removes all others."""
+
+    def __init__(self, parent: Path) -> None:
+        """
+        Start without fleets.
+
+        :param parent: folder in which the folders of fleets are made.
+        """
+        self.parent = parent
+        self._running: set[Path] = set()
+        self._closed: set[Path] = set()
+        self._kept: set[Path] = set()
+
+    def started(self, folder: Path) -> None:
+        """Take note of a fleet that starts."""
+        self._running.add(folder)
+
+    def closed(self, folder: Path) -> None:
+        """Take note of a fleet whose processes have ended."""
+        self._running.discard(folder)
+        self._closed.add(folder)
+
+    def test_failed(self) -> list[Path]:
+        """
+        Keep what has run during the current test.
+
+        :returns: the folders.
+        """
+        folders = self._running | self._closed
+        self._kept |= folders
+        return sorted(folders)
+
+    def test_ended(self) -> None:
+        """Remove the folders of closed fleets that no failed test used."""
+        for folder in self._closed - self._kept:
+            shutil.rmtree(folder)
+        self._closed.clear()
+
+
 class Fleet:
-    """Processes by name, with the settings files that they read."""
+    """
+    Processes by name, with the settings files that they read.
+
+    :ivar retention: decides which folders are kept; without it all are removed.
+    """
+
+    retention: ClassVar[LogRetention | None] = None
 
     def __init__(self) -> None:
         """Start with none."""
-        self._folder = tempfile.TemporaryDirectory(prefix="pimentolink-")
-        self.folder = Path(self._folder.name)
+        parent = self.retention.parent if self.retention else None
+        self.folder = Path(tempfile.mkdtemp(prefix="pimentolink-", dir=parent))
+        if self.retention:
+            self.retention.started(self.folder)
         self.processes_by_name: dict[str, Process] = {}
         self._starting: list[Process] = []
         self.readiness_by_gateway: dict[str, str] = {}
@@ -190,7 +239,10 @@
                 process.send(signal.SIGCONT)
                 process.popen.kill()
                 process.popen.wait()
-        self._folder.cleanup()
+        if self.retention:
+            self.retention.closed(self.folder)
+        else:
+            shutil.rmtree(self.folder)
 
     def start(
         self, name: str, module: str, *options: str, address: str | None = None
