Keep an own try that was sent, and blame nobody for a crash under two

Cause: a gateway's record of the try under way was replaced by what it heard of another's, also once its own was sent. The crash that followed blamed nobody, or the innocent request whose try had replaced it; and of two requests tried at one target, each gateway blamed the one that it was told of first and dropped all that it held against the other.

Change: an own try is remembered from its sending until it breaks off. A crash under the tries of two requests is contested and blames neither; both wait and are tried again one at a time. Crashes that a request explains are hidden from the others' accounts instead of deleted, so that they count again if the blame is withdrawn; they are dropped once it is cleared.

Why it holds: what is told only adds up as before, a contested crash included: each gateway knows of both tries in the end, in whatever order.

--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -79,6 +79,7 @@
             )
             await pause(self._timers, TRY_NOTICE)
             self._refuse(request)
+            self._suspects.try_sent(request_id)
 
     def _refuse(self, request: CallerRequest) -> None:
         now = self._timers.now()
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -28,6 +28,8 @@
 MOST_TARGETS = 1024
 # Requests that one target cut off, which are kept until it is known whether it ended.
 MOST_BROKEN = 1024
+# Own tries under way; they are made one at a time, so more are ones without an outcome.
+MOST_SENT_TRIES = 64
 
 
 class Unstored(NamedTuple):
@@ -72,7 +74,8 @@
     suspect is tried at a time: others that were there each time as well, since many ask
     them, would be struck again by its crashes. An answer clears a suspect. One whose
     try crashes its target is to blame and waits longer and longer; it explains its
-    crashes, which are then held against nobody else.
+    crashes, which are then held against nobody else. A crash under two tries, begun by
+    gateways that had not heard of each other's, blames neither.
 
     A request is known by its fingerprint, a target's life by its key.
     """
@@ -92,6 +95,9 @@
         self._broken_by_target = OrderedDict()
         self._ended_at_by_target: OrderedDict[int, float] = OrderedDict()
         self._blamed_by_target: OrderedDict[int, str] = OrderedDict()
+        self._tried_by_target: OrderedDict[int, str] = OrderedDict()
+        self._contested_targets: OrderedDict[int, None] = OrderedDict()
+        self._sent_tries: OrderedDict[str, None] = OrderedDict()
         self._try: _Try | None = None
 
     def broke(self, fingerprint: str, request_id: str, target: int, now: float) -> bool:
@@ -102,8 +108,9 @@
         :returns: whether the target is known to have crashed, so that the request is
             struck at once.
         """
-        is_tried = self._is_tried_by(request_id)
+        is_tried = self._is_tried_by(request_id) or request_id in self._sent_tries
         if is_tried:
+            self._sent_tries.pop(request_id, None)
             self._end_try(fingerprint)
             # Whether it crashed its target may come to light seconds later.
             found = self._again_by_fingerprint.get(fingerprint)
@@ -167,33 +174,61 @@
     ) -> bool:
         if now - self._answered_at.get(fingerprint, -SUCCESS_KEEP) < SUCCESS_KEEP:
             return False
-        blamed = self._blamed_by_target.get(target, fingerprint)
-        if blamed != fingerprint or (fingerprint, target) in self._cleared:
+        if (fingerprint, target) in self._cleared:
             return False
         found = self._find(fingerprint, now) or Suspicion()
-        is_blame = is_tried and target not in found.failed_tries
-        if target in found.struck_at_by_target and not is_blame:
+        is_failed_try = is_tried and target not in found.failed_tries
+        if target in found.struck_at_by_target and not is_failed_try:
             return False
         found.struck_at_by_target[target] = now
         found.stored.discard(target)
         self._end_try(fingerprint)
         self._keep(fingerprint, found)
-        if is_blame:
+        if is_failed_try:
             found.failed_tries.add(target)
-            self._blame(fingerprint, found)
+            self._judge(fingerprint, target, now)
+        elif self._is_explained(fingerprint, target):
+            return False
         self._hold(found, now)
         return True
 
-    def _blame(self, fingerprint: str, blamed: Suspicion) -> None:
-        """Hold the crashes that a request explains against nobody else."""
-        crashes = blamed.struck_at_by_target.keys()
-        for kept in (self._once_by_fingerprint, self._again_by_fingerprint):
-            for other, found in [*kept.items()]:
-                if other != fingerprint and not found.failed_tries:
-                    self._drop(other, found, crashes)
-        for target in crashes:
-            self._blamed_by_target[target] = fingerprint
-        _bound(self._blamed_by_target, MOST_TARGETS)
+    def _judge(self, fingerprint: str, target: int, now: float) -> None:
+        """Blame a request for the crash under its try, unless another was tried too."""
+        first = self._tried_by_target.setdefault(target, fingerprint)
+        _bound(self._tried_by_target, MOST_TARGETS)
+        if first != fingerprint:
+            self._contested_targets[target] = None
+            _bound(self._contested_targets, MOST_TARGETS)
+            self._acquit(first, now)
+        self._blame(fingerprint)
+
+    def _acquit(self, fingerprint: str, now: float) -> None:
+        """Blame a request no more if a contested crash was all that spoke for it."""
+        found = self._find(fingerprint, now)
+        if found is None or self._failed_tries(found):
+            return
+        explained = [
+            key for key, name in self._blamed_by_target.items() if name == fingerprint
+        ]
+        for key in explained:
+            del self._blamed_by_target[key]
+        self._hold(found, now)
+
+    def _blame(self, fingerprint: str) -> None:
+        """Let a request whose own try failed explain its crashes."""
+        found = self._kept(fingerprint)
+        if found is not None and self._failed_tries(found):
+            for target in found.struck_at_by_target:
+                self._blamed_by_target[target] = fingerprint
+            _bound(self._blamed_by_target, MOST_TARGETS)
+
+    def _failed_tries(self, found: Suspicion) -> int:
+        """Count the crashes under a request's own tries that no other explains."""
+        return len(found.failed_tries - self._contested_targets.keys())
+
+    def _is_explained(self, fingerprint: str, target: int) -> bool:
+        """Tell whether another request is to blame for a crash."""
+        return self._blamed_by_target.get(target, fingerprint) != fingerprint
 
     def _drop(self, fingerprint: str, found: Suspicion, targets: Iterable[int]) -> bool:
         """Hold crashes against a request no more; tell whether any was."""
@@ -205,12 +240,15 @@
         return bool(dropped)
 
     def _find(self, fingerprint: str, now: float) -> Suspicion | None:
-        found = self._again_by_fingerprint.get(fingerprint)
-        found = found or self._once_by_fingerprint.get(fingerprint)
+        found = self._kept(fingerprint)
         if found is not None:
             found.forget(now)
         return found
 
+    def _kept(self, fingerprint: str) -> Suspicion | None:
+        found = self._again_by_fingerprint.get(fingerprint)
+        return found or self._once_by_fingerprint.get(fingerprint)
+
     def _keep(self, fingerprint: str, found: Suspicion) -> None:
         """Keep suspects apart from the many that one crash befell."""
         self._forget(fingerprint)
@@ -226,8 +264,8 @@
         self._again_by_fingerprint.pop(fingerprint, None)
 
     def _hold(self, found: Suspicion, now: float) -> None:
-        crashes, failed = len(found.struck_at_by_target), len(found.failed_tries)
-        wait = pause_after(crashes, failed)
+        crashes = len(found.struck_at_by_target)
+        wait = pause_after(crashes, self._failed_tries(found))
         found.held_until = now + wait * self._random.uniform(1.0, 1.0 + PAUSE_SPREAD)
 
     def _end_try(self, fingerprint: str) -> None:
@@ -235,9 +273,16 @@
             self._try = None
 
     def crashes(self, fingerprint: str, now: float) -> list[int]:
-        """List the targets at whose crash a request was under way."""
+        """List the targets whose crash is held against a request."""
         found = self._find(fingerprint, now)
-        return list(found.struck_at_by_target) if found is not None else []
+        return self._held(fingerprint, found) if found is not None else []
+
+    def _held(self, fingerprint: str, found: Suspicion) -> list[int]:
+        return [
+            target
+            for target in found.struck_at_by_target
+            if not self._is_explained(fingerprint, target)
+        ]
 
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Tell whether a request waits before it is sent again."""
@@ -283,6 +328,11 @@
         self._try = _Try(fingerprint, request_id, now + TRY_TIME)
         return True
 
+    def try_sent(self, request_id: str) -> None:
+        """Learn that an own try is on its way, which another's news do not undo."""
+        self._sent_tries[request_id] = None
+        _bound(self._sent_tries, MOST_SENT_TRIES)
+
     def tried(self, fingerprint: str, now: float) -> None:
         """
         Learn that another gateway tries a suspect.
@@ -315,24 +365,37 @@
         :returns: whether any was held against it.
         """
         self._end_try(fingerprint)
+        explained = {
+            target
+            for target in targets
+            if self._blamed_by_target.get(target) == fingerprint
+        }
+        if explained:
+            self._drop_others(fingerprint, explained)
         for target in targets:
             self._cleared[fingerprint, target] = None
-            if self._blamed_by_target.get(target) == fingerprint:
-                del self._blamed_by_target[target]
         _bound(self._cleared, MOST_CLEARED)
         found = self._find(fingerprint, now)
         return found is not None and self._drop(fingerprint, found, targets)
 
+    def _drop_others(self, fingerprint: str, targets: set[int]) -> None:
+        """Hold crashes that a request explained against no other from now on."""
+        for kept in (self._once_by_fingerprint, self._again_by_fingerprint):
+            for other, found in [*kept.items()]:
+                if other != fingerprint and not found.failed_tries:
+                    self._drop(other, found, targets)
+        for target in targets:
+            del self._blamed_by_target[target]
+
     def stored(self, fingerprint: str, target: int, is_tried: bool) -> None:
         """Learn that others can read in the store of a crash held against a request."""
-        found = self._again_by_fingerprint.get(fingerprint)
-        found = found or self._once_by_fingerprint.get(fingerprint)
+        found = self._kept(fingerprint)
         if found is not None and is_tried == (target in found.failed_tries):
             found.stored.add(target)
 
     def is_blamed(self, fingerprint: str, target: int) -> bool:
-        """Tell whether a request crashed a target as it was tried there."""
-        found = self._again_by_fingerprint.get(fingerprint)
+        """Tell whether a target crashed as a request was tried there."""
+        found = self._kept(fingerprint)
         return found is not None and target in found.failed_tries
 
     def unstored(self, least: int, now: float) -> list[Unstored]:
@@ -348,9 +411,10 @@
         for suspicions in kept:
             for fingerprint, found in suspicions.items():
                 found.forget(now)
-                if len(found.struck_at_by_target) < least:
+                held = self._held(fingerprint, found)
+                if len(held) < least:
                     continue
-                for target in found.struck_at_by_target.keys() - found.stored:
+                for target in set(held) - found.stored:
                     crash = (target, target in found.failed_tries)
                     listed.setdefault(crash, []).append(fingerprint)
         return [
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -221,6 +221,26 @@
         blamed = [name for name, item in gateways.items() if item.is_blamed(name, 3)]
         assert blamed == [min(own, other)]
 
+    def test_crash_under_two_tries_blames_neither_until_one_fails_alone(self, held):
+        """A try that others hear of late may have an innocent one beside it."""
+        now = 2 * FIRST_PAUSE
+        for name in (OTHER, FATAL):
+            assert held.strike(3, [name], now, is_tried=True) == [name]
+        for name in (OTHER, FATAL):
+            assert held.crashes(name, now) == [1, 2, 3]
+            assert FIRST_PAUSE <= held.wait(name, now) < LONG_PAUSE
+        held.strike(4, [FATAL], 2 * now, is_tried=True)
+        assert held.wait(FATAL, 2 * now) >= LONG_PAUSE
+        assert held.crashes(OTHER, 2 * now) == []
+
+    def test_who_is_known_to_blame_explains_a_crash_under_two_tries(self, held):
+        now = 2 * FIRST_PAUSE
+        held.strike(3, [FATAL], now, is_tried=True)
+        for name in (OTHER, FATAL):
+            held.strike(4, [name], now, is_tried=True)
+        assert held.wait(FATAL, now) >= LONG_PAUSE
+        assert held.crashes(OTHER, now) == []
+
     def test_who_was_only_there_each_time_is_not_to_blame(self, held):
         for target in (3, 4, 5):
             crash(held, target, 0.0, FATAL, OTHER)
