Wait for a target under a planned change when no other can serve

What callers saw: 502 target_failed (no_target) or crossed_answer, and 503 in the seconds after, though an engine was back long before their patience ended.

Cause: the planner took the second engine out of service for an order while the first one failed requests and was ejected. The entry took a target under an order for one that is gone: requests used up four attempts within 0.4 s. A target that turned a request away during its change counted as one that had failed it, and was avoided after the change.

Evidence: logs of provoked runs (E1600 plan, E1601 order, E1401 crossed_answer and draining, E1403, E1402 within 0.4 s, E1602 after 3 s).

Change: a request that other targets failed, or for which there is none, waits for a target that changes while its patience allows; one that cannot wait for as long as the last change took is refused at once with that time as Retry-After. Draining is no failure of the target and is believed until its next report. no_target tells when the next ejection ends. The planner begins no change of the last engine that serves while the others are ejected, or silent for less than lost_after.

With the fix taken out the tests of dispatcher, limits and planner fail; with it they pass, as do scenarios, callers and random failures.

Why it holds: whichever of both comes first, the order or the ejection, the entry knows of the order from the target's own report, and waits for its end instead of counting attempts.

--- a/pimentolink/directory.py
+++ b/pimentolink/directory.py
@@ -71,11 +71,23 @@
         link = self._link_by_id.get(target_id)
         return self._target_by_link.get(link) if link is not None else None
 
-    def reported(self, link: EntryLink, load: link_pb2.Load) -> None:
-        """Take a target's load report."""
+    def reported(self, link: EntryLink, load: link_pb2.Load) -> bool:
+        """
+        Take a target's load report.
+
+        :returns: whether it tells the end of a planned change.
+        """
         target = self._target_by_link.get(link)
-        if target is not None:
-            target.reported(load)
+        if target is None:
+            return False
+        target.reported(load)
+        took = target.planned_change_took(self._timers.now())
+        if took is None:
+            return False
+        for pool in self._router.pool_by_service.values():
+            if target.target_id in pool.targets_by_id:
+                pool.change_time = took
+        return True
 
     def arrange_pools(self) -> None:
         """Sort linked targets into services as the configuration says now."""
@@ -128,4 +140,5 @@
             running=load.running,
             waiting=load.waiting,
             long_prefill_asked=load.long_prefill_asked,
+            is_ejected=target is not None and target.is_ejected(self._timers.now()),
         )
--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -22,6 +22,7 @@
     Failure,
     LateAnswer,
     LinkLost,
+    NoTarget,
     NotRun,
     OutcomeUnknown,
     TargetFailed,
@@ -37,6 +38,12 @@
 from pimentolink.timers import Timer, Timers
 from pimentolink.tracing import Tracing
 
+# Attempts at one target that failed, after which the end of a planned change of another
+# target is waited for.
+MOST_BEFORE_WAITING = 2
+# Seconds between two looks of a request that waits for it, in case its end is not told.
+CHANGE_CHECK = 1.0
+
 
 class Reply(Protocol):
     """Where a request's answer goes; exactly one of the last two is called, once."""
@@ -228,6 +235,9 @@
             progress.tried_target_ids,
             self._timers.now(),
         )
+        target = None if isinstance(chosen, Err) else chosen.ok_value
+        if self._waits_for_change(work, target):
+            return
         if isinstance(chosen, Err):
             progress.attempts += 1
             self._retry_later(work, chosen.err_value)
@@ -248,6 +258,48 @@
         if link is not None:
             link.send(link_pb2.EntryMessage(submit=submit))
 
+    def _waits_for_change(self, work: _Work, target: TargetState | None) -> bool:
+        """
+        Let a request wait for the end of a planned change, if that is best for it.
+
+        With one engine ejected for its failures and the other under an order, requests
+        used up their attempts within a fraction of a second and failed, though the
+        order was done well before their patience ended.
+
+        :param target: that it would be sent to; ``None`` if there is none.
+        :returns: whether it waits, or was given up since the change takes too long.
+        """
+        was_waiting = self._drop_timer(work, "change")
+        progress, now = work.progress, self._timers.now()
+        failed = progress.tried_target_ids.count(target.target_id) if target else 0
+        if target is not None and failed < MOST_BEFORE_WAITING:
+            return False
+        service = progress.request.service
+        ends_in = self._router.change_ends_in(service, now)
+        if ends_in is None:
+            return False
+        left = progress.started_at + progress.request.patience - now
+        if ends_in > left:
+            self._give_up(work, NoTarget(f"a target of {service} changes", ends_in))
+            return True
+        if not was_waiting:
+            self._log.write(
+                LogEvent.CHANGE_AWAITED,
+                request=progress.request.request_id,
+                service=service,
+                expected=round(ends_in, 3),
+                left=round(left, 3),
+                attempts=progress.attempts,
+            )
+        self._set_timer(work, "change", CHANGE_CHECK, lambda: self._attempt(work))
+        return True
+
+    def change_ended(self) -> None:
+        """Send on what waits for the end of a planned change."""
+        for work in list(self._work_by_request_id.values()):
+            if "change" in work.timers:
+                self._attempt(work)
+
     def _prefill_work(self, progress: Progress, target: TargetState) -> int:
         """Predict the prompt work that is left for a target, in tokens."""
         request = progress.remaining
@@ -367,7 +419,13 @@
 
     def _blame_target(self, work: _Work, failure: Failure) -> None:
         target = self._directory.target(work.progress.target_id)
-        if target is None or not isinstance(failure, TargetFailed | CrossedAnswer):
+        if target is None:
+            return
+        if isinstance(failure, Draining):
+            # Nothing failed there: it may be asked again once it takes work.
+            target.turned_work_away()
+            work.progress.tried_target_ids.remove(target.target_id)
+        if not isinstance(failure, TargetFailed | CrossedAnswer):
             return
         if target.failed(self._timers.now(), self._settings.routing):
             self._log.write(LogEvent.TARGET_EJECTED, target=target.target_id)
@@ -376,7 +434,9 @@
         progress = work.progress
         retry = self._settings.retry
         is_first_move = progress.attempts == 1 and failure.ran
-        if progress.attempts >= retry.attempts:
+        service = progress.request.service
+        is_changing = self._router.change_ends_in(service, self._timers.now())
+        if progress.attempts >= retry.attempts and is_changing is None:
             self._give_up(work, failure)
             return
         # The first move of a request whose target was lost is always granted: it at
@@ -447,7 +507,8 @@
         self._drop_timer(work, name)
         work.timers[name] = self._timers.call_later(delay, callback)
 
-    def _drop_timer(self, work: _Work, name: str) -> None:
+    def _drop_timer(self, work: _Work, name: str) -> bool:
         timer = work.timers.pop(name, None)
         if timer is not None:
             timer.cancel()
+        return timer is not None
--- a/pimentolink/entry.py
+++ b/pimentolink/entry.py
@@ -207,15 +207,19 @@
         kind = message.WhichOneof("body")
         if kind == "step":
             if message.step.HasField("load"):
-                self.directory.reported(link, message.step.load)
+                self._load_came(link, message.step.load)
             self.dispatcher.step_received(message.step)
         elif kind == "load":
-            self.directory.reported(link, message.load)
+            self._load_came(link, message.load)
         elif kind == "document":
             self.adoption.offer(message.document.json)
         elif kind == "document_wanted":
             link.send(self._document())
 
+    def _load_came(self, link: EntryLink, load: link_pb2.Load) -> None:
+        if self.directory.reported(link, load):
+            self.dispatcher.change_ended()
+
     def link_down(self, link: EntryLink) -> None:
         """Take a sidecar's target out of routing."""
         hello = self._hello_by_link.pop(link)
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -165,6 +165,11 @@
         logging.WARNING,
         "A target failed repeatedly and gets no work for a while.",
     )
+    CHANGE_AWAITED = (
+        "E1424",
+        logging.INFO,
+        "A request waits for a target that is under a planned change.",
+    )
     LATE_EVENT = (
         "E1404",
         logging.INFO,
--- a/pimentolink/outcomes.py
+++ b/pimentolink/outcomes.py
@@ -102,7 +102,7 @@
     if progress.may_have_run and progress.request.idempotency_key:
         return OutcomeUnknown(str(failure))
     if progress.may_have_run and not failure.ran:
-        return TargetFailed(str(failure), retry_after=RETRY_AFTER)
+        return TargetFailed(str(failure), failure.retry_after or RETRY_AFTER)
     if failure.retry_after is None:
         failure.retry_after = RETRY_AFTER
     return failure
--- a/pimentolink/planner.py
+++ b/pimentolink/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 from typing import NamedTuple, Protocol
 
@@ -25,6 +26,7 @@
     :ivar is_serving: whether its sidecar answers and tells that the engine does.
     :ivar settled_number: of the plan's last change to it that it meets.
     :ivar long_prefill_asked: work of long prompts since its sidecar started, tokens.
+    :ivar is_ejected: whether it serves, but gets no work for its failures.
     """
 
     target_id: str
@@ -34,6 +36,7 @@
     running: int
     waiting: int
     long_prefill_asked: int
+    is_ejected: bool = False
 
 
 class FleetView(Protocol):
@@ -235,11 +238,34 @@
             # An engine that does not serve takes no order: its plan stands.
             if is_same or not view_by_id[name].is_serving:
                 continue
-            if name in changing or len(changing) < self._settings.most_changing:
+            if name in changing or self._may_change(name, changing, view_by_id):
                 allowed[name] = new
                 changing.add(name)
         return allowed
 
+    def _may_change(
+        self, name: str, changing: set[str], view_by_id: dict[str, TargetView]
+    ) -> bool:
+        """
+        Tell whether an engine may be taken out of service for an order.
+
+        While the others are ejected, or silent but not lost yet, it is the last that
+        serves.
+        """
+        if len(changing) >= self._settings.most_changing:
+            return False
+        others = [view for view in view_by_id.values() if view.target_id != name]
+        able = {
+            view.target_id for view in others if view.is_serving and not view.is_ejected
+        }
+        expected = [view for view in others if self._is_expected(view)]
+        return bool(able - changing) or not expected
+
+    def _is_expected(self, view: TargetView) -> bool:
+        """Tell whether an engine serves, or did until lately."""
+        _, seen_at = self._seen_by_id.get(view.target_id, (0, -math.inf))
+        return self._timers.now() - seen_at <= self._settings.lost_after
+
     def _remember(self, views: list[TargetView]) -> None:
         now = self._timers.now()
         for view in views:
--- a/pimentolink/router.py
+++ b/pimentolink/router.py
@@ -16,6 +16,8 @@
 from pimentolink.targetpool import PREFILL, TargetPool, TargetState, ring_hash
 
 REMOTE_SAMPLE = 2
+# Seconds after which a caller is asked to return, if it is not known when a target is.
+NO_TARGET_PAUSE = 1.0
 
 
 class RoutingPolicy(Protocol):
@@ -195,9 +197,23 @@
         else:
             target = self._policy.choose(request, pool, avoid, now)
         if target is None:
-            return Err(NoTarget(f"no target of {request.service} is available", 1.0))
+            return Err(
+                NoTarget(
+                    f"no target of {request.service} is available",
+                    pool.available_in(now) or NO_TARGET_PAUSE,
+                )
+            )
         return Ok(target)
 
+    def change_ends_in(self, service: str, now: float) -> float | None:
+        """
+        Predict when the next target of a service comes back from a planned change.
+
+        :returns: seconds, 0 if it cannot be known; ``None`` if no target is changing.
+        """
+        pool = self.pool_by_service.get(service)
+        return pool.change_ends_in(now) if pool is not None else None
+
 
 def _claim_home(
     request: Request, pool: TargetPool, partitions: int, avoid: list[str], now: float
--- a/pimentolink/targetpool.py
+++ b/pimentolink/targetpool.py
@@ -46,6 +46,7 @@
         self.prefill_since_report = 0
         self.sent_since_report = 0
         self.in_flight = 0
+        self.changing_since: float | None = None
         self._failures = 0
         self._ejections = 0
         self._ejected_until = 0.0
@@ -54,12 +55,39 @@
         """Tell whether it may get work now."""
         return self.load.accepting and now >= self._ejected_until
 
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether only its failures keep it from getting work."""
+        return self.load.accepting and now < self._ejected_until
+
+    def ejected_for(self, now: float) -> float:
+        """Tell for how many seconds from now it gets no work for its failures."""
+        return max(0.0, self._ejected_until - now)
+
+    def planned_change_took(self, now: float) -> float | None:
+        """
+        Take note whether the last report tells of a planned change.
+
+        :returns: seconds that a change took which has just ended with the target in
+            service.
+        """
+        began_at = self.changing_since
+        if self.load.held:
+            self.changing_since = now if began_at is None else began_at
+            return None
+        self.changing_since = None
+        is_over = began_at is not None and self.load.accepting
+        return now - began_at if is_over and began_at is not None else None
+
     def reported(self, load: link_pb2.Load) -> None:
         """Take a load report, which counts all that was sent before it."""
         self.load = load
         self.prefill_since_report = 0
         self.sent_since_report = 0
 
+    def turned_work_away(self) -> None:
+        """Send it nothing more until it reports that it takes work again."""
+        self.load.accepting = False
+
     def sent(self, prefill_tokens: int) -> None:
         """Count work that no report shows yet."""
         self.in_flight += 1
@@ -122,6 +150,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.targets_by_id: dict[str, TargetState] = {}
+        # Seconds that the last planned change of a target took; 0 before the first.
+        self.change_time = 0.0
         self._ids_by_data_centre: dict[str, list[str]] = {}
         self._ring: list[tuple[int, str]] = []
 
@@ -156,6 +186,32 @@
         for target in targets:
             self.add(target)
 
+    def change_ends_in(self, now: float) -> float | None:
+        """
+        Predict when the next target comes back from a planned change.
+
+        :returns: seconds, 0 if it cannot be known; ``None`` if no target is changing.
+        """
+        left = [
+            max(0.0, self.change_time - (now - target.changing_since))
+            for target in self.targets_by_id.values()
+            if target.changing_since is not None
+        ]
+        return min(left, default=None)
+
+    def available_in(self, now: float) -> float | None:
+        """
+        Tell when the next ejected target gets work again.
+
+        :returns: seconds; ``None`` if none is ejected.
+        """
+        left = [
+            target.ejected_for(now)
+            for target in self.targets_by_id.values()
+            if target.is_ejected(now)
+        ]
+        return min(left, default=None)
+
     def in_order(self, key: int) -> Iterator[TargetState]:
         """
         Walk the ring.
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.virtual import VirtualStream
+from pimentolink.errors import CrossedAnswer
+from tests.virtual import TOKEN_TIME, VirtualStream
 from tests.worlds import VirtualWorld
 
 
@@ -59,3 +60,61 @@
         world.pass_time(5.0)
         assert len(submitted) == 2
         assert world.network.entries["one"].dispatcher.retries == 0
+
+
+class FailingStream:
+    """An answer that turns out to be another request's."""
+
+    def __init__(self, engine, call, listener):
+        failure = CrossedAnswer("another request's")
+        engine.sidecar.later(TOKEN_TIME, lambda: listener.failed(failure))
+
+    def cancel(self):
+        pass
+
+
+class TestPlannedChange:
+    """One engine fails its requests, the other is under an order."""
+
+    @pytest.fixture
+    def engines(self, world, monkeypatch):
+        engines = world.network.targets
+        monkeypatch.setattr(
+            engines["engine-1"],
+            "start_stream",
+            lambda call, listener: FailingStream(engines["engine-1"], call, listener),
+        )
+        return engines
+
+    def change(self, world, seconds):
+        """Have an order to the second engine begin."""
+        engine = world.network.targets["engine-2"]
+        engine.order_time = seconds
+        world.set_role("engine-2", "decode" if engine.role == "mixed" else "mixed")
+        while not engine.under_order:
+            world.pass_time(0.05)
+
+    def test_request_waits_for_the_end_of_the_change(self, world, engines):
+        """It used up its attempts at the engine that failed it, and got a 502."""
+        self.change(world, 3.0)
+        for name in ("a", "b", "c"):
+            world.send(name, "claims", "one", None, 5)
+        world.pass_time(2.0)
+        before = len(engines["engine-2"].started)
+        world.pass_time(3.0)
+        for name in ("a", "b", "c"):
+            assert world.is_outcome(name, "whole")
+        assert len(engines["engine-2"].started) == before + 3
+
+    def test_request_that_cannot_wait_that_long_is_refused_at_once(
+        self, world, engines
+    ):
+        for seconds in (90.0, 300.0):
+            self.change(world, seconds)
+            if seconds == 90.0:
+                world.pass_time(95.0)
+        world.send("a", "claims", "one", None, 5)
+        world.pass_time(2.0)
+        failure = world.replies["a"].failure
+        assert failure is not None
+        assert 80.0 < failure.retry_after <= 90.0
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,6 +10,7 @@
 from pimentolink.errors import AlreadyRun, OutcomeUnknown, Overloaded
 from pimentolink.prefixes import PrefixMemory
 from pimentolink.retry import Backoff, RetryBudget
+from pimentolink.router import RoundRobin, Router
 from pimentolink.settings import (
     ClaimSettings,
     QueueSettings,
@@ -60,6 +61,18 @@
         target.failed(now, self.settings)
         assert target.is_available(now + 1.0)
 
+    def test_refusal_tells_when_the_ejection_ends(self):
+        target = TargetState("a", "d")
+        target.reported(link_pb2.Load(accepting=True))
+        pool = TargetPool()
+        pool.add(target)
+        router = Router(RoundRobin())
+        router.pool_by_service["m"] = pool
+        for _ in range(2):
+            target.failed(0.0, self.settings)
+        refused = router.choose(_request(), 1, [], 0.25).err_value
+        assert refused.retry_after == 0.75
+
 
 class TestTargetQueue:
     def queue(self, slots=1, waiting=2):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -25,10 +25,20 @@
     def __init__(self):
         self.serving = set(ENGINES)
         self.settled = dict.fromkeys(ENGINES, 0)
+        self.ejected = set()
 
     def view(self, names):
         return [
-            TargetView(name, name in self.serving, "mixed", self.settled[name], 0, 0, 0)
+            TargetView(
+                name,
+                name in self.serving,
+                "mixed",
+                self.settled[name],
+                0,
+                0,
+                0,
+                name in self.ejected,
+            )
             for name in names
         ]
 
@@ -128,6 +138,32 @@
         assert set(site.plan.wanted_by_target) == set(ENGINES)
 
 
+class TestLastThatServes:
+    """An order takes an engine out of service while another one is out unplanned."""
+
+    def test_waits_while_the_other_is_ejected(self, site):
+        """Callers got 502: one engine was ejected, the other under an order."""
+        planner = site.planner("one")
+        site.fleet.ejected = {"engine-2"}
+        planner.look()
+        assert "engine-1" not in site.plan.wanted_by_target
+        site.fleet.ejected = set()
+        site.fleet.settled["engine-2"] = site.plan.number
+        planner.look()
+        assert "engine-1" in site.plan.wanted_by_target
+
+    def test_waits_for_one_that_served_until_lately(self, site):
+        planner = site.planner("one")
+        site.fleet.ejected = set(ENGINES)
+        planner.look()
+        site.fleet.serving, site.fleet.ejected = {"engine-2"}, set()
+        planner.look()
+        assert "engine-2" not in site.plan.wanted_by_target
+        site.timers.advance(61.0)
+        planner.look()
+        assert "engine-2" in site.plan.wanted_by_target
+
+
 class TestAuthority:
     def test_planner_that_believes_in_a_lapsed_lease_changes_nothing(self, site):
         old = site.planner("old", role="prefill")
