Tell when a link is ended for silence, and bound it by the settings

What would put it off, looked at one by one: bytes in buffers count when they are read, which takes as long as the loop is behind; heartbeats of the entry are writes and do not count; no timer starts anew with a request; the loop itself.

Change: E1304 tells the peer, for how long nothing came, and by how much the check ran late: a link that outlives silence and a quarter of it is a fault, or its line shows that the loop stood still. After a standstill the bytes that wait are read before the link is given up, in the next turn of the loop, so that the bound stays; a part of a long message counts as a sign of life.

--- a/pimentolink/linkclient.py
+++ b/pimentolink/linkclient.py
@@ -23,7 +23,7 @@
     received_type = link_pb2.SidecarMessage
 
     def __init__(self, client: LinkClient) -> None:
-        super().__init__(client.settings, client.timers)
+        super().__init__(client.settings, client.timers, client.log)
         self._client = client
         self._nonce = secrets.token_bytes(NONCE_BYTES)
         self._expected = b""
@@ -92,7 +92,7 @@
         self.settings = settings
         self.listener = listener
         self.timers = timers
-        self._log = log
+        self.log = log
         self._connection: _EntryConnection | None = None
         self._connector: Any = None
         self._again: Timer | None = None
@@ -139,7 +139,7 @@
 
     def refused(self) -> None:
         """Tell that the peer could not prove itself."""
-        self._log.write(LogEvent.LINK_REFUSED, address=self.address)
+        self.log.write(LogEvent.LINK_REFUSED, address=self.address)
 
     def _connect(self) -> None:
         host, port = split_address(self.address)
--- a/pimentolink/links.py
+++ b/pimentolink/links.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import hmac
+from functools import partial
 from typing import Any, Generic, Protocol, TypeVar
 
 from google.protobuf.message import DecodeError
@@ -12,6 +13,7 @@
 from zope.interface import implementer
 
 from pimentolink import link_pb2
+from pimentolink.logs import Log, LogEvent
 from pimentolink.settings import LinkSettings
 from pimentolink.timers import Repeater, Timers
 
@@ -98,31 +100,40 @@
     transport: Any
     received_type: type[Received]
 
-    def __init__(self, settings: LinkSettings, timers: Timers) -> None:
+    def __init__(self, settings: LinkSettings, timers: Timers, log: Log) -> None:
         """
         Start unproved.
 
         :param settings: bounds and patience.
         :param timers: the timer service.
+        :param log: where events go.
         """
         self._settings = settings
         self._timers = timers
+        self._log = log
         self._last_heard = timers.now()
+        self._check_interval = settings.silence / CHECKS_IN_SILENCE
+        self._check_due_at = 0.0
         self._pending = 0
         self._is_held_back = False
         self._check: Repeater | None = None
+        self._is_ended = False
         self.is_up = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Set the connection up."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
-        interval = self._settings.silence / CHECKS_IN_SILENCE
-        self._check = Repeater(self._timers, interval, self._check_silence)
+        self._check_due_at = self._timers.now() + self._check_interval
+        self._check = Repeater(self._timers, self._check_interval, self._check_silence)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes; a part of a long message shows that the peer lives, too."""
+        self._last_heard = self._timers.now()
+        super().dataReceived(data)
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Take one message; one that cannot be read ends the link."""
-        self._last_heard = self._timers.now()
         try:
             message = self.received_type.FromString(string)
         except DecodeError:
@@ -166,6 +177,7 @@
 
     def end(self) -> None:
         """Clean up after the connection."""
+        self._is_ended = True
         if self._check is not None:
             self._check.cancel()
 
@@ -182,5 +194,25 @@
         """Do nothing: the lost connection is told separately."""
 
     def _check_silence(self) -> None:
-        if self._timers.now() - self._last_heard > self._settings.silence:
-            self.abort()
+        now = self._timers.now()
+        late = now - self._check_due_at
+        self._check_due_at = now + self._check_interval
+        if now - self._last_heard <= self._settings.silence:
+            return
+        if late > self._check_interval:
+            # This process stood still; the peer's bytes may wait to be read.
+            self._timers.call_later(0, partial(self._end_if_silent, late))
+        else:
+            self._end_if_silent(late)
+
+    def _end_if_silent(self, late: float) -> None:
+        silent = self._timers.now() - self._last_heard
+        if silent <= self._settings.silence or self._is_ended:
+            return
+        self._log.write(
+            LogEvent.LINK_SILENT,
+            peer=str(self.transport.getPeer()),
+            silent=round(silent, 3),
+            late=round(late, 3),
+        )
+        self.abort()
--- a/pimentolink/linkserver.py
+++ b/pimentolink/linkserver.py
@@ -26,7 +26,7 @@
     received_type = link_pb2.EntryMessage
 
     def __init__(self, server: LinkServer) -> None:
-        super().__init__(server.settings, server.timers)
+        super().__init__(server.settings, server.timers, server.log)
         self._server = server
         self._nonce = secrets.token_bytes(NONCE_BYTES)
         self._events: list[link_pb2.Event] = []
@@ -111,7 +111,7 @@
         self.settings = settings
         self.listener = listener
         self.timers = timers
-        self._log = log
+        self.log = log
         self._port: Any = None
         self.connections: set[_SidecarConnection] = set()
 
@@ -149,4 +149,4 @@
     def refused(self, connection: _SidecarConnection) -> None:
         """Tell that a peer could not prove itself."""
         peer = connection.transport.getPeer()
-        self._log.write(LogEvent.LINK_REFUSED, peer=str(peer))
+        self.log.write(LogEvent.LINK_REFUSED, peer=str(peer))
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -150,6 +150,11 @@
         logging.ERROR,
         "A peer without the shared key was turned away.",
     )
+    LINK_SILENT = (
+        "E1304",
+        logging.WARNING,
+        "Nothing came over a link for too long; it is ended.",
+    )
     ATTEMPT_FAILED = (
         "E1401",
         logging.WARNING,
