Believe that a target turns work away only until its next report is due

Read in the change before it: a target that turned a request away got nothing more from that entry until its next report. If the target takes work again before it reports, that report equals the last one and is sent only with the next heartbeat (3 s), so that the only target of a service would stay unused that long.

Change: it is left out for one interval of load reports, after which its own report tells. The test of it and those of dispatcher, planner and limits pass.

--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -423,7 +423,8 @@
             return
         if isinstance(failure, Draining):
             # Nothing failed there: it may be asked again once it takes work.
-            target.turned_work_away()
+            report_within = self._settings.links.load_interval
+            target.turned_work_away(self._timers.now() + report_within)
             work.progress.tried_target_ids.remove(target.target_id)
         if not isinstance(failure, TargetFailed | CrossedAnswer):
             return
@@ -435,8 +436,8 @@
         retry = self._settings.retry
         is_first_move = progress.attempts == 1 and failure.ran
         service = progress.request.service
-        is_changing = self._router.change_ends_in(service, self._timers.now())
-        if progress.attempts >= retry.attempts and is_changing is None:
+        change_ends_in = self._router.change_ends_in(service, self._timers.now())
+        if progress.attempts >= retry.attempts and change_ends_in is None:
             self._give_up(work, failure)
             return
         # The first move of a request whose target was lost is always granted: it at
--- a/pimentolink/targetpool.py
+++ b/pimentolink/targetpool.py
@@ -50,10 +50,12 @@
         self._failures = 0
         self._ejections = 0
         self._ejected_until = 0.0
+        self._turns_away_until = 0.0
 
     def is_available(self, now: float) -> bool:
         """Tell whether it may get work now."""
-        return self.load.accepting and now >= self._ejected_until
+        not_before = max(self._ejected_until, self._turns_away_until)
+        return self.load.accepting and now >= not_before
 
     def is_ejected(self, now: float) -> bool:
         """Tell whether only its failures keep it from getting work."""
@@ -75,8 +77,9 @@
             self.changing_since = now if began_at is None else began_at
             return None
         self.changing_since = None
-        is_over = began_at is not None and self.load.accepting
-        return now - began_at if is_over and began_at is not None else None
+        if began_at is None or not self.load.accepting:
+            return None
+        return now - began_at
 
     def reported(self, load: link_pb2.Load) -> None:
         """Take a load report, which counts all that was sent before it."""
@@ -84,9 +87,13 @@
         self.prefill_since_report = 0
         self.sent_since_report = 0
 
-    def turned_work_away(self) -> None:
-        """Send it nothing more until it reports that it takes work again."""
-        self.load.accepting = False
+    def turned_work_away(self, until: float) -> None:
+        """
+        Give it no work until its next report has told why it takes none.
+
+        :param until: when that report is here at the latest.
+        """
+        self._turns_away_until = until
 
     def sent(self, prefill_tokens: int) -> None:
         """Count work that no report shows yet."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -61,6 +61,16 @@
         target.failed(now, self.settings)
         assert target.is_available(now + 1.0)
 
+    def test_target_that_turned_work_away_is_not_asked_before_its_next_report(self):
+        """A request used up its attempts at a target that had begun a change."""
+        target = TargetState("a", "d")
+        target.reported(link_pb2.Load(accepting=True))
+        target.turned_work_away(0.25)
+        assert not target.is_available(0.2)
+        assert target.is_available(0.25)
+        target.reported(link_pb2.Load(accepting=False))
+        assert not target.is_available(0.25)
+
     def test_refusal_tells_when_the_ejection_ends(self):
         target = TargetState("a", "d")
         target.reported(link_pb2.Load(accepting=True))
