--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -1,17 +1,20 @@
 """Load patterns replayed in virtual time, with a mechanism and without it."""
 
 from functools import lru_cache
+from math import sqrt
+from statistics import mean, stdev
 
 import pytest
 
 from tools.replay import LOADS, POLICIES, read_load, replay
 
 LOAD_NAMES = sorted(path.stem for path in LOADS.glob("*.json"))
+SEEDS = range(1, 9)
 
 
 @lru_cache
-def played(load, policy):
-    return replay(read_load(load), policy)
+def played(load, policy, seed=1):
+    return replay(read_load(load), policy, seed)
 
 
 def gain(load, without):
@@ -19,6 +22,11 @@
     return played(load, "current").worth - played(load, without).worth
 
 
+def is_beyond_noise(differences):
+    """Tell whether differences by seed are above nothing by two standard errors."""
+    return mean(differences) > 2 * stdev(differences) / sqrt(len(differences))
+
+
 class TestLoads:
     @pytest.mark.parametrize("load", LOAD_NAMES)
     def test_a_replay_repeats(self, load):
@@ -54,8 +62,23 @@
     def test_refusing_in_time_earns_more_than_serving_late(self, load):
         assert gain(load, "nothing refused") > 0.07
 
-    def test_a_price_on_engine_time_keeps_parts_where_they_are(self):
-        assert gain("crash", "no price on engine time") > 0.02
+    def test_a_price_on_engine_time_earns_more(self):
+        differences = [
+            played("bursts", "current", seed).worth
+            - played("bursts", "no price on engine time", seed).worth
+            for seed in SEEDS
+        ]
+        assert is_beyond_noise(differences)
+
+    @pytest.mark.parametrize("load", ["lossy-news", "many-gateways"])
+    def test_a_price_on_engine_time_keeps_parts_where_they_are(self, load):
+        """Without it shared parts are read again at one engine after the other."""
+        differences = [
+            played(load, "no price on engine time", seed).reread
+            - played(load, "current", seed).reread
+            for seed in SEEDS
+        ]
+        assert is_beyond_noise(differences)
 
     @pytest.mark.parametrize("load", LOAD_NAMES)
     def test_gateways_that_tell_each_other_earn_more(self, load):
