Restore logging after the random failures, so that later tests read log lines

Cause: test_random_failures raises the level of structlog for its process and leaves it so. A test that reads log lines and runs later in the same worker reads none; which tests share a worker changes from run to run. Reproduced each time: test_random_failures and then test_usagereporter in one process fail before this commit and pass after it, test_membership's lines too.

Change: the module restores the configuration. The state machine itself is untouched, as its examples are derived from its source.

--- a/tests/test_random_failures.py
+++ b/tests/test_random_failures.py
@@ -1,5 +1,6 @@
 """Random interleavings of work and failures keep what must always hold."""
 
+import pytest
 import structlog
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -16,6 +17,14 @@
 SETTLE_SECONDS = 90.0
 
 
+@pytest.fixture(scope="module", autouse=True)
+def logging_before():
+    """Let later tests of this process read log lines again."""
+    before = structlog.get_config()
+    yield
+    structlog.configure(**before)
+
+
 class Failures(RuleBasedStateMachine):
     """Entries, sidecars and targets under faults, several at once."""
 
