Look for a planned change only when a request has used up its attempts

Read in the change as a whole: each failed attempt looked through all targets of its service for one under a planned change, though the answer counts only once the attempts are used up; with hundreds of targets that is work on the path of every retry.

Behaviour is the same.

--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -294,6 +294,11 @@
         self._set_timer(work, "change", CHANGE_CHECK, lambda: self._attempt(work))
         return True
 
+    def _is_changing(self, progress: Progress) -> bool:
+        """Tell whether a target of a request's service is under a planned change."""
+        service = progress.request.service
+        return self._router.change_ends_in(service, self._timers.now()) is not None
+
     def change_ended(self) -> None:
         """Send on what waits for the end of a planned change."""
         for work in list(self._work_by_request_id.values()):
@@ -435,9 +440,7 @@
         progress = work.progress
         retry = self._settings.retry
         is_first_move = progress.attempts == 1 and failure.ran
-        service = progress.request.service
-        change_ends_in = self._router.change_ends_in(service, self._timers.now())
-        if progress.attempts >= retry.attempts and change_ends_in is None:
+        if progress.attempts >= retry.attempts and not self._is_changing(progress):
             self._give_up(work, failure)
             return
         # The first move of a request whose target was lost is always granted: it at
--- a/tests/test_crossedtries.py
+++ b/tests/test_crossedtries.py
@@ -203,8 +203,7 @@
             self._news.tell(SuspectTried(name))
 
     def send(self, request):
-        if hasattr(self._suspects, "try_sent"):
-            self._suspects.try_sent(request.request_id)
+        self._suspects.try_sent(request.request_id)
 
 
 class Told:
