Log since when a configuration is in force, full reads, and failed tasks

The logs could not tell a lost watch, a reading that waits for the registration and a task that has ended by an exception: no line had the time of a full read, a refusal said neither since when its version is in force nor when the store last responded, and an exception of a background task stayed in its Deferred. No decision is changed.

--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -202,6 +202,8 @@
         self._log = log
         self._metrics = metrics
         self.on_execution_started: RunCallback = _ignore_run
+        # Seconds since the store last responded.
+        self.store_age: Callable[[], float] = float
         self.in_work = 0
         self.is_closing = False
 
@@ -340,11 +342,14 @@
         )
 
     def _refuse(self, request_id: str, responder: Responder, failure: Failure) -> None:
+        """Answer a request that was not admitted, and log what that rested on."""
         self._metrics.count("failed", failure.code)
         self._log.write(
             LogEvent.REQUEST_FAILED,
             request=request_id,
-            version=self._tables.table.version if self._tables.table else 0,
+            version=self._tables.version,
+            in_force=round(self._timers.now() - self._tables.adopted_at, 3),
+            store_age=round(self.store_age(), 3),
             code=failure.code,
             detail=failure.detail,
         )
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -166,6 +166,9 @@
             self.log,
         )
         self.prefill_scheduler.estimate_age = self._follower.age
+        self.forwarder.store_age = self._follower.age
+        self.metrics.gauge("configuration_version", lambda: self.tables.version)
+        self.metrics.gauge("store_age_seconds", self._follower.age)
         self._registration = Registration(
             settings, self._incarnation, keyspace, timers, self._random, self.log
         )
@@ -258,7 +261,7 @@
         verifier.is_needed = self._uses_api_keys
         verifier.may_call_store = self._may_call_store
         verifier.gateways = lambda: self._cell_gateways
-        verifier.version = lambda: self.tables.table.version if self.tables.table else 0
+        verifier.version = lambda: self.tables.version
         self._peers.on_verification_message = verifier.handle_message
         verifier.on_change = self.membership.key_changed
         return verifier
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -136,6 +136,13 @@
         )
         self._listener.changes_delivered()
         self._revision = snapshot.revision
+        self._log.write(
+            LogEvent.STORE_READ,
+            prefix=self._prefix,
+            keys=len(keys),
+            revision=snapshot.revision,
+            took=round(self._timers.boot_time() - requested_at, 3),
+        )
 
     async def _watch(self) -> None:
         assert self._revision is not None
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -85,6 +85,11 @@
         logging.WARNING,
         "The store no longer keeps the requested changes; everything is read again.",
     )
+    STORE_READ = (
+        "E1219",
+        logging.INFO,
+        "All keys of the store were read; changes are watched from this revision on.",
+    )
     STORE_RESTORED = (
         "E1218",
         logging.WARNING,
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -112,7 +112,7 @@
         self._epoch = epoch_of(change.revision)
         if change.key == self._documents.configuration_key:
             if change.value is not None:
-                self._configuration_changed(change.value)
+                self._configuration_changed(change.value, change.revision)
         elif change.key.startswith(self._documents.target_prefix):
             self._target_changed(change)
         elif change.key.startswith(GATEWAY_PREFIX):
@@ -153,25 +153,28 @@
         if is_first:
             self.on_first_snapshot()
 
-    def _configuration_changed(self, document: bytes) -> None:
+    def _configuration_changed(self, document: bytes, revision: int) -> None:
         found = self._documents.read_configuration(document)
         if isinstance(found, Err):
             detail = str(found.err_value)
-            self._log.write(LogEvent.CONFIGURATION_UNREADABLE, detail=detail)
+            self._log.write(
+                LogEvent.CONFIGURATION_UNREADABLE, detail=detail, revision=revision
+            )
             self._configuration_age.set_readable(is_readable=False)
             return
         self._configuration_age.set_readable(is_readable=True)
         table = found.ok_value
-        previous = self._routing_tables.table
-        if not self._routing_tables.offer(table):
+        previous_version = self._routing_tables.version
+        if not self._routing_tables.offer(table, self._timers.now()):
             return
         models = {name: item.engine for name, item in table.services_by_name.items()}
         self._fleet.set_models(models)
         self._log.write(
             LogEvent.CONFIGURATION_ADOPTED,
             version=table.version,
-            before=previous.version if previous else 0,
+            before=previous_version,
             routes=len(table.routes_by_name),
+            revision=revision,
         )
 
     def _target_changed(self, change: Change) -> None:
--- a/pimentolink/routes.py
+++ b/pimentolink/routes.py
@@ -168,23 +168,36 @@
     Holds the current routing table.
 
     Ensures that its version never decreases while the process runs.
+
+    :ivar table: the current table; ``None`` before the first one has arrived.
+    :ivar adopted_at: when the current table was adopted, in seconds of the timer
+        service.
     """
 
     def __init__(self) -> None:
         """Create a holder without a table."""
         self.table: RoutingTable | None = None
+        self.adopted_at = 0.0
 
-    def offer(self, table: RoutingTable) -> bool:
+    def offer(self, table: RoutingTable, now: float) -> bool:
         """
         Replace the current table if the given one is newer.
 
+        :param table: the table to adopt.
+        :param now: time of the timer service in seconds.
         :returns: whether the table was replaced.
         """
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self.adopted_at = now
         return True
 
+    @property
+    def version(self) -> int:
+        """Version of the current table; 0 before the first one has arrived."""
+        return self.table.version if self.table is not None else 0
+
     def current(self) -> Result[RoutingTable, NoConfiguration]:
         """Return the current table; an error before the first one has arrived."""
         if self.table is None:
--- a/pimentolink/timers.py
+++ b/pimentolink/timers.py
@@ -9,9 +9,13 @@
 from typing import Any, Protocol, TypeVar
 
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.logger import Logger
+from twisted.python.failure import Failure
 
 Awaited = TypeVar("Awaited")
 
+_logger = Logger()
+
 
 class Timer(Protocol):
     """A scheduled call that can be cancelled."""
@@ -70,14 +74,22 @@
     """
     Start a coroutine in the background, to run until it is cancelled.
 
+    An exception is logged at once: Twisted would log it only when the Deferred is
+    garbage collected, and the owner of the coroutine keeps the Deferred.
+
     :param work: a coroutine that awaits Deferreds.
     :returns: a Deferred that cancels the coroutine; its cancellation is not an error.
     """
     running = Deferred.fromCoroutine(work)
-    running.addErrback(lambda failure: failure.trap(CancelledError))
+    running.addErrback(_log_failure)
     return running
 
 
+def _log_failure(failure: Failure) -> None:
+    if not failure.check(CancelledError):
+        _logger.failure("a background task failed", failure)
+
+
 async def with_timeout(
     timers: Timers, seconds: float, work: Coroutine[Any, Any, Awaited]
 ) -> Awaited:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -69,7 +69,7 @@
         self.log = RecordingLog()
         self.age = ConfigurationAge(5.0, self.timers, self.log)
         tables = RoutingTables()
-        tables.offer(RoutingTable(3, [route(**changes)], [], None, keys))
+        tables.offer(RoutingTable(3, [route(**changes)], [], None, keys), 0.0)
         if is_current:
             self.age.record_verification(self.timers.boot_time(), 0)
         self.log.lines.clear()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -90,6 +90,14 @@
         assert answered["event"] == "answered"
         assert answered["version"] == 1
 
+    def test_refusal_tells_the_age_of_its_configuration(self, world):
+        _, name = world.request("/none/x")
+        wait_until(lambda: world.logged("gateway", name))
+        (refused,) = world.logged("gateway", name)
+        assert refused["version"] == 1
+        assert refused["in_force"] > 0
+        assert refused["store_age"] >= 0
+
     def test_metrics_tell_outcomes(self, world):
         world.request("/read/x")
         url = f"http://{world.fleet.metrics_by_gateway['gateway']}/metrics"
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -42,8 +42,8 @@
     def test_older_version_never_replaces_a_newer_one(self):
         tables = RoutingTables()
         assert isinstance(tables.current(), Err)
-        assert tables.offer(table(7))
-        assert not tables.offer(table(6))
-        assert not tables.offer(table(7))
-        assert tables.offer(table(12))
+        assert tables.offer(table(7), 0.0)
+        assert not tables.offer(table(6), 0.0)
+        assert not tables.offer(table(7), 0.0)
+        assert tables.offer(table(12), 0.0)
         assert tables.current().unwrap().version == 12
