Add failing tests of a watch that the store does not know of

Callers are refused with 404 on a route that was added, and leaving targets get requests, for up to 21 s after a change. Both tests fail on this code, on real processes: the added route is refused 2 s after its acknowledgement, and 12 of 12 requests reach targets including the one that leaves.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -41,7 +41,12 @@
         """Create an empty store without faults."""
         self.keys = MemoryKeyspace(ReactorTimers(reactor))
         self.backup: Copy = self.keys.copy()
-        self.faults: dict[str, Any] = {"down": "", "lose_answers": 0, "status": 503}
+        self.faults: dict[str, Any] = {
+            "down": "",
+            "lose_answers": 0,
+            "lose_watches": False,
+            "status": 503,
+        }
         self.routes = Routes()
         for method, path, handler in (
             ("GET", "/kv-key", self.read),
@@ -60,7 +65,12 @@
         self.routes.add("PUT", "/restore", self.restore)
 
     def set_faults(self, request: Request) -> None:
-        """Enable or disable faults; ``down`` is ``busy``, ``reset`` or ``silent``."""
+        """
+        Enable or disable faults.
+
+        ``down`` is ``busy``, ``reset`` or ``silent``. With ``lose_watches``, watches
+        that are requested are never answered.
+        """
         self.faults.update(body_of(request))
         self.keys.answers_to_lose = self.faults["lose_answers"]
         if self.faults["down"]:
@@ -126,6 +136,8 @@
 
     def watch(self, request: Request) -> None:
         """Wait for changes under a prefix (long poll)."""
+        if self.faults["lose_watches"]:
+            return
         wait = int(argument(request, "waitMs", "0")) / 1000
         after = with_epoch(self.keys.epoch, int(argument(request, "after", "0")))
         pending = self.keys.changes(argument(request, "prefix"), after, wait)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,9 +8,13 @@
 
 import pytest
 
+from pimentolink.gatewaysettings import StoreSettings
 from tools.fleet import call, wait_until
 from tools.platformworld import HOST, PlatformWorld
 
+# Seconds after its acknowledgement within which a change must have taken effect.
+ADOPTION_LIMIT = 2.0
+
 
 @pytest.fixture
 def world(fleet):
@@ -391,6 +395,42 @@
         assert world.request("/read/x")[0].status == 200
 
 
+class TestLostWatch:
+    """
+    The store does not know of a gateway's watch, which then looks like one without
+    changes. The gateway sends it shortly after a change, while the store does not
+    respond, and no renewal of a lease falls into that time.
+    """
+
+    @pytest.fixture
+    def world_with_lost_watches(self, world):
+        world.gateway("second")
+        log = world.fleet.processes_by_name["gateway"].log_path
+        world.configure(2)
+        wait_until(lambda: '"version": 2' in log.read_text())
+        world.fault("store", lose_watches=True)
+        time.sleep(2 * StoreSettings(address="store:1").gather)
+        world.fault("store", lose_watches=False)
+        return world
+
+    def test_configuration_takes_effect_in_time(self, world_with_lost_watches):
+        world = world_with_lost_watches
+        world.configure(3, added="plain")
+        time.sleep(ADOPTION_LIMIT)
+        for gateway in ("gateway", "second"):
+            assert world.request("/added/x", gateway=gateway)[0].status == 200
+
+    def test_leaving_target_gets_no_more_requests(self, world_with_lost_watches):
+        world = world_with_lost_watches
+        world.list_target("plain-1", "plain", state="draining")
+        time.sleep(ADOPTION_LIMIT)
+        before = len(world.runs("plain-1")["runs"])
+        for gateway in ("gateway", "second"):
+            for _ in range(6):
+                assert world.request("/read/x", gateway=gateway)[0].status == 200
+        assert len(world.runs("plain-1")["runs"]) == before
+
+
 class TestStart:
     def test_start_that_fails_is_told(self, fleet):
         world = PlatformWorld(fleet)
