Compare the revision of a watch with that of the store

Callers were refused with 404 on routes that had been added, and leaving targets got requests, for up to 21 s after a change.

Cause: a watch that the store does not know of looks like one without changes. It is lost if it is sent while the store does not respond, 0.25 s after a change for instance, and forgotten in an outage. Only a failed renewal of the lease told of an outage; one that began and ended between two renewals went unnoticed until the watch timed out.

Change: the configuration is now verified in every deployment, not only where API keys are used. A reader in each cell reads its key every 0.3 of `adopt_within_ms` and learns the revision of the store; the others get it in the reader's reply. A follower whose revision stays below it sends its watch again (E1220).

Why it holds: the proof that changes arrived is the answer to a call that was sent after them, on a connection of its own, and no longer the absence of news.

--- a/pimentolink/configurationverifier.py
+++ b/pimentolink/configurationverifier.py
@@ -53,6 +53,9 @@
     All gateways select the readers by the same hash. A gateway that cannot verify its
     configuration with a reader reads the key itself.
 
+    Each read also returns the revision of the store, which the reader includes in its
+    replies. It shows every gateway whether its watch is missing changes.
+
     The age in a reader's reply is added to the time since this gateway sent its
     request, on its own clock. This overestimates the age by the time that the request
     took to arrive, and never underestimates it.
@@ -86,7 +89,8 @@
         self._max_age = max_age
         self._peers = peers
         self._timers = timers
-        self._revision = 0
+        self._key_revision = 0
+        self._store_revision = 0
         self._request_number = 0
         self._pending_reply: Deferred[VerificationReply | None] | None = None
         self._unresponsive_peer = ""
@@ -98,6 +102,8 @@
         self.gateways: Callable[[], Iterable[str]] = tuple
         self.version: Callable[[], int] = int
         self.on_change: Callable[[Change], None] = lambda change: None
+        # Called with a revision that the store has reached.
+        self.on_revision: Callable[[int], None] = lambda revision: None
 
     def start(self) -> None:
         """Start periodic verification."""
@@ -137,7 +143,13 @@
         # Rounded up, so that the reported age is never below the actual age.
         age_ms = int(age * 1000) + 1
         send_reply(
-            VerificationReply(request.number, self.version(), self._age.epoch, age_ms)
+            VerificationReply(
+                request.number,
+                self.version(),
+                self._age.epoch,
+                age_ms,
+                self._store_revision,
+            )
         )
 
     async def _run(self) -> None:
@@ -182,6 +194,7 @@
             self._unresponsive_peer = gateway
             self._unresponsive_until = self._timers.now() + PEER_RETRY_DELAY
             return False
+        self.on_revision(reply.revision)
         age = reply.age_ms / 1000
         if reply.version > self.version() or age > PEER_MAX_AGE_SHARE * self._max_age:
             return False
@@ -208,17 +221,19 @@
     async def _verify_with_store(self) -> bool:
         requested_at = self._age.clock()
         try:
-            item = await self._keyspace.read(self._key)
+            found = await self._keyspace.read_with_revision(self._key)
         except KeyValueUnavailable:
             return False
-        if item is not None:
+        for item in found.items:
             self._apply(item)
             self._age.record_verification(requested_at, epoch_of(item.revision))
+        self._store_revision = found.revision
+        self.on_revision(found.revision)
         return True
 
     def _apply(self, item: Item) -> None:
-        if item.revision != self._revision:
-            self._revision = item.revision
+        if item.revision != self._key_revision:
+            self._key_revision = item.revision
             self.on_change(Change(item.key, item.value, item.revision))
 
 
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -241,29 +241,28 @@
 
     def _make_configuration_verifier(
         self, documents: DocumentReader, keyspace: Keyspace
-    ) -> ConfigurationVerifier | None:
-        """
-        Create the verifier that keeps the configuration confirmed as current.
-
-        :returns: ``None`` if the settings do not limit the use of revoked API keys.
-        """
-        if self._revoke_within is None:
-            return None
+    ) -> ConfigurationVerifier:
+        """Create the verifier that keeps the configuration confirmed as current."""
+        max_age = self._settings.adopt_within_ms / 1000
+        if self._revoke_within is not None:
+            max_age = min(max_age, self._revoke_within)
         verifier = ConfigurationVerifier(
             self._settings.instance,
             documents.configuration_key,
             keyspace,
             self.age,
-            self._revoke_within,
+            max_age,
             self._peers,
             self._timers,
         )
-        verifier.is_needed = self._uses_api_keys
+        # The first full read verifies the configuration too.
+        verifier.is_needed = lambda: self.membership.is_loaded
         verifier.may_call_store = self._may_call_store
         verifier.gateways = lambda: self._cell_gateways
         verifier.version = lambda: self.tables.version
         self._peers.on_verification_message = verifier.handle_message
         verifier.on_change = self.membership.key_changed
+        verifier.on_revision = self._follower.expect_revision
         return verifier
 
     def _uses_api_keys(self) -> bool:
@@ -365,8 +364,7 @@
         self._registration.start()
         self.leadership.start()
         self._peers.start()
-        if self._verifier is not None:
-            self._verifier.start()
+        self._verifier.start()
         if self._metering is not None:
             self._metering.start()
         self._reload_repeater = Repeater(self._timers, RELOAD_INTERVAL, self.reload)
@@ -391,8 +389,7 @@
             self.log.write(LogEvent.STOP_TIMEOUT, in_work=self.forwarder.in_work)
         self._follower.stop()
         self._stall_detector.stop()
-        if self._verifier is not None:
-            self._verifier.stop()
+        self._verifier.stop()
         if self._metering is not None:
             self._metering.stop()
         self._peers.stop()
@@ -495,8 +492,7 @@
     def _reread_store(self) -> None:
         """Read the store again, which may have changed unnoticed."""
         self._follower.restart()
-        if self._verifier is not None:
-            self._verifier.restart()
+        self._verifier.restart()
 
     def _store_restored(self) -> None:
         """Read the store again, and write again what the restore lost."""
--- a/pimentolink/gatewaysettings.py
+++ b/pimentolink/gatewaysettings.py
@@ -221,6 +221,8 @@
     :ivar stop_within: time limit of a graceful stop in seconds.
     :ivar revoke_within_ms: milliseconds after which a revoked API key is no longer
         accepted, even if the store cannot be reached; ``None`` for no limit.
+    :ivar adopt_within_ms: milliseconds after its acknowledgement within which a change
+        of the configuration or of a target must take effect while the store responds.
     :ivar usage: settings of the usage reports; ``None`` to send none.
     """
 
@@ -242,4 +244,5 @@
     order_lease_ms: Count = 3000
     stop_within: Seconds = 8.0
     revoke_within_ms: Count | None = None
+    adopt_within_ms: Count = 4000
     usage: UsageSettings | None = None
--- a/pimentolink/keyspace.py
+++ b/pimentolink/keyspace.py
@@ -151,6 +151,15 @@
         :raises KeyValueUnavailable: if the store does not respond.
         """
 
+    def read_with_revision(self, key: str) -> Deferred[Snapshot]:
+        """
+        Read one key together with the revision of the store.
+
+        :returns: the key, or no items if it is absent; the revision is then 0 if the
+            store does not state it.
+        :raises KeyValueUnavailable: if the store does not respond.
+        """
+
     def write(self, write: Write) -> Deferred[int | None]:
         """
         Write a key if the conditions of the write hold.
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -13,7 +13,10 @@
 from pimentolink.keyspace import Change, Keyspace, epoch_of
 from pimentolink.logs import Log, LogEvent
 from pimentolink.retry import Backoff
-from pimentolink.timers import Timers, pause, run_in_background
+from pimentolink.timers import Timer, Timers, pause, run_in_background
+
+# Seconds that the response to a watch may take to arrive.
+DELIVERY_TIME = 0.15
 
 
 class KeyspaceListener(Protocol):
@@ -46,7 +49,9 @@
     Keeps one watch open and passes its changes to a listener.
 
     After an outage or when history was lost, it reads all keys again, since it may have
-    missed changes.
+    missed changes. A watch that the store does not know of, because it was lost or
+    dropped during an outage, looks like one without changes; :meth:`expect_revision`
+    detects it.
 
     :ivar is_connected: whether the store responded to the last call.
     :ivar confirmed_at: when the store last responded, in seconds of the timer service.
@@ -82,6 +87,7 @@
         self._backoff = Backoff(settings.backoff_first, settings.backoff_most, random)
         self._loop: Deferred[None] | None = None
         self._revision: int | None = None
+        self._overdue_check: Timer | None = None
         self.is_connected = False
         # Whether the store is expected to respond. During an outage, retries are
         # skipped while this is false, since each one costs a call.
@@ -102,6 +108,39 @@
         """Stop watching."""
         if self._loop is not None:
             self._loop.cancel()
+        if self._overdue_check is not None:
+            self._overdue_check.cancel()
+            self._overdue_check = None
+
+    def expect_revision(self, revision: int) -> None:
+        """
+        Watch again if the changes up to a revision do not arrive in time.
+
+        :param revision: a revision that the store has reached.
+        """
+        if self._overdue_check is None and self._is_behind(revision):
+            # Changes arrive late while the next watch is delayed.
+            self._overdue_check = self._timers.call_later(
+                self._settings.gather + DELIVERY_TIME,
+                lambda: self._check_overdue(revision),
+            )
+
+    def _is_behind(self, revision: int) -> bool:
+        return self._revision is not None and self._revision < revision
+
+    def _check_overdue(self, revision: int) -> None:
+        self._overdue_check = None
+        if not self._is_behind(revision):
+            return
+        self._log.write(
+            LogEvent.WATCH_LOST,
+            prefix=self._prefix,
+            after=self._revision,
+            revision=revision,
+            age=round(self.age(), 3),
+        )
+        self.stop()
+        self.start()
 
     def age(self) -> float:
         """Return the seconds since the store last responded."""
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -90,6 +90,11 @@
         logging.INFO,
         "All keys of the store were read; changes are watched from this revision on.",
     )
+    WATCH_LOST = (
+        "E1220",
+        logging.WARNING,
+        "The store has changes that the watch did not deliver; it is requested again.",
+    )
     STORE_RESTORED = (
         "E1218",
         logging.WARNING,
--- a/pimentolink/memorykeyspace.py
+++ b/pimentolink/memorykeyspace.py
@@ -99,6 +99,14 @@
             return outage
         return succeed(self._items_by_key.get(key))
 
+    def read_with_revision(self, key: str) -> Deferred[Snapshot]:
+        """Read one key and the revision of the store."""
+        if (outage := self._fail_if_down()) is not None:
+            return outage
+        found = self._items_by_key.get(key)
+        items = (found,) if found is not None else ()
+        return succeed(Snapshot(items, self.revision))
+
     def write(self, write: Write) -> Deferred[int | None]:
         """Write a key if the conditions of the write hold."""
         if (outage := self._fail_if_down()) is not None:
--- a/pimentolink/peermessages.py
+++ b/pimentolink/peermessages.py
@@ -239,12 +239,14 @@
     :ivar epoch: epoch of the store that it was verified against; a restore of the
         store from a backup increases the epoch.
     :ivar age_ms: milliseconds from the query that verified it to this reply.
+    :ivar revision: of the store, as the sender last read it; 0 if it has not.
     """
 
     number: _Natural
     version: _Natural
     epoch: _Natural
     age_ms: _Natural
+    revision: _Natural = 0
 
 
 LoadMessage = PrefillStarted | PrefillEnded | OpenPrefills | InFlight | RoleChanging
--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -64,11 +64,12 @@
 
 
 class _KeyReply(msgspec.Struct, rename="camel"):
-    """Reply to the read of one key."""
+    """Reply to the read of one key; ``current_rev`` is the store's revision."""
 
     key: str
     revision: int
     value: str
+    current_rev: int = 0
 
 
 class _WatchReply(msgspec.Struct, rename="camel"):
@@ -128,6 +129,10 @@
         """Read one key."""
         return Deferred.fromCoroutine(self._read(key))
 
+    def read_with_revision(self, key: str) -> Deferred[Snapshot]:
+        """Read one key and the revision of the store."""
+        return Deferred.fromCoroutine(self._read_with_revision(key))
+
     def write(self, write: Write) -> Deferred[int | None]:
         """Write a key if the revisions are as expected."""
         return Deferred.fromCoroutine(self._write(write))
@@ -202,13 +207,18 @@
         return self.epoch
 
     async def _read(self, key: str) -> Item | None:
+        found = await self._read_with_revision(key)
+        return found.items[0] if found.items else None
+
+    async def _read_with_revision(self, key: str) -> Snapshot:
         path = f"/kv-key?{urlencode({'key': key})}"
         reply = await self._call("GET", path, self._settings.timeout)
         if reply.head.status == 404:
-            return None
+            return Snapshot((), 0)
         parsed = _decode_reply(_require_success(reply), _KeyReply)
         revision = with_epoch(self.epoch, parsed.revision)
-        return Item(parsed.key, _decode_value(parsed.value), revision)
+        item = Item(parsed.key, _decode_value(parsed.value), revision)
+        return Snapshot((item,), with_epoch(self.epoch, parsed.current_rev))
 
     async def _write(self, write: Write) -> int | None:
         epoch, is_first = self.epoch, not self._is_epoch_known
--- a/tests/test_configurationverifier.py
+++ b/tests/test_configurationverifier.py
@@ -34,8 +34,8 @@
         self.delay = 0.0
         self.drops_watches = False
 
-    def read(self, key):
-        result = super().read(key)
+    def read_with_revision(self, key):
+        result = super().read_with_revision(key)
         if not self.delay:
             return result
         later = Deferred()
@@ -114,6 +114,7 @@
         self.verifier.gateways = lambda: peers.verifiers
         self.verifier.version = lambda: self.tables.table.version
         self.verifier.on_change = self.membership.key_changed
+        self.verifier.on_revision = self.follower.expect_revision
         self.follower.start()
         self.verifier.start()
 
--- /dev/null
+++ b/tests/test_keyspacefollower.py
@@ -0,0 +1,95 @@
+"""Watches that the store does not know of."""
+
+from random import Random
+
+import pytest
+
+from pimentolink.configurationage import ConfigurationAge
+from pimentolink.configurationverifier import ConfigurationVerifier
+from pimentolink.keyspacefollower import KeyspaceFollower
+from pimentolink.logs import Log
+from pimentolink.memorykeyspace import MemoryKeyspace
+from pimentolink.timers import ManualTimers
+from tests.gatewaybuilders import gateway_settings
+from tests.test_registration import Listener, WatchDroppingStore
+
+KEY = "op/config"
+# Seconds within which a change must be known.
+LIMIT = 2.0
+
+
+class NoPeers:
+    def send_to(self, gateways, messages):
+        pass
+
+
+def make_follower(timers, store, listener, random):
+    settings = gateway_settings().store
+    return KeyspaceFollower("", store, listener, settings, timers, random, Log())
+
+
+class TestLostWatch:
+    @pytest.mark.parametrize("outage", [0.1, 0.3, 0.5, 0.9, 1.5])
+    @pytest.mark.parametrize("seed", range(8))
+    def test_change_after_a_short_outage_is_known_in_time(self, outage, seed):
+        """The store drops watches, and no renewal of a lease notices the outage."""
+        random = Random(seed)
+        timers = ManualTimers()
+        store, listener = WatchDroppingStore(timers), Listener(timers)
+        store.put(KEY, b"old")
+        follower = make_follower(timers, store, listener, random)
+        verifier = ConfigurationVerifier(
+            "gateway",
+            KEY,
+            store,
+            ConfigurationAge(None, timers, Log()),
+            LIMIT,
+            NoPeers(),
+            timers,
+        )
+        verifier.on_revision = follower.expect_revision
+        follower.start()
+        verifier.start()
+        timers.advance(3.0 + random.random())
+        store.silence()
+        timers.advance(outage)
+        store.is_silent = False
+        store.put("servers/new", b"target")
+        back_at = timers.now()
+        timers.advance(30.0)
+        assert listener.known_at["servers/new"] - back_at < LIMIT
+
+
+class TestExpectedRevision:
+    @pytest.fixture
+    def timers(self):
+        return ManualTimers()
+
+    @pytest.fixture
+    def store(self, timers):
+        return MemoryKeyspace(timers)
+
+    def test_watch_that_delivers_in_time_is_kept(self, timers, store):
+        follower = make_follower(timers, store, Listener(timers), Random(1))
+        follower.start()
+        store.put("a", b"")
+        follower.expect_revision(store.revision)
+        store.put("b", b"")
+        follower.expect_revision(store.revision)
+        timers.advance(1.0)
+        before = store.calls
+        timers.advance(10.0)
+        assert store.calls == before
+
+    def test_watch_that_was_dropped_goes_on_where_it_was(self, timers, store):
+        listener = Listener(timers)
+        follower = make_follower(timers, store, listener, Random(1))
+        follower.start()
+        store._watches.clear()
+        store.put("a", b"")
+        before = store.calls
+        follower.expect_revision(store.revision)
+        timers.advance(1.0)
+        assert "a" in listener.known_at
+        # The watch that returns the change, and the one after it.
+        assert store.calls == before + 2
