Read the store again as soon as it responds in any way

After an outage the store was read only when the gateway's entry had been registered anew: a call without an answer (1 s), a delay of up to 1 s, the answer that the lease had ended and another delay of up to 1 s came before it. A gateway that stops ended its renewals and kept the belief that the store does not respond, so it read nothing until its end.

Change: the answer that a lease has ended counts as one; the delay after a failed renewal counts from its start; a gateway that stops no longer waits for renewals.

--- a/pimentolink/registration.py
+++ b/pimentolink/registration.py
@@ -45,10 +45,11 @@
     Keeps this gateway's entry under a lease and writes it again if the lease is lost.
 
     The renewals also check that the store responds: ``on_store_recovered`` is called
-    when the store responds again after it failed to.
+    when the store responds again after it failed to, also if it responds that the lease
+    has ended.
 
     :ivar is_store_reachable: whether the store responded to the last attempt to renew
-        the lease or to write the entry.
+        the lease or to write the entry; true once :meth:`stop` was called.
     :ivar lease: id of the lease; 0 without one.
     :ivar on_renewed: called after the lease was granted or renewed, with the time at
         which the request was sent, in seconds of
@@ -98,6 +99,9 @@
         """Stop renewing and revoke the lease, which removes the entry."""
         if self._loop is not None:
             self._loop.cancel()
+        # Without renewals nothing would notice the end of an outage, and requests are
+        # still served until the process ends.
+        self.is_store_reachable = True
         if self.lease:
             revocation = self._keyspace.revoke(self.lease)
             # If the store does not respond, the lease expires by itself.
@@ -111,13 +115,14 @@
 
     async def _run(self) -> None:
         while True:
+            requested_at = self._timers.boot_time()
             try:
-                requested_at = self._timers.boot_time()
                 await self._renew_or_register()
                 self._record_response()
                 self.on_renewed(requested_at)
                 await pause(self._timers, RENEWAL_INTERVAL)
             except LeaseLost as failure:
+                self._record_response()
                 self._log.write(
                     LogEvent.LEASE_LOST, lease=self.lease, detail=str(failure)
                 )
@@ -126,7 +131,13 @@
                 await pause(self._timers, self._backoff.next())
             except KeyValueUnavailable as failure:
                 self._record_outage(failure)
-                await pause(self._timers, self._backoff.next())
+                await pause(self._timers, self._retry_delay(requested_at))
+
+    def _retry_delay(self, requested_at: float) -> float:
+        """Return the delay after a failed call, less the time that the call took."""
+        elapsed = self._timers.boot_time() - requested_at
+        initial = self._settings.store.backoff_first
+        return max(initial, self._backoff.next() - elapsed)
 
     def _record_response(self) -> None:
         self._backoff.reset()
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -73,9 +73,9 @@
 
 
 class World:
-    def __init__(self):
+    def __init__(self, seed=1, make_store=WatchDroppingStore):
         self.timers = ManualTimers()
-        self.store = WatchDroppingStore(self.timers)
+        self.store = make_store(self.timers)
         self.listener = Listener(self.timers)
         settings = gateway_settings()
         self.follower = KeyspaceFollower(
@@ -84,13 +84,14 @@
             self.listener,
             settings.store,
             self.timers,
-            Random(1),
+            Random(seed),
             Log(),
         )
         self.registration = Registration(
-            settings, "life", self.store, self.timers, Random(1), Log()
+            settings, "life", self.store, self.timers, Random(seed), Log()
         )
         self.registration.on_store_recovered = self.follower.restart
+        self.follower.may_call_store = lambda: self.registration.is_store_reachable
         self.follower.start()
         self.registration.start()
 
@@ -112,6 +113,37 @@
         world.timers.advance(30.0)
         assert world.listener.known_at["op/config"] - back_at < 2.5
 
+    @pytest.mark.parametrize("seed", range(40))
+    def test_store_is_read_before_a_lost_lease_is_replaced(self, seed):
+        """
+        Leases end in an outage. The store responds again, but only to a renewal that
+        was not pending at the end, and with the answer that the lease has ended.
+        """
+        random = Random(seed)
+        world = World(seed)
+        world.timers.advance(3.0 + random.random())
+        world.store.silence()
+        world.timers.advance(5.0 + random.random())
+        world.store.is_silent = False
+        world.store._keyspace.lapse(world.registration.lease)
+        world.store.put("op/config", b"new")
+        back_at = world.timers.now()
+        world.timers.advance(30.0)
+        assert world.listener.known_at["op/config"] - back_at < 2.0
+
+    def test_gateway_that_stops_reads_the_store_once_it_responds(self):
+        world = World(make_store=MemoryKeyspace)
+        world.timers.advance(3.3)
+        world.store.set_down(True)
+        world.timers.advance(3.0)
+        world.registration.stop()
+        world.timers.advance(1.0)
+        world.store.set_down(False)
+        world.store.put("op/config", b"new")
+        back_at = world.timers.now()
+        world.timers.advance(30.0)
+        assert world.listener.known_at["op/config"] - back_at < 2.0
+
     def test_outage_costs_renewals_only(self, world):
         """
         The store rejects each call of a gateway for some seconds. The follower must not
@@ -122,7 +154,6 @@
         world.store._keyspace.read_all = lambda prefix: (
             read.append(1) or read_all(prefix)
         )
-        world.follower.may_call_store = lambda: world.registration.is_store_reachable
         world.timers.advance(3.3)
         world.store._keyspace.set_down(True)
         world.timers.advance(10.0)
