Keep following the store after an unexpected exception

Before: TestFailingListener, TestFailingStore and test_failure_is_logged_and_the_task_started_again fail. A configuration that could not be handled is not verified, so it extends the use of no key.

--- a/pimentolink/configurationverifier.py
+++ b/pimentolink/configurationverifier.py
@@ -107,7 +107,7 @@
 
     def start(self) -> None:
         """Start periodic verification."""
-        self._running = run_in_background(self._run())
+        self._running = run_in_background(self._timers, self._run)
 
     def stop(self) -> None:
         """Stop periodic verification."""
@@ -233,8 +233,8 @@
 
     def _apply(self, item: Item) -> None:
         if item.revision != self._key_revision:
-            self._key_revision = item.revision
             self.on_change(Change(item.key, item.value, item.revision))
+            self._key_revision = item.revision
 
 
 def _hash_of(gateway: str) -> int:
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
+from twisted.logger import Logger
 
 from pimentolink.errors import HistoryLost, KeyValueUnavailable
 from pimentolink.gatewaysettings import StoreSettings
@@ -18,6 +19,8 @@
 # Seconds that the response to a watch may take to arrive.
 DELIVERY_TIME = 0.15
 
+_logger = Logger()
+
 
 class KeyspaceListener(Protocol):
     """Receives the content of the store and its changes."""
@@ -96,7 +99,7 @@
 
     def start(self) -> None:
         """Read all keys, then watch them."""
-        self._loop = run_in_background(self._run())
+        self._loop = run_in_background(self._timers, self._run)
 
     def restart(self) -> None:
         """Read all keys again now, since the known ones may be outdated."""
@@ -168,12 +171,12 @@
         snapshot = await self._keyspace.read_all(self._prefix)
         self._record_response()
         for item in snapshot.items:
-            self._listener.key_changed(Change(item.key, item.value, item.revision))
+            change = Change(item.key, item.value, item.revision)
+            self._notify(self._listener.key_changed, change)
         keys = frozenset(item.key for item in snapshot.items)
-        self._listener.snapshot_delivered(
-            keys, requested_at, epoch_of(snapshot.revision)
-        )
-        self._listener.changes_delivered()
+        epoch = epoch_of(snapshot.revision)
+        self._notify(self._listener.snapshot_delivered, keys, requested_at, epoch)
+        self._notify(self._listener.changes_delivered)
         self._revision = snapshot.revision
         self._log.write(
             LogEvent.STORE_READ,
@@ -189,12 +192,23 @@
         found = await self._keyspace.changes(self._prefix, self._revision, wait)
         self._record_response()
         for change in found.changes:
-            self._listener.key_changed(change)
+            self._notify(self._listener.key_changed, change)
         self._revision = found.revision
         if found.changes:
-            self._listener.changes_delivered()
+            self._notify(self._listener.changes_delivered)
             await pause(self._timers, self._settings.gather)
 
+    def _notify(self, callback: Callable[..., object], *arguments: object) -> None:
+        """
+        Call the listener.
+
+        A change that it fails to handle must not keep it from later ones.
+        """
+        try:
+            callback(*arguments)
+        except Exception:
+            _logger.failure("a change of the store could not be handled")
+
     def _record_response(self) -> None:
         self.confirmed_at = self._timers.now()
         self._backoff.reset()
--- a/pimentolink/leadership.py
+++ b/pimentolink/leadership.py
@@ -105,7 +105,7 @@
 
     def start(self) -> None:
         """Campaign whenever there is no leader."""
-        self._running = run_in_background(self._run())
+        self._running = run_in_background(self._timers, self._run)
 
     def stop(self) -> None:
         """Stop campaigning and end the lease."""
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -154,18 +154,20 @@
             self.on_first_snapshot()
 
     def _configuration_changed(self, document: bytes, revision: int) -> None:
+        # Stays so if the document cannot be handled.
+        self._configuration_age.set_readable(is_readable=False)
         found = self._documents.read_configuration(document)
         if isinstance(found, Err):
             detail = str(found.err_value)
             self._log.write(
                 LogEvent.CONFIGURATION_UNREADABLE, detail=detail, revision=revision
             )
-            self._configuration_age.set_readable(is_readable=False)
             return
-        self._configuration_age.set_readable(is_readable=True)
         table = found.ok_value
         previous_version = self._routing_tables.version
-        if not self._routing_tables.offer(table, self._timers.now()):
+        is_newer = self._routing_tables.offer(table, self._timers.now())
+        self._configuration_age.set_readable(is_readable=True)
+        if not is_newer:
             return
         models = {name: item.engine for name, item in table.services_by_name.items()}
         self._fleet.set_models(models)
--- a/pimentolink/registration.py
+++ b/pimentolink/registration.py
@@ -93,7 +93,7 @@
 
     def start(self) -> None:
         """Write the entry and keep renewing its lease."""
-        self._loop = run_in_background(self._run())
+        self._loop = run_in_background(self._timers, self._run)
 
     def stop(self) -> None:
         """Stop renewing and revoke the lease, which removes the entry."""
--- a/pimentolink/suspectstore.py
+++ b/pimentolink/suspectstore.py
@@ -190,7 +190,7 @@
 
     def _start_writing(self) -> None:
         self._timer = None
-        self._writing = run_in_background(self._write())
+        self._writing = run_in_background(self._timers, self._write)
         self._writing.addCallback(self._writing_done)
 
     def _writing_done(self, _: object) -> None:
--- a/pimentolink/timers.py
+++ b/pimentolink/timers.py
@@ -10,10 +10,12 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.logger import Logger
-from twisted.python.failure import Failure
 
 Awaited = TypeVar("Awaited")
 
+# Seconds after which a background task that failed is started again.
+RESTART_DELAY = 1.0
+
 _logger = Logger()
 
 
@@ -70,24 +72,37 @@
     return pending
 
 
-def run_in_background(work: Coroutine[Any, Any, None]) -> Deferred[None]:
+def run_in_background(
+    timers: Timers, work: Callable[[], Coroutine[Any, Any, None]]
+) -> Deferred[None]:
     """
-    Start a coroutine in the background, to run until it is cancelled.
+    Start a task in the background, to run until it returns or is cancelled.
 
-    An exception is logged at once: Twisted would log it only when the Deferred is
-    garbage collected, and the owner of the coroutine keeps the Deferred.
+    A task that raises an exception is started again after a delay: without it the
+    process would go on serving requests from a state that is no longer updated.
 
-    :param work: a coroutine that awaits Deferreds.
-    :returns: a Deferred that cancels the coroutine; its cancellation is not an error.
+    :param timers: the timer service.
+    :param work: returns a coroutine that awaits Deferreds; called for each start.
+    :returns: a Deferred that cancels the task; its cancellation is not an error.
     """
-    running = Deferred.fromCoroutine(work)
-    running.addErrback(_log_failure)
+    running = Deferred.fromCoroutine(_run_until_done(timers, work))
+    running.addErrback(lambda failure: failure.trap(CancelledError))
     return running
 
 
-def _log_failure(failure: Failure) -> None:
-    if not failure.check(CancelledError):
-        _logger.failure("a background task failed", failure)
+async def _run_until_done(
+    timers: Timers, work: Callable[[], Coroutine[Any, Any, None]]
+) -> None:
+    while True:
+        try:
+            await work()
+        except CancelledError:
+            raise
+        except Exception:
+            _logger.failure("a background task failed and is started again")
+            await pause(timers, RESTART_DELAY)
+        else:
+            return
 
 
 async def with_timeout(
--- a/pimentolink/usagereporter.py
+++ b/pimentolink/usagereporter.py
@@ -142,7 +142,7 @@
     def start(self) -> None:
         """Start reporting; reports are sent only while this gateway leads."""
         self._first_window = self._publisher.window_of(self._clock.now())
-        self._running = run_in_background(self._run())
+        self._running = run_in_background(self._timers, self._run)
 
     def stop(self) -> None:
         """Stop reporting."""
--- a/tests/test_keyspacefollower.py
+++ b/tests/test_keyspacefollower.py
@@ -60,6 +60,48 @@
         assert listener.known_at["servers/new"] - back_at < LIMIT
 
 
+class FailingListener(Listener):
+    """Raises an exception for one key, and once all changes are delivered."""
+
+    def key_changed(self, change):
+        if change.key == "a/bad":
+            raise ValueError("unexpected content")
+        super().key_changed(change)
+
+    def changes_delivered(self):
+        raise RuntimeError("unexpected state")
+
+
+class TestFailingListener:
+    def test_later_changes_are_delivered(self):
+        timers = ManualTimers()
+        store, listener = MemoryKeyspace(timers), FailingListener(timers)
+        store.put("a/bad", b"")
+        store.put("read", b"")
+        make_follower(timers, store, listener, Random(1)).start()
+        assert "read" in listener.known_at
+        store.put("a/bad", b"")
+        store.put("watched", b"")
+        timers.advance(LIMIT)
+        assert "watched" in listener.known_at
+        store.compact()
+        store.put("read again", b"")
+        timers.advance(LIMIT)
+        assert "read again" in listener.known_at
+
+
+class TestFailingStore:
+    def test_unexpected_exception_does_not_end_the_watch(self):
+        timers = ManualTimers()
+        store, listener = MemoryKeyspace(timers), Listener(timers)
+        follower = make_follower(timers, store, listener, Random(1))
+        follower.start()
+        store._fail_watches(ValueError("unexpected answer"))
+        store.put("new", b"")
+        timers.advance(LIMIT)
+        assert "new" in listener.known_at
+
+
 class TestExpectedRevision:
     @pytest.fixture
     def timers(self):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -391,3 +391,23 @@
         list_itself("g3")
         world.timers.advance(12.0)
         assert set(world.membership.gateways_by_name) == {"g2", "g3"}
+
+
+class TestUnexpectedFailure:
+    def test_configuration_that_cannot_be_handled_is_not_verified(
+        self, world, monkeypatch
+    ):
+        """A newer configuration may revoke API keys that the current one has."""
+
+        def fail(self, document):
+            raise RuntimeError("unexpected")
+
+        world.store.put("op/config", configuration(1, "/p/"))
+        world.timers.advance(0.3)
+        monkeypatch.setattr(PlatformDocuments, "read_configuration", fail)
+        world.store.put("op/config", configuration(2))
+        world.timers.advance(3.0)
+        world.follower.restart()
+        world.timers.advance(3.0)
+        assert world.tables.version == 1
+        assert not world.age.is_current()
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import Deferred
 from twisted.logger import globalLogPublisher
 
-from pimentolink.timers import run_in_background
+from pimentolink.timers import RESTART_DELAY, ManualTimers, run_in_background
 
 
 @pytest.fixture
@@ -21,19 +21,24 @@
 
 
 class TestBackgroundTask:
-    def test_failure_is_logged_while_the_owner_keeps_the_task(self, logged_failures):
+    def test_failure_is_logged_and_the_task_started_again(self, logged_failures):
         error = RuntimeError("unexpected")
 
         async def fail():
             raise error
 
-        running = run_in_background(fail())
+        timers = ManualTimers()
+        running = run_in_background(timers, fail)
         assert logged_failures == [error]
-        assert running.called
+        timers.advance(RESTART_DELAY)
+        assert logged_failures == [error, error]
+        running.cancel()
+        timers.advance(RESTART_DELAY)
+        assert logged_failures == [error, error]
 
     def test_cancellation_is_not_logged(self, logged_failures):
         async def wait():
             await Deferred()
 
-        run_in_background(wait()).cancel()
+        run_in_background(ManualTimers(), wait).cancel()
         assert logged_failures == []
