Take a stored value outside ASCII as an answer that cannot be read

base64 raises ValueError, not its own error, for text outside ASCII. That ended the loop that follows the store, so the configuration and the targets stayed as they were; since the loops are started again it would be read and fail again each second.

Before: the test of such a value fails (ValueError), as did a random example. Change: any ValueError of the decoder counts as an unreadable answer.

--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -355,5 +354,5 @@
     """
     try:
         return base64.b64decode(text, validate=True)
-    except binascii.Error as error:
+    except ValueError as error:
         raise KeyValueUnavailable(f"a value that cannot be read: {error}") from error
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -38,6 +38,7 @@
     "read_all": lambda store: store.read_all("p"),
     "changes": lambda store: store.changes("p", 1, 1.0),
     "read": lambda store: store.read("k"),
+    "read_with_revision": lambda store: store.read_with_revision("k"),
     "write": lambda store: store.write(Write("k", b"v", 0, 0)),
     "grant": lambda store: store.grant(1.0),
 }
@@ -60,8 +61,9 @@
 
 
 class TestAnswers:
-    def test_value_that_is_no_base64_counts_as_no_answer(self):
-        body = msgspec.json.encode(ITEM | {"value": "a"})
+    @pytest.mark.parametrize("value", ["a", "\u0080"])
+    def test_value_that_is_no_base64_counts_as_no_answer(self, value):
+        body = msgspec.json.encode(ITEM | {"value": value})
         failure = call_outcome("read", 200, body)
         assert failure.check(KeyValueUnavailable)
 
