End a task that is cancelled while it connects to the store

Cancelling a task that was opening a connection gave it NotConnected, which it took for an outage: it went on. Each restart of the follower at such a moment left one more loop that reads and watches; a second loop of the registration can keep renewing a lease that no longer holds the gateway's entry.

Change: a cancelled connect is told apart, and the store's client passes the cancellation on. Requests to targets see NotConnected as before.

--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -170,6 +170,10 @@
     code = "not_connected"
 
 
+class ConnectCancelled(NotConnected):
+    """The attempt to open a connection was cancelled, so nothing was sent."""
+
+
 class NotListening(NotConnected):
     """Nothing listens at the target's address: its process has ended."""
 
--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -11,7 +11,13 @@
 from result import Err
 from twisted.internet.defer import CancelledError, Deferred
 
-from pimentolink.errors import Failure, HistoryLost, KeyValueUnavailable, LeaseLost
+from pimentolink.errors import (
+    ConnectCancelled,
+    Failure,
+    HistoryLost,
+    KeyValueUnavailable,
+    LeaseLost,
+)
 from pimentolink.gatewaysettings import ConnectionSettings, StoreSettings
 from pimentolink.httptypes import Headers, HttpReply, HttpRequest
 from pimentolink.jsondocument import read_json
@@ -300,6 +306,7 @@
         if body:
             headers += ((b"Content-Type", b"application/json"),)
         request = HttpRequest(method.encode(), path.encode(), headers, body)
+        began_at = self._timers.now()
         pending = exchange(self._pool, request, lambda head: True, MAX_REPLY_BYTES)
         try:
             reply = await with_timeout(self._timers, timeout, pending)
@@ -307,6 +314,11 @@
             raise KeyValueUnavailable(f"no answer within {timeout:g} s") from error
         except CancelledError:
             raise
+        except ConnectCancelled as failure:
+            if self._timers.now() - began_at < timeout:
+                # The caller was cancelled and must not go on as after an outage.
+                raise CancelledError from failure
+            raise KeyValueUnavailable(str(failure)) from failure
         except Failure as failure:
             raise KeyValueUnavailable(str(failure)) from failure
         self._learn_epoch(reply)
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -10,11 +10,16 @@
 import h11
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import (
+    ConnectingCancelledError,
+    ConnectionDone,
+    ConnectionRefusedError,
+)
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 
 from pimentolink.errors import (
+    ConnectCancelled,
     ConnectionBroken,
     ConnectionsExhausted,
     NotConnected,
@@ -347,6 +352,7 @@
         Open a connection.
 
         :raises NotListening: if the target refuses the connection.
+        :raises ConnectCancelled: if the caller of this method was cancelled.
         :raises NotConnected: if the connection fails for another reason.
         """
         self.count += 1
@@ -356,6 +362,9 @@
         except ConnectionRefusedError as error:
             self.count -= 1
             raise NotListening(str(error)) from error
+        except ConnectingCancelledError as error:
+            self.count -= 1
+            raise ConnectCancelled("cancelled while connecting") from error
         except Exception as error:
             self.count -= 1
             raise NotConnected(f"{type(error).__name__}: {error}") from error
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,15 +1,21 @@
 """Tests how valid and invalid replies of the platform's store are handled."""
 
+from random import Random
+from typing import Any
+
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
+from twisted.internet.testing import MemoryReactorClock
 
 from pimentolink.errors import Failure, KeyValueUnavailable
 from pimentolink.gatewaysettings import ConnectionSettings, StoreSettings
 from pimentolink.httptypes import HttpReply, ReplyHead
 from pimentolink.keyspace import Write
+from pimentolink.keyspacefollower import KeyspaceFollower
+from pimentolink.logs import Log
 from pimentolink.platform import store as store_module
 from pimentolink.platform.store import PlatformStore
 from pimentolink.timers import ManualTimers
@@ -60,6 +66,24 @@
     return outcomes[0]
 
 
+class TestCancel:
+    def test_follower_that_stops_while_it_connects_makes_no_more_calls(self):
+        """A restart of the follower would leave two of its loops running."""
+        timers = ManualTimers()
+        settings = StoreSettings(address="127.0.0.1:1")
+        store = PlatformStore(
+            MemoryReactorClock(), settings, ConnectionSettings(), timers
+        )
+        listener: Any = None
+        follower = KeyspaceFollower(
+            "", store, listener, settings, timers, Random(1), Log()
+        )
+        follower.start()
+        follower.stop()
+        timers.advance(30.0)
+        assert store.calls == 1
+
+
 class TestAnswers:
     @pytest.mark.parametrize("value", ["a", "\u0080"])
     def test_value_that_is_no_base64_counts_as_no_answer(self, value):
