--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 soak: environment
 	$(BIN)/python -m tests.soak --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_retries --seeds $(SEEDS) --first $(FIRST)
+	$(BIN)/python -m tests.soak_configuration --seeds $(SEEDS) --first $(FIRST)
 
 JOBS ?= 3
 
--- a/pimentolink/memorykeyspace.py
+++ b/pimentolink/memorykeyspace.py
@@ -213,6 +213,11 @@
         self._compacted_revision = self.revision
         self._fail_watches(HistoryLost("compacted"))
 
+    def forget_watches(self) -> None:
+        """Drop the pending watches, which then never complete."""
+        for watch in list(self._watches):
+            self._remove_watch(watch)
+
     def set_down(self, is_down: bool, pauses_leases: bool = False) -> None:
         """
         Begin or end an outage; pending watches fail when it begins.
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -68,11 +68,14 @@
         """
         Enable or disable faults.
 
-        ``down`` is ``busy``, ``reset`` or ``silent``. With ``lose_watches``, watches
-        that are requested are never answered.
+        ``down`` is ``busy``, ``reset`` or ``silent``. ``lose_watches`` drops the
+        pending watches and those that are requested while it is set; they are never
+        answered.
         """
         self.faults.update(body_of(request))
         self.keys.answers_to_lose = self.faults["lose_answers"]
+        if self.faults["lose_watches"]:
+            self.keys.forget_watches()
         if self.faults["down"]:
             self.keys.set_down(True)
         self.keys.set_down(False)
--- a/tests/test_keyspacefollower.py
+++ b/tests/test_keyspacefollower.py
@@ -127,7 +127,7 @@
         listener = Listener(timers)
         follower = make_follower(timers, store, listener, Random(1))
         follower.start()
-        store._watches.clear()
+        store.forget_watches()
         store.put("a", b"")
         before = store.calls
         follower.expect_revision(store.revision)
