--- a/tests/soak_configuration.py
+++ b/tests/soak_configuration.py
@@ -234,14 +234,17 @@
         self.fleet.start_again(name)
         self.fleet.settle()
 
-    def check_round(self) -> Interval:
+    def check_round(self, probers: list["Prober"]) -> Interval:
         """Change the configuration after the faults, and wait until it must be used."""
         calm_since = time.monotonic()
         time.sleep(self.random.uniform(0.0, SETTLING_TIME - ADOPTION_LIMIT))
         self.change()
         start = max(calm_since + SETTLING_TIME, time.monotonic() + ADOPTION_LIMIT)
-        time.sleep(start + PROBED_FOR - time.monotonic())
-        return Interval(self.version, start, start + PROBED_FOR)
+        end = start + PROBED_FOR
+        time.sleep(end - time.monotonic())
+        # The next faults must not affect probes that were sent in the interval.
+        wait_until(lambda: all(prober.probes[-1].sent_at > end for prober in probers))
+        return Interval(self.version, start, end)
 
 
 def play(
@@ -262,7 +265,7 @@
         intervals = []
         for _ in range(ROUNDS):
             world.inject_faults()
-            intervals.append(world.check_round())
+            intervals.append(world.check_round(probers))
         for prober in probers:
             prober.is_stopped.set()
         for prober in probers:
