Name claims by a digest of their sidecar's incarnation

A claim was named by the first 12 characters of its sidecar's incarnation and a number. Incarnations that begin alike gave two sidecars' claims the same name; a sidecar that had released its own then took the other's for released, and its key was free again.

Sidecars started as processes have random hexadecimal incarnations, so callers of those were safe; the fleet of the virtual network and whoever embeds Sidecar with readable names was not.

Change: the digest of the whole incarnation names the claim. Claims written before keep their names, which are only compared for equality.

--- a/pimentolink/claimtable.py
+++ b/pimentolink/claimtable.py
@@ -46,9 +46,9 @@
     return xxhash.xxh3_64_intdigest(key.encode()) % partitions
 
 
-# Claims carry only this many leading digits of the incarnation: enough to distinguish
-# them, and short, since the document is written often.
-INCARNATION_PREFIX_LENGTH = 12
+# Claims carry only this many digits of a digest of the incarnation: enough to
+# distinguish them, and short, since the document is written often.
+INCARNATION_DIGEST_LENGTH = 12
 
 
 class ClaimState(enum.StrEnum):
@@ -102,10 +102,12 @@
         Create an empty table.
 
         :param settings: size limit and retention.
-        :param incarnation: prefix of the identifier of each claim added here.
+        :param incarnation: unique; its digest begins the identifier of each claim
+            added here.
         """
         self._settings = settings
-        self._incarnation = incarnation[:INCARNATION_PREFIX_LENGTH]
+        digest = xxhash.xxh3_64_hexdigest(incarnation.encode())
+        self._incarnation = digest[:INCARNATION_DIGEST_LENGTH]
         self._claims_made = 0
         self._outcome_by_claim_id: OrderedDict[str, ClaimState | None] = OrderedDict()
         self.claims_by_key: OrderedDict[str, Claim] = OrderedDict()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -66,6 +66,21 @@
         harness.timers.advance(1.0)
         assert not isinstance(again[0], Err)
 
+    def test_released_claim_frees_no_claim_of_another_owner(self, harness):
+        """
+        The incarnations begin alike, and so did the identifiers of their claims. The
+        key of the second was free once the first, which had released a claim, was owner
+        again.
+        """
+        first = harness.partition("sidecar-dispatch-1/1")
+        second = harness.partition("sidecar-dispatch-2/1")
+        for owner, key in ((first, "a"), (second, "b"), (first, "c"), (second, "d")):
+            harness.claim(owner, key)
+            harness.timers.advance(1.0)
+        asked = harness.claim(first, "d")
+        harness.timers.advance(1.0)
+        assert isinstance(asked[0].err_value, OutcomeUnknown)
+
     def test_claim_of_a_dead_owner_is_unknown(self, harness):
         harness.claim(harness.partition("dead"), "key")
         harness.timers.advance(1.0)
