Verify the configuration by the revision of the store

Cause: it read the configuration's key every 0.9 s.

Change: the reader asks for the revision of the store only. A gateway whose watch has delivered all changes up to it has the newest configuration. If not, it requests the changes again beside the watch, and the key if that does not help, and neither while a response to the watch is arriving. A watch is ended only once the overdue changes are here.

Evidence: test_watch_is_not_ended_while_it_delivers_over_a_slow_link fails with the watch sent again at once, as before.

--- a/pimentolink/configurationverifier.py
+++ b/pimentolink/configurationverifier.py
@@ -28,6 +28,10 @@
 # and the maximum delay.
 RETRY_INITIAL_SHARE = 0.06
 RETRY_MAX_SHARE = 0.2
+# Fractions of the maximum age: the time in which a watch should deliver the changes up
+# to a revision, and the time after which the key is read if they are not here.
+DELIVERY_SHARE = 0.2
+READ_KEY_SHARE = 0.25
 # Seconds to wait for a reply from another gateway, and seconds for which a gateway that
 # did not reply is not asked again.
 PEER_TIMEOUT = 0.1
@@ -45,16 +49,18 @@
 
 class ConfigurationVerifier:
     """
-    Verifies the configuration by reading its key, or by asking a gateway that does.
+    Verifies the configuration with the store, or by asking a gateway that does.
 
     A watch that reports no change does not verify the configuration: a stalled
     connection, or a watch that the store has dropped, looks the same. Some gateways of
-    a cell, the readers, therefore read the key, and each other gateway asks a reader.
+    a cell, the readers, therefore ask the store, and each other gateway asks a reader.
     All gateways select the readers by the same hash. A gateway that cannot verify its
-    configuration with a reader reads the key itself.
+    configuration with a reader asks the store itself.
 
-    Each read also returns the revision of the store, which the reader includes in its
-    replies. It shows every gateway whether its watch is missing changes.
+    A reader asks for the revision of the store only: if its watch has delivered all
+    changes up to it, the configuration in force is the newest. It reads the key if the
+    watch does not deliver them in time. The revision is included in its replies and
+    shows every gateway whether its own watch is missing changes.
 
     The age in a reader's reply is added to the time since this gateway sent its
     request, on its own clock. This overestimates the age by the time that the request
@@ -102,8 +108,11 @@
         self.gateways: Callable[[], Iterable[str]] = tuple
         self.version: Callable[[], int] = int
         self.on_change: Callable[[Change], None] = lambda change: None
-        # Called with a revision that the store has reached.
-        self.on_revision: Callable[[int], None] = lambda revision: None
+        # Whether the watch has delivered all changes up to a revision.
+        self.has_reached: Callable[[int], bool] = lambda revision: False
+        # Called with a revision that the store has reached, and with the seconds within
+        # which the watch should deliver the changes up to it.
+        self.on_revision: Callable[[int, float], None] = lambda revision, patience: None
 
     def start(self) -> None:
         """Start periodic verification."""
@@ -194,7 +203,7 @@
             self._unresponsive_peer = gateway
             self._unresponsive_until = self._timers.now() + PEER_RETRY_DELAY
             return False
-        self.on_revision(reply.revision)
+        self._expect_revision(reply.revision)
         age = reply.age_ms / 1000
         if reply.version > self.version() or age > PEER_MAX_AGE_SHARE * self._max_age:
             return False
@@ -221,15 +230,30 @@
     async def _verify_with_store(self) -> bool:
         requested_at = self._age.clock()
         try:
-            found = await self._keyspace.read_with_revision(self._key)
+            revision = await self._keyspace.read_revision()
+            self._store_revision = revision
+            if not self.has_reached(revision):
+                self._expect_revision(revision)
+                await pause(self._timers, READ_KEY_SHARE * self._max_age)
+            if self.has_reached(revision) and self.version():
+                self._age.record_verification(requested_at, epoch_of(revision))
+            elif self._keyspace.is_receiving_changes():
+                return False
+            else:
+                await self._read_key()
         except KeyValueUnavailable:
             return False
-        for item in found.items:
+        return True
+
+    def _expect_revision(self, revision: int) -> None:
+        self.on_revision(revision, DELIVERY_SHARE * self._max_age)
+
+    async def _read_key(self) -> None:
+        requested_at = self._age.clock()
+        item = await self._keyspace.read(self._key)
+        if item is not None:
             self._apply(item)
             self._age.record_verification(requested_at, epoch_of(item.revision))
-        self._store_revision = found.revision
-        self.on_revision(found.revision)
-        return True
 
     def _apply(self, item: Item) -> None:
         if item.revision != self._key_revision:
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -262,6 +262,7 @@
         verifier.version = lambda: self.tables.version
         self._peers.on_verification_message = verifier.handle_message
         verifier.on_change = self.membership.key_changed
+        verifier.has_reached = self._follower.has_reached
         verifier.on_revision = self._follower.expect_revision
         return verifier
 
--- a/pimentolink/keyspace.py
+++ b/pimentolink/keyspace.py
@@ -143,6 +143,9 @@
         :raises KeyValueUnavailable: if the store does not respond.
         """
 
+    def is_receiving_changes(self) -> bool:
+        """Return whether a part of the response to a watch has just arrived."""
+
     def read(self, key: str) -> Deferred[Item | None]:
         """
         Read one key.
@@ -151,12 +154,10 @@
         :raises KeyValueUnavailable: if the store does not respond.
         """
 
-    def read_with_revision(self, key: str) -> Deferred[Snapshot]:
+    def read_revision(self) -> Deferred[int]:
         """
-        Read one key together with the revision of the store.
+        Read the current revision of the store, without any key.
 
-        :returns: the key, or no items if it is absent; the revision is then 0 if the
-            store does not state it.
         :raises KeyValueUnavailable: if the store does not respond.
         """
 
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -11,14 +11,11 @@
 
 from pimentolink.errors import HistoryLost, KeyValueUnavailable
 from pimentolink.gatewaysettings import StoreSettings
-from pimentolink.keyspace import Change, Keyspace, epoch_of
+from pimentolink.keyspace import Change, Changes, Keyspace, epoch_of
 from pimentolink.logs import Log, LogEvent
 from pimentolink.retry import Backoff
 from pimentolink.timers import Timer, Timers, pause, run_in_background
 
-# Seconds that the response to a watch may take to arrive.
-DELIVERY_TIME = 0.15
-
 _logger = Logger()
 
 
@@ -91,6 +88,7 @@
         self._loop: Deferred[None] | None = None
         self._revision: int | None = None
         self._overdue_check: Timer | None = None
+        self._catching_up: Deferred[None] | None = None
         self.is_connected = False
         # Whether the store is expected to respond. During an outage, retries are
         # skipped while this is false, since each one costs a call.
@@ -114,26 +112,36 @@
         if self._overdue_check is not None:
             self._overdue_check.cancel()
             self._overdue_check = None
+        if self._catching_up is not None:
+            self._catching_up.cancel()
+
+    def has_reached(self, revision: int) -> bool:
+        """Return whether all changes up to a revision were delivered."""
+        return self._revision is not None and self._revision >= revision
 
-    def expect_revision(self, revision: int) -> None:
+    def expect_revision(self, revision: int, patience: float) -> None:
         """
-        Watch again if the changes up to a revision do not arrive in time.
+        Request the changes up to a revision again if they do not arrive in time.
 
         :param revision: a revision that the store has reached.
+        :param patience: seconds to wait for the watch to deliver them.
         """
         if self._overdue_check is None and self._is_behind(revision):
-            # Changes arrive late while the next watch is delayed.
             self._overdue_check = self._timers.call_later(
-                self._settings.gather + DELIVERY_TIME,
-                lambda: self._check_overdue(revision),
+                max(patience, self._settings.gather),
+                lambda: self._check_overdue(revision, patience),
             )
 
     def _is_behind(self, revision: int) -> bool:
         return self._revision is not None and self._revision < revision
 
-    def _check_overdue(self, revision: int) -> None:
+    def _check_overdue(self, revision: int, patience: float) -> None:
         self._overdue_check = None
-        if not self._is_behind(revision):
+        if not self._is_behind(revision) or self._catching_up is not None:
+            return
+        if self._keyspace.is_receiving_changes():
+            # A second transfer over the same link would delay both.
+            self.expect_revision(revision, patience)
             return
         self._log.write(
             LogEvent.WATCH_LOST,
@@ -142,7 +150,35 @@
             revision=revision,
             age=round(self.age(), 3),
         )
-        self.stop()
+        self._catching_up = run_in_background(self._timers, self._catch_up)
+        self._catching_up.addBoth(self._caught_up)
+
+    def _caught_up(self, _: object) -> None:
+        self._catching_up = None
+
+    async def _catch_up(self) -> None:
+        """
+        Request the overdue changes beside the watch.
+
+        The watch is ended only once they are here: it may be delivering them over a
+        slow link.
+        """
+        if self._revision is None:
+            return
+        wait = self._settings.timeout
+        try:
+            found = await self._keyspace.changes(self._prefix, self._revision, wait)
+        except HistoryLost:
+            self._revision = None
+        except KeyValueUnavailable:
+            return
+        else:
+            if not self._is_behind(found.revision):
+                return
+            self._record_response()
+            self._deliver(found)
+        if self._loop is not None:
+            self._loop.cancel()
         self.start()
 
     def age(self) -> float:
@@ -191,12 +227,18 @@
         wait = self._settings.watch_wait
         found = await self._keyspace.changes(self._prefix, self._revision, wait)
         self._record_response()
+        self._deliver(found)
+        if found.changes:
+            await pause(self._timers, self._settings.gather)
+
+    def _deliver(self, found: Changes) -> None:
         for change in found.changes:
-            self._notify(self._listener.key_changed, change)
+            # The watch may have delivered some of them in the meantime.
+            if self._is_behind(change.revision):
+                self._notify(self._listener.key_changed, change)
         self._revision = found.revision
         if found.changes:
             self._notify(self._listener.changes_delivered)
-            await pause(self._timers, self._settings.gather)
 
     def _notify(self, callback: Callable[..., object], *arguments: object) -> None:
         """
--- a/pimentolink/memorykeyspace.py
+++ b/pimentolink/memorykeyspace.py
@@ -93,19 +93,21 @@
         self._notify_watches()
         return pending
 
+    def is_receiving_changes(self) -> bool:
+        """Return false: responses arrive as a whole."""
+        return False
+
     def read(self, key: str) -> Deferred[Item | None]:
         """Read one key."""
         if (outage := self._fail_if_down()) is not None:
             return outage
         return succeed(self._items_by_key.get(key))
 
-    def read_with_revision(self, key: str) -> Deferred[Snapshot]:
-        """Read one key and the revision of the store."""
+    def read_revision(self) -> Deferred[int]:
+        """Read the current revision of the store."""
         if (outage := self._fail_if_down()) is not None:
             return outage
-        found = self._items_by_key.get(key)
-        items = (found,) if found is not None else ()
-        return succeed(Snapshot(items, self.revision))
+        return succeed(self.revision)
 
     def write(self, write: Write) -> Deferred[int | None]:
         """Write a key if the conditions of the write hold."""
--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -42,6 +42,10 @@
 # Largest reply accepted, in bytes. The store sends pages of about 1 MB, which base64
 # makes a third larger.
 MAX_REPLY_BYTES = 4_000_000
+# Seconds between two parts of a response that arrives over a busy link.
+MAX_DATA_GAP = 0.3
+# No key has this prefix, so that a read of it returns the revision of the store only.
+UNUSED_PREFIX = "pimentolink/none/"
 # A revision combined with a larger epoch could not be represented exactly as a JSON
 # number.
 MAX_EPOCH = 2**13
@@ -69,12 +73,11 @@
 
 
 class _KeyReply(msgspec.Struct, rename="camel"):
-    """Reply to the read of one key; ``current_rev`` is the store's revision."""
+    """Reply to the read of one key."""
 
     key: str
     revision: int
     value: str
-    current_rev: int = 0
 
 
 class _WatchReply(msgspec.Struct, rename="camel"):
@@ -118,6 +121,7 @@
         self._timers = timers
         self._pool = ConnectionPool(reactor, settings.address, connections, timers)
         self.calls = 0
+        self._watch_data_at = -MAX_DATA_GAP
         self.epoch = 0
         self._is_epoch_known = False
         self.on_restored: Callable[[], None] = lambda: None
@@ -130,13 +134,20 @@
         """Wait for changes after a revision."""
         return Deferred.fromCoroutine(self._changes(prefix, after, wait))
 
+    def is_receiving_changes(self) -> bool:
+        """Return whether a part of the response to a watch has just arrived."""
+        return self._timers.now() - self._watch_data_at < MAX_DATA_GAP
+
+    def _record_watch_data(self) -> None:
+        self._watch_data_at = self._timers.now()
+
     def read(self, key: str) -> Deferred[Item | None]:
         """Read one key."""
         return Deferred.fromCoroutine(self._read(key))
 
-    def read_with_revision(self, key: str) -> Deferred[Snapshot]:
-        """Read one key and the revision of the store."""
-        return Deferred.fromCoroutine(self._read_with_revision(key))
+    def read_revision(self) -> Deferred[int]:
+        """Read the current revision of the store."""
+        return Deferred.fromCoroutine(self._read_revision())
 
     def write(self, write: Write) -> Deferred[int | None]:
         """Write a key if the revisions are as expected."""
@@ -184,7 +195,10 @@
             "waitMs": int(wait * 1000),
         }
         call_timeout = wait + self._settings.timeout
-        reply = await self._call("GET", f"/kv-watch?{urlencode(query)}", call_timeout)
+        path = f"/kv-watch?{urlencode(query)}"
+        reply = await self._call(
+            "GET", path, call_timeout, on_data=self._record_watch_data
+        )
         if reply.head.status == 410:
             raise HistoryLost(f"changes after {after} are no longer kept")
         self._require_epoch(after)
@@ -212,18 +226,18 @@
         return self.epoch
 
     async def _read(self, key: str) -> Item | None:
-        found = await self._read_with_revision(key)
-        return found.items[0] if found.items else None
-
-    async def _read_with_revision(self, key: str) -> Snapshot:
         path = f"/kv-key?{urlencode({'key': key})}"
         reply = await self._call("GET", path, self._settings.timeout)
         if reply.head.status == 404:
-            return Snapshot((), 0)
+            return None
         parsed = _decode_reply(_require_success(reply), _KeyReply)
         revision = with_epoch(self.epoch, parsed.revision)
-        item = Item(parsed.key, _decode_value(parsed.value), revision)
-        return Snapshot((item,), with_epoch(self.epoch, parsed.current_rev))
+        return Item(parsed.key, _decode_value(parsed.value), revision)
+
+    async def _read_revision(self) -> int:
+        query = urlencode({"prefix": UNUSED_PREFIX})
+        page = await self._get(f"/kv-range?{query}", _RangeReply)
+        return with_epoch(self.epoch, page.current_rev)
 
     async def _write(self, write: Write) -> int | None:
         epoch, is_first = self.epoch, not self._is_epoch_known
@@ -299,7 +313,12 @@
         return self._call("POST", path, self._settings.timeout, body)
 
     async def _call(
-        self, method: str, path: str, timeout: float, body: bytes = b""
+        self,
+        method: str,
+        path: str,
+        timeout: float,
+        body: bytes = b"",
+        on_data: Callable[[], None] = lambda: None,
     ) -> HttpReply:
         self.calls += 1
         headers: Headers = ((b"Host", self._settings.address.encode()),)
@@ -307,7 +326,9 @@
             headers += ((b"Content-Type", b"application/json"),)
         request = HttpRequest(method.encode(), path.encode(), headers, body)
         began_at = self._timers.now()
-        pending = exchange(self._pool, request, lambda head: True, MAX_REPLY_BYTES)
+        pending = exchange(
+            self._pool, request, lambda head: True, MAX_REPLY_BYTES, on_data
+        )
         try:
             reply = await with_timeout(self._timers, timeout, pending)
         except TimeoutError as error:
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -88,6 +88,7 @@
         self.idle_limit = settings.idle
         self.idle_since = timers.now()
         self.on_closed: Callable[[TargetConnection], None] = lambda connection: None
+        self.on_data: Callable[[], None] = lambda: None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Configure the socket."""
@@ -164,6 +165,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Receive bytes from the target."""
+        self.on_data()
         if self._parser is None:
             self.abort()
             return
@@ -407,22 +409,29 @@
 
 
 async def exchange(
-    pool: ConnectionPool, request: HttpRequest, accepts: ReplyMatcher, max_bytes: int
+    pool: ConnectionPool,
+    request: HttpRequest,
+    accepts: ReplyMatcher,
+    max_bytes: int,
+    on_data: Callable[[], None] = lambda: None,
 ) -> HttpReply:
     """
     Send a request and read the complete response.
 
+    :param on_data: called whenever bytes arrive.
     :raises NotConnected: if no connection could be opened; nothing was sent.
     :raises ConnectionBroken: if the connection breaks before the end.
     :raises ReplyInvalid: if the response is not valid HTTP, or longer than
         ``max_bytes``.
     """
     connection = await pool.acquire()
+    connection.on_data = on_data
     try:
         head = await connection.send(request, accepts)
         body = await connection.read_all(max_bytes)
     except BaseException:
         connection.abort()
         raise
+    connection.on_data = lambda: None
     pool.release(connection)
     return HttpReply(head, body)
--- a/tests/test_configurationverifier.py
+++ b/tests/test_configurationverifier.py
@@ -34,8 +34,13 @@
         self.delay = 0.0
         self.drops_watches = False
 
-    def read_with_revision(self, key):
-        result = super().read_with_revision(key)
+    def read(self, key):
+        return self._delayed(super().read(key))
+
+    def read_revision(self):
+        return self._delayed(super().read_revision())
+
+    def _delayed(self, result):
         if not self.delay:
             return result
         later = Deferred()
@@ -112,8 +117,9 @@
         )
         peers.verifiers[name] = self.verifier
         self.verifier.gateways = lambda: peers.verifiers
-        self.verifier.version = lambda: self.tables.table.version
+        self.verifier.version = lambda: self.tables.version
         self.verifier.on_change = self.membership.key_changed
+        self.verifier.has_reached = self.follower.has_reached
         self.verifier.on_revision = self.follower.expect_revision
         self.follower.start()
         self.verifier.start()
--- a/tests/test_keyspacefollower.py
+++ b/tests/test_keyspacefollower.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from pimentolink.configurationage import ConfigurationAge
 from pimentolink.configurationverifier import ConfigurationVerifier
@@ -16,6 +17,8 @@
 KEY = "op/config"
 # Seconds within which a change must be known.
 LIMIT = 2.0
+# Seconds for which a watch may take to deliver changes.
+PATIENCE = 0.4
 
 
 class NoPeers:
@@ -47,6 +50,7 @@
             NoPeers(),
             timers,
         )
+        verifier.has_reached = follower.has_reached
         verifier.on_revision = follower.expect_revision
         follower.start()
         verifier.start()
@@ -102,6 +106,30 @@
         assert "new" in listener.known_at
 
 
+class SlowKeyspace(MemoryKeyspace):
+    """A store whose responses take some seconds to arrive."""
+
+    def __init__(self, timers, seconds):
+        super().__init__(timers)
+        self._clock = timers
+        self._seconds = seconds
+
+    def read_all(self, prefix):
+        return self._delayed(super().read_all(prefix))
+
+    def changes(self, prefix, after, wait):
+        return self._delayed(super().changes(prefix, after, wait))
+
+    def _delayed(self, result):
+        later = Deferred(lambda _: result.cancel())
+        result.addBoth(
+            lambda found: self._clock.call_later(
+                self._seconds, lambda: later.called or later.callback(found)
+            )
+        )
+        return later
+
+
 class TestExpectedRevision:
     @pytest.fixture
     def timers(self):
@@ -115,9 +143,9 @@
         follower = make_follower(timers, store, Listener(timers), Random(1))
         follower.start()
         store.put("a", b"")
-        follower.expect_revision(store.revision)
+        follower.expect_revision(store.revision, PATIENCE)
         store.put("b", b"")
-        follower.expect_revision(store.revision)
+        follower.expect_revision(store.revision, PATIENCE)
         timers.advance(1.0)
         before = store.calls
         timers.advance(10.0)
@@ -130,8 +158,23 @@
         store.forget_watches()
         store.put("a", b"")
         before = store.calls
-        follower.expect_revision(store.revision)
+        follower.expect_revision(store.revision, PATIENCE)
         timers.advance(1.0)
         assert "a" in listener.known_at
-        # The watch that returns the change, and the one after it.
+        # The call that returns the change, and the watch after it.
         assert store.calls == before + 2
+
+    def test_watch_is_not_ended_while_it_delivers_over_a_slow_link(self, timers):
+        """Each new watch would wait for the link again, and none would deliver."""
+        store = SlowKeyspace(timers, seconds=3.0)
+        listener = Listener(timers)
+        follower = make_follower(timers, store, listener, Random(1))
+        follower.start()
+        timers.advance(3.0)
+        store.put("a", b"")
+        put_at = timers.now()
+        for _ in range(10):
+            follower.expect_revision(store.revision, PATIENCE)
+            timers.advance(0.6)
+        # The watch that was pending delivers it.
+        assert listener.known_at["a"] - put_at <= 3.1
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -44,7 +44,7 @@
     "read_all": lambda store: store.read_all("p"),
     "changes": lambda store: store.changes("p", 1, 1.0),
     "read": lambda store: store.read("k"),
-    "read_with_revision": lambda store: store.read_with_revision("k"),
+    "read_revision": lambda store: store.read_revision(),
     "write": lambda store: store.write(Write("k", b"v", 0, 0)),
     "grant": lambda store: store.grant(1.0),
 }
