--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -403,8 +403,11 @@
     """
 
     @pytest.fixture
-    def world_with_lost_watches(self, world):
-        world.gateway("second")
+    def world_with_lost_watches(self, fleet):
+        world = PlatformWorld(fleet)
+        limit_ms = int(ADOPTION_LIMIT * 1000)
+        world.start_default(adopt_within_ms=limit_ms)
+        world.gateway("second", adopt_within_ms=limit_ms)
         log = world.fleet.processes_by_name["gateway"].log_path
         world.configure(2)
         wait_until(lambda: '"version": 2' in log.read_text())
