Report arriving data where the body is read

A callback ran for every packet of every connection to a target, token streams included, though only the store's watches use it, and each exchange had to set and reset it. Reading the body sees each part as it arrives, so the callback is a parameter of read_all.

Cause: the hook was put into the connection when the watch was given it. Behaviour stays, but that a response whose head alone has arrived no longer counts as arriving. The tests of connections, the store, the follower, the verifier and the gateway pass.

--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -88,7 +88,6 @@
         self.idle_limit = settings.idle
         self.idle_since = timers.now()
         self.on_closed: Callable[[TargetConnection], None] = lambda connection: None
-        self.on_data: Callable[[], None] = lambda: None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Configure the socket."""
@@ -141,15 +140,19 @@
         self._feed_reader()
         return reader
 
-    async def read_all(self, max_bytes: int) -> bytes:
+    async def read_all(
+        self, max_bytes: int, on_data: Callable[[], None] = lambda: None
+    ) -> bytes:
         """
         Read the rest of the response body.
 
+        :param on_data: called whenever a part of it arrives.
         :raises ReplyInvalid: if it is longer than ``max_bytes``.
         """
         chunks: list[bytes] = []
         size = 0
         while (chunk := await self.read()) is not None:
+            on_data()
             size += len(chunk)
             if size > max_bytes:
                 self.abort()
@@ -165,7 +168,6 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Receive bytes from the target."""
-        self.on_data()
         if self._parser is None:
             self.abort()
             return
@@ -418,20 +420,18 @@
     """
     Send a request and read the complete response.
 
-    :param on_data: called whenever bytes arrive.
+    :param on_data: called whenever a part of the body arrives.
     :raises NotConnected: if no connection could be opened; nothing was sent.
     :raises ConnectionBroken: if the connection breaks before the end.
     :raises ReplyInvalid: if the response is not valid HTTP, or longer than
         ``max_bytes``.
     """
     connection = await pool.acquire()
-    connection.on_data = on_data
     try:
         head = await connection.send(request, accepts)
-        body = await connection.read_all(max_bytes)
+        body = await connection.read_all(max_bytes, on_data)
     except BaseException:
         connection.abort()
         raise
-    connection.on_data = lambda: None
     pool.release(connection)
     return HttpReply(head, body)
