Guard the listeners of both followers by one function

The parameter of expect_revision is named after what it bounds: patience is a key of the configuration. Nothing else changes; the tests of both followers, the verifier, membership and registration pass.

--- a/pimentolink/configurationverifier.py
+++ b/pimentolink/configurationverifier.py
@@ -112,7 +112,9 @@
         self.has_reached: Callable[[int], bool] = lambda revision: False
         # Called with a revision that the store has reached, and with the seconds within
         # which the watch should deliver the changes up to it.
-        self.on_revision: Callable[[int, float], None] = lambda revision, patience: None
+        self.on_revision: Callable[[int, float], None] = (
+            lambda revision, delivery_time: None
+        )
 
     def start(self) -> None:
         """Start periodic verification."""
--- a/pimentolink/follower.py
+++ b/pimentolink/follower.py
@@ -6,7 +6,6 @@
 from random import Random
 
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.logger import Logger
 from twisted.python.failure import Failure as TwistedFailure
 
 from pimentolink.errors import KeyValueUnavailable
@@ -14,9 +13,7 @@
 from pimentolink.logs import Log, LogEvent
 from pimentolink.retry import Backoff
 from pimentolink.settings import PlatformSettings
-from pimentolink.timers import Timers
-
-_logger = Logger()
+from pimentolink.timers import Timers, call_logging_errors
 
 
 class KeyFollower:
@@ -89,19 +86,12 @@
         index_was_reset = value.service_index < self._index
         self._index = 0 if index_was_reset else value.service_index
         if value.data is not None:
-            self._deliver(value)
+            call_logging_errors(self._on_value, value)
         if self._index == 0:
             self._timers.call_later(self._backoff.next(), self._request_value)
         else:
             self._request_value()
 
-    def _deliver(self, value: Value) -> None:
-        """Report a value; one that cannot be handled must not end the watch."""
-        try:
-            self._on_value(value)
-        except Exception:
-            _logger.failure("a value of the key-value service could not be handled")
-
     def _read_failed(self, failure: TwistedFailure) -> None:
         if self._is_stopped or failure.check(CancelledError):
             return
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -7,16 +7,19 @@
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
-from twisted.logger import Logger
 
 from pimentolink.errors import HistoryLost, KeyValueUnavailable
 from pimentolink.gatewaysettings import StoreSettings
 from pimentolink.keyspace import Change, Changes, Keyspace, epoch_of
 from pimentolink.logs import Log, LogEvent
 from pimentolink.retry import Backoff
-from pimentolink.timers import Timer, Timers, pause, run_in_background
-
-_logger = Logger()
+from pimentolink.timers import (
+    Timer,
+    Timers,
+    call_logging_errors,
+    pause,
+    run_in_background,
+)
 
 
 class KeyspaceListener(Protocol):
@@ -119,29 +122,29 @@
         """Return whether all changes up to a revision were delivered."""
         return self._revision is not None and self._revision >= revision
 
-    def expect_revision(self, revision: int, patience: float) -> None:
+    def expect_revision(self, revision: int, delivery_time: float) -> None:
         """
         Request the changes up to a revision again if they do not arrive in time.
 
         :param revision: a revision that the store has reached.
-        :param patience: seconds to wait for the watch to deliver them.
+        :param delivery_time: seconds to wait for the watch to deliver them.
         """
         if self._overdue_check is None and self._is_behind(revision):
             self._overdue_check = self._timers.call_later(
-                max(patience, self._settings.gather),
-                lambda: self._check_overdue(revision, patience),
+                max(delivery_time, self._settings.gather),
+                lambda: self._check_overdue(revision, delivery_time),
             )
 
     def _is_behind(self, revision: int) -> bool:
         return self._revision is not None and self._revision < revision
 
-    def _check_overdue(self, revision: int, patience: float) -> None:
+    def _check_overdue(self, revision: int, delivery_time: float) -> None:
         self._overdue_check = None
         if not self._is_behind(revision) or self._catching_up is not None:
             return
         if self._keyspace.is_receiving_changes():
             # A second transfer over the same link would delay both.
-            self.expect_revision(revision, patience)
+            self.expect_revision(revision, delivery_time)
             return
         self._log.write(
             LogEvent.WATCH_LOST,
@@ -208,11 +211,13 @@
         self._record_response()
         for item in snapshot.items:
             change = Change(item.key, item.value, item.revision)
-            self._notify(self._listener.key_changed, change)
+            call_logging_errors(self._listener.key_changed, change)
         keys = frozenset(item.key for item in snapshot.items)
         epoch = epoch_of(snapshot.revision)
-        self._notify(self._listener.snapshot_delivered, keys, requested_at, epoch)
-        self._notify(self._listener.changes_delivered)
+        call_logging_errors(
+            self._listener.snapshot_delivered, keys, requested_at, epoch
+        )
+        call_logging_errors(self._listener.changes_delivered)
         self._revision = snapshot.revision
         self._log.write(
             LogEvent.STORE_READ,
@@ -235,21 +240,10 @@
         for change in found.changes:
             # The watch may have delivered some of them in the meantime.
             if self._is_behind(change.revision):
-                self._notify(self._listener.key_changed, change)
+                call_logging_errors(self._listener.key_changed, change)
         self._revision = found.revision
         if found.changes:
-            self._notify(self._listener.changes_delivered)
-
-    def _notify(self, callback: Callable[..., object], *arguments: object) -> None:
-        """
-        Call the listener.
-
-        A change that it fails to handle must not keep it from later ones.
-        """
-        try:
-            callback(*arguments)
-        except Exception:
-            _logger.failure("a change of the store could not be handled")
+            call_logging_errors(self._listener.changes_delivered)
 
     def _record_response(self) -> None:
         self.confirmed_at = self._timers.now()
--- a/pimentolink/timers.py
+++ b/pimentolink/timers.py
@@ -90,6 +90,19 @@
     return running
 
 
+def call_logging_errors(callback: Callable[..., object], *arguments: object) -> None:
+    """
+    Call a function; log an exception instead of raising it.
+
+    Tasks that follow a store use it for their listeners: what one of them fails to
+    handle must not keep it from later changes.
+    """
+    try:
+        callback(*arguments)
+    except Exception:
+        _logger.failure("a change could not be handled")
+
+
 async def _run_until_done(
     timers: Timers, work: Callable[[], Coroutine[Any, Any, None]]
 ) -> None:
--- a/tests/test_keyspacefollower.py
+++ b/tests/test_keyspacefollower.py
@@ -18,7 +18,7 @@
 # Seconds within which a change must be known.
 LIMIT = 2.0
 # Seconds for which a watch may take to deliver changes.
-PATIENCE = 0.4
+DELIVERY_TIME = 0.4
 
 
 class NoPeers:
@@ -143,9 +143,9 @@
         follower = make_follower(timers, store, Listener(timers), Random(1))
         follower.start()
         store.put("a", b"")
-        follower.expect_revision(store.revision, PATIENCE)
+        follower.expect_revision(store.revision, DELIVERY_TIME)
         store.put("b", b"")
-        follower.expect_revision(store.revision, PATIENCE)
+        follower.expect_revision(store.revision, DELIVERY_TIME)
         timers.advance(1.0)
         before = store.calls
         timers.advance(10.0)
@@ -158,7 +158,7 @@
         store.forget_watches()
         store.put("a", b"")
         before = store.calls
-        follower.expect_revision(store.revision, PATIENCE)
+        follower.expect_revision(store.revision, DELIVERY_TIME)
         timers.advance(1.0)
         assert "a" in listener.known_at
         # The call that returns the change, and the watch after it.
@@ -174,7 +174,7 @@
         store.put("a", b"")
         put_at = timers.now()
         for _ in range(10):
-            follower.expect_revision(store.revision, PATIENCE)
+            follower.expect_revision(store.revision, DELIVERY_TIME)
             timers.advance(0.6)
         # The watch that was pending delivers it.
         assert listener.known_at["a"] - put_at <= 3.1
