Test that changes under way are not requested again

Nothing tested what keeps a large configuration from crossing a narrow link twice: the store's client noticing parts of a watch's response, and the follower waiting for them. With the check taken out of the follower, test_changes_that_are_arriving_are_not_requested_again fails; both new tests pass on the code as it is.

--- a/tests/test_keyspacefollower.py
+++ b/tests/test_keyspacefollower.py
@@ -164,6 +164,22 @@
         # The call that returns the change, and the watch after it.
         assert store.calls == before + 2
 
+    def test_changes_that_are_arriving_are_not_requested_again(self, timers, store):
+        """A second transfer over a slow link would delay both."""
+        listener = Listener(timers)
+        follower = make_follower(timers, store, listener, Random(1))
+        follower.start()
+        store.forget_watches()
+        store.put("a", b"")
+        before = store.calls
+        store.is_receiving_changes = lambda: True
+        follower.expect_revision(store.revision, DELIVERY_TIME)
+        timers.advance(3.0)
+        assert store.calls == before
+        store.is_receiving_changes = lambda: False
+        timers.advance(DELIVERY_TIME)
+        assert "a" in listener.known_at
+
     def test_watch_is_not_ended_while_it_delivers_over_a_slow_link(self, timers):
         """Each new watch would wait for the link again, and none would deliver."""
         store = SlowKeyspace(timers, seconds=3.0)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -17,7 +17,7 @@
 from pimentolink.keyspacefollower import KeyspaceFollower
 from pimentolink.logs import Log
 from pimentolink.platform import store as store_module
-from pimentolink.platform.store import PlatformStore
+from pimentolink.platform.store import MAX_DATA_GAP, PlatformStore
 from pimentolink.timers import ManualTimers
 from tests.jsonvalues import DOCUMENTS, VALUES, documents_with
 
@@ -84,6 +84,29 @@
         assert store.calls == 1
 
 
+class TestReceiving:
+    def test_part_of_a_response_to_a_watch_is_noticed_for_a_moment(self, monkeypatch):
+        callbacks = []
+
+        async def exchange(pool, request, accepts, max_bytes, on_data):
+            callbacks.append(on_data)
+            await Deferred()
+
+        monkeypatch.setattr(store_module, "exchange", exchange)
+        timers = ManualTimers()
+        settings = StoreSettings(address="127.0.0.1:1")
+        store = PlatformStore(None, settings, ConnectionSettings(), timers)
+        store.read("k")
+        store.changes("", 1, 20.0)
+        of_read, of_watch = callbacks
+        of_read()
+        assert not store.is_receiving_changes()
+        of_watch()
+        assert store.is_receiving_changes()
+        timers.advance(MAX_DATA_GAP)
+        assert not store.is_receiving_changes()
+
+
 class TestAnswers:
     @pytest.mark.parametrize("value", ["a", "\u0080"])
     def test_value_that_is_no_base64_counts_as_no_answer(self, value):
