Let virtual processes cancel calls that fell due in a pause

Each time an entry was paused past a request's patience; on resuming, the finish arrived, then the request's timeout ran as well.

Cause: the harness. A paused VirtualProcess queued the calls that fell due, and cancelling one of them afterwards had no effect. A reactor drops a cancelled call whenever it was due.

The check of the state machine stays as it is.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -67,6 +67,29 @@
         assert world.network.entries["one"].dispatcher.retries == 0
 
 
+class TestPausedEntry:
+    """An entry is paused while a response arrives and the patience runs out."""
+
+    @pytest.mark.parametrize(
+        ("service", "key"), [("claims", None), ("dispatch", "key")]
+    )
+    def test_response_read_before_the_timeout_is_the_only_outcome(
+        self, world, service, key
+    ):
+        """Guards against "complete" and then "not run" to one caller."""
+        for name in ("dispatch-1", "dispatch-2"):
+            world.slow(name, 17.0)
+        world.send("name", service, "one", key, 850 if key is None else None)
+        world.pass_time(15.0)
+        world.pause("one")
+        world.pass_time(6.0)
+        assert world.replies["name"].finals == 0
+        world.resume("one")
+        world.pass_time(60.0)
+        assert world.replies["name"].finals == 1
+        assert world.is_outcome("name", "whole")
+
+
 class FailingStream:
     """A stream that fails because its answer belongs to another request."""
 
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,10 +1,38 @@
-"""Background tasks on the timer service."""
+"""Background tasks and timers on the timer service."""
+
+import signal
+import socket
+import subprocess
+import sys
+import time
 
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.logger import globalLogPublisher
 
 from pimentolink.timers import RESTART_DELAY, ManualTimers, run_in_background
+from tests.virtual import VirtualNetwork, VirtualProcess
+
+# Prints what it handles: data on a socket, which cancels a timer, or that timer.
+RACE_SCRIPT = """
+import socket, sys
+from twisted.internet import reactor
+from twisted.internet.protocol import Factory, Protocol
+from pimentolink.timers import ReactorTimers
+
+class Response(Protocol):
+    def dataReceived(self, data):
+        print("response", flush=True)
+        timeout.cancel()
+
+timers = ReactorTimers(reactor)
+timeout = timers.call_later(0.2, lambda: print("timeout", flush=True))
+timers.call_later(0.8, reactor.stop)
+factory = Factory.forProtocol(Response)
+reactor.adoptStreamConnection(int(sys.argv[1]), socket.AF_UNIX, factory)
+print("ready", flush=True)
+reactor.run()
+"""
 
 
 @pytest.fixture
@@ -42,3 +70,39 @@
 
         run_in_background(ManualTimers(), wait).cancel()
         assert logged_failures == []
+
+
+class TestPausedProcess:
+    """A response arrives and a timeout falls due while a process is paused."""
+
+    @pytest.mark.parametrize("delay", [0.0, 0.04, 0.08])
+    def test_reactor_makes_no_call_that_the_response_cancelled(self, delay):
+        here, there = socket.socketpair()
+        with here, there:
+            there.setblocking(False)
+            process = subprocess.Popen(
+                [sys.executable, "-c", RACE_SCRIPT, str(there.fileno())],
+                pass_fds=[there.fileno()],
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            assert process.stdout is not None
+            process.stdout.readline()
+            time.sleep(delay)
+            process.send_signal(signal.SIGSTOP)
+            here.send(b"response")
+            time.sleep(0.4)
+            process.send_signal(signal.SIGCONT)
+            printed, _ = process.communicate(timeout=20.0)
+        assert printed.split() in (["response"], ["timeout", "response"])
+
+    def test_virtual_process_makes_no_call_that_another_cancelled(self):
+        """Guards against a harness that reports a second outcome of a request."""
+        network = VirtualNetwork()
+        process, made = VirtualProcess(network, "one"), []
+        process.pause()
+        process.later(1.0, lambda: (made.append("response"), timeout.cancel()))
+        timeout = process.later(2.0, lambda: made.append("timeout"))
+        network.clock.advance(3.0)
+        process.resume()
+        assert made == ["response"]
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -37,6 +37,20 @@
 )
 
 
+class VirtualTimer:
+    """A delayed call of a process, which can be cancelled until it is made."""
+
+    def __init__(self, callback: Callable[[], object]) -> None:
+        self._callback: Callable[[], object] | None = callback
+
+    def run(self) -> None:
+        if self._callback is not None:
+            self._callback()
+
+    def cancel(self) -> None:
+        self._callback = None
+
+
 class VirtualProcess:
     """A process that can be killed, or paused, which postpones all its callbacks."""
 
@@ -55,8 +69,12 @@
         else:
             callback()
 
-    def later(self, delay: float, callback: Callable[[], object]) -> Any:
-        return self.network.clock.call_later(delay, lambda: self.run(callback))
+    def later(self, delay: float, callback: Callable[[], object]) -> VirtualTimer:
+        # A call that falls due during a pause can still be cancelled by those before
+        # it, as on a reactor.
+        timer = VirtualTimer(callback)
+        self.network.clock.call_later(delay, lambda: self.run(timer.run))
+        return timer
 
     def now(self) -> float:
         return self.network.clock.now()
