Ignore calls of a request's timers after their cancellation

A timer whose call comes although it was cancelled gave a request a second outcome: "not run" after a complete response, to a caller whose call did run. A retry that came late sent another attempt for a request that nobody waits for any more. On the reactor a cancelled call is never made, so callers have not been seen to get this; the dispatcher, which promises exactly one outcome, rested on the timer service alone.

Before: the three tests of TestCancelledTimers fail (2 outcomes, twice; KeyError in the dispatcher). Change: a timer's call counts only while it is the request's current one of its name, in one place for patience, stall, retry and the wait for a planned change. Now they pass.

--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -541,7 +541,15 @@
         callback: Callable[[], object],
     ) -> None:
         self._cancel_timer(active, name)
-        active.timers[name] = self._timers.call_later(delay, callback)
+
+        def expire() -> None:
+            # A call that is made despite its cancellation would give the request a
+            # second outcome, or another attempt after its outcome.
+            if active.timers.get(name) is timer:
+                callback()
+
+        timer = self._timers.call_later(delay, expire)
+        active.timers[name] = timer
 
     def _cancel_timer(self, active: _ActiveRequest, name: str) -> bool:
         timer = active.timers.pop(name, None)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pimentolink.errors import CrossedAnswer
-from tests.virtual import TOKEN_TIME, VirtualStream
+from tests.virtual import TOKEN_TIME, VirtualStream, VirtualTimer
 from tests.worlds import VirtualWorld
 
 
@@ -90,6 +90,48 @@
         assert world.is_outcome("name", "whole")
 
 
+class TestCancelledTimers:
+    """Timers whose calls are made although they were cancelled."""
+
+    @pytest.fixture(autouse=True)
+    def late_timers(self, world, monkeypatch):
+        monkeypatch.setattr(VirtualTimer, "cancel", lambda timer: None)
+
+    @pytest.mark.parametrize(
+        ("service", "key"), [("claims", None), ("dispatch", "key")]
+    )
+    def test_timeout_after_the_response_brings_no_second_outcome(
+        self, world, service, key
+    ):
+        """Guards against "not run" to a caller whose call did run."""
+        world.send("name", service, "one", key, None)
+        world.pass_time(60.0)
+        assert world.replies["name"].finals == 1
+        assert world.is_outcome("name", "whole")
+
+    def test_retry_after_the_outcome_is_not_sent(self, world, monkeypatch):
+        """Guards against an attempt that nobody waits for."""
+        engines = [world.network.targets[name] for name in ("engine-1", "engine-2")]
+        sent = []
+
+        def fail(call, listener):
+            sent.append(call)
+            return FailingStream(engines[0], call, listener)
+
+        for engine in engines:
+            monkeypatch.setattr(engine, "start_stream", fail)
+        world.send("name", "claims", "one", None, None)
+        while len(sent) < 2:
+            world.pass_time(0.001)
+        world.pass_time(2 * TOKEN_TIME)
+        entry = world.network.entries["one"]
+        (active,) = entry.dispatcher._active_by_request_id.values()
+        assert "retry" in active.timers
+        entry.dispatcher.cancel(active.progress.request.request_id)
+        world.pass_time(60.0)
+        assert len(sent) == 2
+
+
 class FailingStream:
     """A stream that fails because its answer belongs to another request."""
 
