Expire claims by a clock that is stored with them

A call that may not be repeated could run twice: a claim expired by the wall clock of whoever read it. The same followed from a claim made while the clock stood in 1970. One made with a clock ahead stayed, with all behind it, until the partition was full and refused calls.

Cause: a clock that one instance alone knows decided about what all share. Change: the document holds the partition's own time; each owner goes on from it by its monotonic clock, so that it never runs ahead of real time. Claims of a document without it are kept for a whole retention from the take-over.

During a roll sidecars of the version before still go by their own wall clocks; claims bear times near the wall clock of the partition's first owner for them.

--- a/pimentolink/claims.py
+++ b/pimentolink/claims.py
@@ -12,7 +12,12 @@
 from result import Err, Ok, Result
 from twisted.internet.defer import Deferred
 
-from pimentolink.claimtable import Claim, ClaimDocument, ClaimState, ClaimTable
+from pimentolink.claimtable import (
+    ClaimDocument,
+    ClaimState,
+    ClaimTable,
+    PartitionClock,
+)
 from pimentolink.errors import (
     ClaimContended,
     ClaimUnavailable,
@@ -69,6 +74,7 @@
         self._timers = timers
         self._settings = settings
         self._table = ClaimTable(settings, incarnation)
+        self._clock = PartitionClock(timers)
         self._waiting: list[tuple[str, str, Deferred[Result[None, Failure]]]] = []
         self._revision = 0
         self._write_number = 0
@@ -165,7 +171,7 @@
         waiting, self._waiting = self._waiting, []
         pending = []
         for key, fingerprint, granted in waiting:
-            admitted = self._table.add(key, fingerprint, self._timers.wall_time())
+            admitted = self._table.add(key, fingerprint, self._clock.now())
             if isinstance(admitted, Err):
                 granted.callback(admitted)
             else:
@@ -192,14 +198,25 @@
     async def _take_over(self) -> None:
         for _ in range(TAKE_OVER_ATTEMPTS):
             stored = await self._store.get(self._path)
-            claims: dict[str, Claim] = {}
-            if stored.data is not None:
-                claims = _decode_document(stored.data).claims_by_key
-            self._table.load(claims)
+            self._load(stored.data)
             self._revision = stored.revision
             if await self._commit():
                 return
 
+    def _load(self, data: bytes | None) -> None:
+        if data is None:
+            self._table.load({})
+            return
+        document = _decode_document(data)
+        claims = document.claims_by_key
+        if document.clock is None:
+            # These claims bear times of wall clocks, so their retention starts anew.
+            now = int(self._clock.now())
+            claims = {key: claim._replace(at=now) for key, claim in claims.items()}
+        else:
+            self._clock.set(document.clock)
+        self._table.load(claims)
+
     async def _commit(self) -> bool:
         """
         Write the table to the store.
@@ -214,7 +231,12 @@
         self._is_dirty = False
         claims = dict(self._table.claims_by_key)
         data = msgspec.json.encode(
-            ClaimDocument(self._incarnation, self._write_number, claims)
+            ClaimDocument(
+                self._incarnation,
+                self._write_number,
+                claims,
+                int(self._clock.now()),
+            )
         )
         self.is_owned = False
         try:
--- a/pimentolink/claimtable.py
+++ b/pimentolink/claimtable.py
@@ -18,6 +18,7 @@
     Overloaded,
 )
 from pimentolink.settings import ClaimSettings
+from pimentolink.timers import Timers
 
 
 def call_digest(*parts: str | bytes) -> str:
@@ -65,7 +66,7 @@
 
     :ivar claim_id: unique; distinguishes this claim from another one on the same key.
     :ivar fingerprint: digest of the call itself.
-    :ivar at: when it was made, in seconds since 1970.
+    :ivar at: when it was made, in seconds of the partition's clock.
     :ivar state: known outcome of the call.
     """
 
@@ -82,11 +83,45 @@
     :ivar owner: incarnation of the only sidecar that may add claims.
     :ivar write: sequence number, by which the owner recognises its own write.
     :ivar claims_by_key: claims by the digest of the call's idempotency key.
+    :ivar clock: the partition's clock at the write, in seconds; see
+        :class:`PartitionClock`. Documents of version 0.1.0 have none.
     """
 
     owner: str
     write: int
     claims_by_key: dict[str, Claim]
+    clock: int | None = None
+
+
+class PartitionClock:
+    """
+    The time by which the claims of a partition expire.
+
+    Each owner continues from the time stored with the claims and advances it by its
+    monotonic clock, so that it never runs ahead of real time. Wall clocks may be wrong
+    by days: one that is ahead would free the keys of calls that ran.
+    """
+
+    def __init__(self, timers: Timers) -> None:
+        """
+        Start a clock for a partition that was never stored.
+
+        :param timers: the timer service.
+        """
+        self._timers = timers
+        self._set_to = 0.0
+        self._set_at = 0.0
+        # Sidecars of version 0.1.0 compare claims with their wall clocks.
+        self.set(timers.wall_time())
+
+    def set(self, seconds: float) -> None:
+        """Continue from a stored time."""
+        self._set_to = seconds
+        self._set_at = self._timers.now()
+
+    def now(self) -> float:
+        """Read the clock, in seconds."""
+        return self._set_to + self._timers.now() - self._set_at
 
 
 class ClaimTable:
@@ -133,7 +168,7 @@
 
         :param key: digest of the call's idempotency key.
         :param fingerprint: digest of the call.
-        :param now: seconds since 1970.
+        :param now: seconds of the partition's clock.
         :returns: ``Ok`` if it was added, or the reason why the key cannot be claimed.
         """
         existing = self.claims_by_key.get(key)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,5 +1,6 @@
 """Committing claims: batched writes, no grant before its write, loss of ownership."""
 
+import msgspec
 import pytest
 from result import Err
 
@@ -9,15 +10,32 @@
 from pimentolink.settings import ClaimSettings
 from pimentolink.timers import ManualTimers
 
+RETENTION = ClaimSettings().retention
+
+
+class WrongWallClock:
+    """Timers of an instance whose wall clock is wrong."""
+
+    def __init__(self, timers, error):
+        self._timers = timers
+        self._error = error
+
+    def wall_time(self):
+        return self._timers.wall_time() + self._error
+
+    def __getattr__(self, name):
+        return getattr(self._timers, name)
+
 
 class Harness:
     def __init__(self):
         self.timers = ManualTimers()
         self.store = MemoryStore()
 
-    def partition(self, incarnation):
+    def partition(self, incarnation, clock_error=0.0, settings=None):
+        timers = WrongWallClock(self.timers, clock_error)
         return ClaimPartition(
-            "p", incarnation, self.store, self.timers, ClaimSettings()
+            "p", incarnation, self.store, timers, settings or ClaimSettings()
         )
 
     def claim(self, partition, key):
@@ -107,3 +125,62 @@
         granted = harness.claim(partition, "a")
         harness.timers.advance(1.0)
         assert not isinstance(granted[0], Err)
+
+
+class TestRetention:
+    """Guards against a call that runs again as a wall clock frees its key early."""
+
+    def is_free(self, harness, partition, key):
+        asked = harness.claim(partition, key)
+        harness.timers.advance(1.0)
+        return not isinstance(asked[0], Err)
+
+    @pytest.mark.parametrize("first_error", [0.0, -1.8e9, -RETENTION, RETENTION])
+    @pytest.mark.parametrize("second_error", [0.0, -1.8e9, 2 * RETENTION, 1e9])
+    def test_claim_is_kept_whatever_wall_clocks_say(
+        self, harness, first_error, second_error
+    ):
+        first = harness.partition("first", first_error)
+        assert self.is_free(harness, first, "key")
+        harness.timers.advance(RETENTION / 2)
+        second = harness.partition("second", second_error)
+        assert self.is_free(harness, second, "other")
+        assert not self.is_free(harness, second, "key")
+
+    def test_claim_expires_after_its_retention_over_several_owners(self, harness):
+        for number in range(4):
+            owner = harness.partition(f"owner-{number}", number * 1e6)
+            assert self.is_free(harness, owner, "key") is (number == 0)
+            harness.timers.advance(RETENTION / 4)
+            assert self.is_free(harness, owner, f"other-{number}")
+        last = harness.partition("last")
+        assert self.is_free(harness, last, "key")
+
+    def test_claim_of_a_wall_clock_ahead_fills_no_partition_for_good(self, harness):
+        settings = ClaimSettings(most=1)
+        ahead = harness.partition("ahead", 100 * RETENTION, settings)
+        assert self.is_free(harness, ahead, "first")
+        harness.timers.advance(RETENTION)
+        assert self.is_free(harness, ahead, "second")
+        harness.timers.advance(RETENTION)
+        later = harness.partition("later", 0.0, settings)
+        assert not self.is_free(harness, later, "third")
+        harness.timers.advance(RETENTION)
+        assert self.is_free(harness, later, "third")
+
+    def test_document_without_a_clock_starts_the_retention_anew(self, harness):
+        document = {
+            "owner": "0.1.0",
+            "write": 1,
+            "claims_by_key": {"old": ["id:1", "same", 1, "c"]},
+        }
+        harness.store.compare_and_swap("p", msgspec.json.encode(document), 0)
+        partition = harness.partition("new")
+        assert self.is_free(harness, partition, "first")
+        assert not self.is_free(harness, partition, "old")
+        harness.timers.advance(RETENTION - 10.0)
+        assert self.is_free(harness, partition, "second")
+        assert not self.is_free(harness, partition, "old")
+        harness.timers.advance(10.0)
+        assert self.is_free(harness, partition, "third")
+        assert self.is_free(harness, partition, "old")
