Keep a sidecar's own claims when the store is restored

A call that may not be repeated could run twice at one sidecar: with the store restored from a copy older than its claim, the owner's next write failed, it took the partition over again and replaced its table by the older document, in which the key was free.

Before: both cases of TestRestoredStore fail (the claim is granted again). Change: on loading a document the claims made here that it lacks are kept. Only their owner releases them, and it removes them from its table at once, so that none is kept that was not granted; one that expired elsewhere expires here too. Now they pass. A claim whose owner ended before it wrote again is still lost with the copy.

--- a/pimentolink/claimtable.py
+++ b/pimentolink/claimtable.py
@@ -149,14 +149,22 @@
 
     def load(self, stored_by_key: dict[str, Claim]) -> None:
         """
-        Replace all claims by those read from the store.
+        Replace all claims of others by those read from the store.
 
         The outcome of a call that was claimed here takes precedence over the stored
-        claim, since the write of that outcome may have been lost.
+        claim, since the write of that outcome may have been lost. Claims made here are
+        kept if they are missing there, since the store may have been restored from an
+        older copy.
 
         :param stored_by_key: claims as read.
         """
-        ordered = sorted(stored_by_key.items(), key=lambda pair: pair[1].at)
+        own_by_key = {
+            key: claim
+            for key, claim in self.claims_by_key.items()
+            if self._is_own(claim)
+        }
+        claims_by_key = own_by_key | stored_by_key
+        ordered = sorted(claims_by_key.items(), key=lambda pair: pair[1].at)
         self.claims_by_key = OrderedDict(ordered)
         for key, claim in ordered:
             if claim.claim_id in self._outcome_by_claim_id:
@@ -203,13 +211,16 @@
 
     def _record_outcome(self, key: str, state: ClaimState | None) -> None:
         claim = self.claims_by_key.get(key)
-        if claim is None or not claim.claim_id.startswith(f"{self._incarnation}:"):
+        if claim is None or not self._is_own(claim):
             return
         self._outcome_by_claim_id[claim.claim_id] = state
         if len(self._outcome_by_claim_id) > self._settings.most:
             self._outcome_by_claim_id.popitem(last=False)
         self._apply_outcome(key, state)
 
+    def _is_own(self, claim: Claim) -> bool:
+        return claim.claim_id.startswith(f"{self._incarnation}:")
+
     def _apply_outcome(self, key: str, state: ClaimState | None) -> None:
         if state is None:
             del self.claims_by_key[key]
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -127,6 +127,31 @@
         assert not isinstance(granted[0], Err)
 
 
+class TestRestoredStore:
+    """The store is restored from a copy that is older than a claim."""
+
+    @pytest.mark.parametrize("has_document", [False, True])
+    def test_claim_of_a_live_owner_is_kept(self, harness, has_document):
+        """Guards against a second run of a call at the sidecar that made it."""
+        owner = harness.partition("owner")
+        if has_document:
+            harness.claim(owner, "before")
+            harness.timers.advance(1.0)
+        copied = dict(harness.store._value_by_key)
+        harness.claim(owner, "key")
+        harness.timers.advance(1.0)
+        harness.store._value_by_key = copied
+        for name in ("first", "second", "third"):
+            harness.claim(owner, name)
+            harness.timers.advance(1.0)
+        asked = harness.claim(owner, "key")
+        harness.timers.advance(1.0)
+        assert isinstance(asked[0].err_value, OutcomeUnknown)
+        asked = harness.claim(harness.partition("next"), "key")
+        harness.timers.advance(1.0)
+        assert isinstance(asked[0].err_value, OutcomeUnknown)
+
+
 class TestRetention:
     """Guards against a call that runs again as a wall clock frees its key early."""
 
