Store the number of claim partitions with a service's first claim

A call that may not be repeated ran twice when the number of claim partitions of its service changed between two askings, also within one request whose sidecar died under the call.

Cause: each sidecar went by the number in its own configuration, and a key's partition depends on it, so the key was looked up where nobody had claimed it. The same held for two sidecars with different versions, and for one without a configuration, which took the number for 1.

Change: the first claim stores the number by compare-and-swap; every sidecar reads it once before its own first claim and refuses as not run while it cannot. A configured number that differs is logged (E1503) and not used. One read more for each service and life of a sidecar.

The guard "claiming before the call" replaced ClaimPartition.claim. With the service down the number cannot be read either, so that this alone no longer let a call through; it now replaces ClaimPartitions.claim, which comes before both, and the scenario fails without it as before.

--- a/pimentolink/claimedcalls.py
+++ b/pimentolink/claimedcalls.py
@@ -5,7 +5,8 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from result import Err, Result
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
 
 from pimentolink import link_pb2
 from pimentolink.attempt import CALLER_HEADER, Attempt
@@ -19,6 +20,7 @@
 )
 from pimentolink.httpclient import Answer
 from pimentolink.outcomes import finish_from_answer, finish_from_failure
+from pimentolink.partitioncounts import PartitionCounts
 
 
 class _ClaimedCall:
@@ -27,44 +29,55 @@
 
     :ivar key: digest of the call's idempotency key.
     :ivar fingerprint: digest of the call itself.
+    :ivar partition: holds its claim; set once the claim was granted.
     """
 
-    def __init__(self, key: str, fingerprint: str, partition: ClaimPartition) -> None:
+    partition: ClaimPartition
+
+    def __init__(self, key: str, fingerprint: str) -> None:
         self.key = key
         self.fingerprint = fingerprint
-        self.partition = partition
         self.attempts: list[Attempt] = []
 
 
 class ClaimPartitions:
-    """Finds the partition that a claim belongs to; opens each partition once."""
+    """Claims keys in the partitions that they belong to; opens each partition once."""
 
     def __init__(
         self,
         open_partition: Callable[[str, int], ClaimPartition],
-        partitions_of: Callable[[str], int],
+        counts: PartitionCounts,
     ) -> None:
         """
         Create a source without open partitions.
 
         :param open_partition: opens a partition, given its service and number.
-        :param partitions_of: returns the number of partitions of a service.
+        :param counts: the numbers of partitions of the services.
         """
         self._open_partition = open_partition
-        self._partitions_of = partitions_of
+        self._counts = counts
         self._partition_by_id: dict[tuple[str, int], ClaimPartition] = {}
 
-    def find(self, service: str, key: str) -> ClaimPartition:
+    async def claim(
+        self, service: str, key: str, fingerprint: str
+    ) -> Result[ClaimPartition, Failure]:
         """
-        Return the partition of a claim.
+        Claim a key for this sidecar; see :meth:`ClaimPartition.claim`.
 
         :param service: the service's name.
         :param key: digest of the call's idempotency key.
+        :param fingerprint: digest of the call.
+        :returns: the partition that holds the claim, or why it was not granted.
         """
-        partition_id = (service, partition_of(key, self._partitions_of(service)))
+        count = await self._counts.find(service)
+        if isinstance(count, Err):
+            return count
+        partition_id = (service, partition_of(key, count.ok_value))
         if partition_id not in self._partition_by_id:
             self._partition_by_id[partition_id] = self._open_partition(*partition_id)
-        return self._partition_by_id[partition_id]
+        partition = self._partition_by_id[partition_id]
+        granted = await partition.claim(key, fingerprint)
+        return granted if isinstance(granted, Err) else Ok(partition)
 
 
 class ClaimedCalls:
@@ -87,7 +100,7 @@
         """
         Start without any calls.
 
-        :param claims: finds the partition of a claim.
+        :param claims: claims keys in their partitions.
         :param max_kept_answers: number of answers kept for callers that repeat a
             request.
         :param start_call: starts the call of an attempt at the target.
@@ -139,11 +152,12 @@
         :param attempt: one with an idempotency key that no call of this object uses.
         """
         key, fingerprint = _compute_digests(attempt.submit)
-        partition = self._claims.find(attempt.submit.service, key)
-        call = _ClaimedCall(key, fingerprint, partition)
+        call = _ClaimedCall(key, fingerprint)
         call.attempts.append(attempt)
         self._call_by_key[key] = call
-        granted = partition.claim(key, fingerprint)
+        granted = Deferred.fromCoroutine(
+            self._claims.claim(attempt.submit.service, key, fingerprint)
+        )
         granted.addCallback(lambda outcome: self._claim_decided(call, outcome))
 
     def abandon(self, attempt: Attempt) -> None:
@@ -178,11 +192,13 @@
         self._finish_attempts(call, finish_from_failure(OutcomeUnknown(str(failure))))
 
     def _claim_decided(
-        self, call: _ClaimedCall, outcome: Result[None, Failure]
+        self, call: _ClaimedCall, outcome: Result[ClaimPartition, Failure]
     ) -> None:
         if isinstance(outcome, Err):
             self._finish_attempts(call, finish_from_failure(outcome.err_value))
-        elif not call.attempts or self._is_target_lost():
+            return
+        call.partition = outcome.ok_value
+        if not call.attempts or self._is_target_lost():
             self._release_claim(call, NotRun("nobody waits, or no target answers"))
         else:
             self._start_call(call.attempts[0], ClaimedListener(self, call))
--- a/pimentolink/configuration.py
+++ b/pimentolink/configuration.py
@@ -56,7 +56,8 @@
     :ivar models: names of the models that it runs.
     :ivar work: default kind of work of its requests.
     :ivar repeatable: whether its calls may be repeated.
-    :ivar claim_partitions: number of partitions for the claims of its calls.
+    :ivar claim_partitions: number of partitions for the claims of its calls; stays as
+        it was at the service's first claim.
     :ivar older_share: share of its requests that the older system serves.
     """
 
--- a/pimentolink/executor.py
+++ b/pimentolink/executor.py
@@ -67,8 +67,8 @@
 
         :param settings: limits of the queue.
         :param target: the target that this sidecar serves.
-        :param claims: finds the partition, a share of a service's claims, that stores
-            the claim of a call.
+        :param claims: claims keys in their partitions, which are shares of a service's
+            claims.
         :param timers: the timer service.
         :param tracing: creates spans.
         :param max_kept_answers: maximum number of responses kept for callers that
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -296,6 +296,12 @@
         logging.WARNING,
         "Another sidecar took over a claim partition; this one stopped using it.",
     )
+    CLAIM_PARTITIONS_FIXED = (
+        "E1503",
+        logging.WARNING,
+        "A service's claims stay in as many partitions as its first claim found; "
+        "the configured number is not used.",
+    )
     PLAN_WRITTEN = (
         "E1600",
         logging.INFO,
--- a/pimentolink/sidecar.py
+++ b/pimentolink/sidecar.py
@@ -19,6 +19,7 @@
 from pimentolink.links import SidecarLink, SidecarLinkListener
 from pimentolink.logs import Log, LogEvent
 from pimentolink.orders import EngineControl, EngineReconciler
+from pimentolink.partitioncounts import PartitionCounts
 from pimentolink.plan import group_of
 from pimentolink.settings import SidecarSettings
 from pimentolink.targets import Target
@@ -90,7 +91,10 @@
         self._executor = Executor(
             settings.queue,
             ports.target,
-            ClaimPartitions(self._open_partition, self._adoption.claim_partitions),
+            ClaimPartitions(
+                self._open_partition,
+                PartitionCounts(self._store, self._configured_partitions, self.log),
+            ),
             self._timers,
             Tracing(settings.instance, settings.trace_ratio, self.log),
             settings.claims.answers,
@@ -222,6 +226,10 @@
         if address is not None:
             self._executor.older_system = self._ports.open_older_system(address)
 
+    def _configured_partitions(self, service: str) -> int | None:
+        found = self._adoption.service(service)
+        return found.claim_partitions if found is not None else None
+
     def _open_partition(self, service: str, number: int) -> ClaimPartition:
         self.log.write(LogEvent.CLAIMS_TAKEN_OVER, service=service, partition=number)
         return ClaimPartition(
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import succeed
 
 from pimentolink import dispatcher, executor
-from pimentolink.claimedcalls import ClaimedCalls
+from pimentolink.claimedcalls import ClaimedCalls, ClaimPartitions
 from pimentolink.claims import ClaimPartition
 from pimentolink.claimtable import ClaimTable
 from pimentolink.entry import Entry
@@ -39,6 +39,10 @@
     await self._commit()
 
 
+async def grant_without_claiming(self, service, key, fingerprint):
+    return Ok(self._open_partition(service, 0))
+
+
 def accept_all_tokens(self, offset, tokens):
     self.tokens += tokens
     return Ok(tokens)
@@ -100,7 +104,7 @@
     ),
     "claiming before the call": (
         "call_while_service_is_down",
-        replace_attribute(ClaimPartition, "claim", lambda *_: succeed(Ok(None))),
+        replace_attribute(ClaimPartitions, "claim", grant_without_claiming),
     ),
     "knowing claims by key": (
         "call_survives_no_sidecar_twice",
