Refuse calls at once when the stored claims cannot be read

A call that may not be repeated waited until its patience was over and then ended as "outcome unknown", although nothing had run: decoding the document raised an exception out of the task that writes claims, and no claim of the partition was decided any more. The sidecar was never idle again, so that a stop took as long as it may.

Before: the four cases of TestUnreadableDocument fail (no outcome). Change: such a document counts as no answer of the store, as it does in PartitionCounts. Now they pass.

--- a/pimentolink/claims.py
+++ b/pimentolink/claims.py
@@ -265,4 +265,7 @@
 
 
 def _decode_document(data: bytes) -> ClaimDocument:
-    return msgspec.json.decode(data, type=ClaimDocument)
+    try:
+        return msgspec.json.decode(data, type=ClaimDocument)
+    except msgspec.DecodeError as error:
+        raise KeyValueUnavailable(f"unreadable claims: {error}") from error
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -127,6 +127,18 @@
         assert not isinstance(granted[0], Err)
 
 
+class TestUnreadableDocument:
+    @pytest.mark.parametrize("data", [b"", b"[]", b'{"owner": 1}', b"\xff"])
+    def test_refuses_at_once_as_not_run(self, harness, data):
+        """Guards against calls that wait for a claim until their patience is over."""
+        harness.store.compare_and_swap("p", data, 0)
+        partition = harness.partition("one")
+        for key in ("first", "second"):
+            refused = harness.claim(partition, key)
+            harness.timers.advance(1.0)
+            assert refused[0].err_value.ran is False
+
+
 class TestRestoredStore:
     """The store is restored from a copy that is older than a claim."""
 
