Test that a paused entry sends one response to each call

The patience of a call runs out, and its response arrives, while the entry is stopped. On one connection each call must get one response and run once.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -1,6 +1,8 @@
 """End-to-end tests over real processes: caller, entry, sidecar, target."""
 
 import json
+import socket
+import time
 
 import pytest
 
@@ -129,3 +131,53 @@
                 assert reply.json["choices"][0]["text"] == whole_answer(prompt, 6)
         finally:
             call(faults, "PUT", {"cross_answers": False})
+
+
+class TestPausedEntry:
+    PATIENCE = 1
+
+    @pytest.fixture
+    def fleet(self):
+        with Fleet() as fleet:
+            start_targets(fleet)
+            fleet.start_entry("entry", "north")
+            document = configuration()
+            document["work"]["dispatch"]["patience"] = self.PATIENCE
+            fleet.apply(document)
+            fleet.wait_ready("entry", TARGETS)
+            for name in ("dispatch-1", "dispatch-2"):
+                call(fleet.url(name, "/duration"), "PUT", 0.8)
+            yield fleet
+
+    def send_call(self, connection, key):
+        head = "POST /services/dispatch/send HTTP/1.1\r\nHost: a\r\n"
+        head += f"Idempotency-Key: {key}\r\nContent-Length: {len(key)}\r\n\r\n"
+        connection.sendall(f"{head}{key}".encode())
+
+    def read_until_quiet(self, connection, seconds):
+        connection.settimeout(seconds)
+        received = b""
+        try:
+            while data := connection.recv(65536):
+                received += data
+        except TimeoutError:
+            pass
+        return received
+
+    def test_caller_gets_one_response_to_each_call(self, fleet):
+        """The patience ends, and the target's response arrives, during a pause."""
+        host, _, port = fleet.address("entry").rpartition(":")
+        with socket.create_connection((host, int(port))) as connection:
+            for key in ("a", "b", "c"):
+                self.send_call(connection, key)
+                time.sleep(0.5)
+                fleet.processes_by_name["entry"].pause()
+                time.sleep(1.0)
+                fleet.processes_by_name["entry"].resume()
+                received = self.read_until_quiet(connection, 1.0)
+                assert received.count(b"HTTP/1.1 ") == 1
+                if b"HTTP/1.1 200" in received:
+                    assert f'"ran": "{key}"'.encode() in received
+        runs = [call(fleet.url(f"dispatch-{n}", "/runs")).json for n in (1, 2)]
+        assert sorted(key for found in runs for key in found) == ["a", "b", "c"]
+        assert {count for found in runs for count in found.values()} == {1}
