Store releases of claims with the next write of their partition

A caller whose call was not run heard nothing while other calls of its partition kept arriving: the answer waits for the release of its claim, which polled for the end of the task that writes claims, and that task ended only once no claim had come within a commit interval. With a claim every 50 ms there was no answer in the 10 s watched.

Change: releases are queued like claims and answered after the write of their batch.

--- a/pimentolink/claims.py
+++ b/pimentolink/claims.py
@@ -76,6 +76,7 @@
         self._table = ClaimTable(settings, incarnation)
         self._clock = PartitionClock(timers)
         self._waiting: list[tuple[str, str, Deferred[Result[None, Failure]]]] = []
+        self._releases: list[Deferred[Result[None, Failure]]] = []
         self._revision = 0
         self._write_number = 0
         self._is_dirty = False
@@ -110,24 +111,10 @@
             not be stored.
         """
         self._table.release(key)
-        return Deferred.fromCoroutine(self._store_release())
-
-    async def _store_release(self) -> Result[None, Failure]:
-        while self._is_writing:
-            await pause(self._timers, self._settings.commit_interval)
-        if not self.is_owned:
-            return Err(ClaimContended("the partition was taken over"))
-        self._is_writing = True
-        try:
-            is_stored = await self._commit()
-        except KeyValueUnavailable as error:
-            return Err(error)
-        finally:
-            self._is_writing = False
-            self._start_writing()
-        if not is_stored:
-            return Err(ClaimContended("the partition was taken over"))
-        return Ok(None)
+        stored: Deferred[Result[None, Failure]] = Deferred()
+        self._releases.append(stored)
+        self._start_writing()
+        return stored
 
     def _mark_dirty(self) -> None:
         if not self._is_dirty:
@@ -135,13 +122,13 @@
             self._timers.call_later(1.0, self._start_writing)
 
     def _start_writing(self) -> None:
-        if not self._is_writing and (self._waiting or self._is_dirty):
+        if not self._is_writing and (self._waiting or self._releases or self._is_dirty):
             self._is_writing = True
             Deferred.fromCoroutine(self._write_loop())
 
     async def _write_loop(self) -> None:
         try:
-            while self._waiting or (self._is_dirty and self.is_owned):
+            while self._waiting or self._releases or (self._is_dirty and self.is_owned):
                 await self._process_batch()
                 await pause(self._timers, self._settings.commit_interval)
         finally:
@@ -149,6 +136,10 @@
 
     async def _process_batch(self) -> None:
         if not self.is_owned:
+            lost = ClaimContended("the partition was taken over")
+            self._answer_releases(self._take_releases(), Err(lost))
+            if not self._waiting:
+                return
             try:
                 await self._take_over()
             except KeyValueUnavailable as error:
@@ -158,9 +149,23 @@
             self._refuse_waiting(ClaimContended("taken over by another sidecar"))
             return
         pending = self._admit_waiting()
-        if not pending and not self._is_dirty:
+        releases = self._take_releases()
+        if not pending and not releases and not self._is_dirty:
             return
-        await self._commit_pending(pending)
+        outcome = await self._commit_pending(pending)
+        self._answer_releases(releases, outcome)
+
+    def _take_releases(self) -> list[Deferred[Result[None, Failure]]]:
+        releases, self._releases = self._releases, []
+        return releases
+
+    def _answer_releases(
+        self,
+        releases: list[Deferred[Result[None, Failure]]],
+        outcome: Result[None, Failure],
+    ) -> None:
+        for stored in releases:
+            stored.callback(outcome)
 
     def _refuse_waiting(self, failure: Failure) -> None:
         waiting, self._waiting = self._waiting, []
@@ -178,7 +183,9 @@
                 pending.append(_PendingClaim(key, granted))
         return pending
 
-    async def _commit_pending(self, pending: list[_PendingClaim]) -> None:
+    async def _commit_pending(
+        self, pending: list[_PendingClaim]
+    ) -> Result[None, Failure]:
         outcome: Result[None, Failure]
         try:
             if await self._commit():
@@ -194,6 +201,7 @@
             self._is_dirty = True
         for item in pending:
             item.granted.callback(outcome)
+        return outcome
 
     async def _take_over(self) -> None:
         for _ in range(TAKE_OVER_ATTEMPTS):
