--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,6 +5,7 @@
 from result import Err
 
 from pimentolink.claims import ClaimPartition
+from pimentolink.claimtable import ClaimState
 from pimentolink.errors import ClaimContended, OutcomeUnknown
 from pimentolink.kvstore import MemoryStore
 from pimentolink.settings import ClaimSettings
@@ -18,10 +19,10 @@
 
     def __init__(self, timers, error):
         self._timers = timers
-        self._error = error
+        self.error = error
 
     def wall_time(self):
-        return self._timers.wall_time() + self._error
+        return self._timers.wall_time() + self.error
 
     def __getattr__(self, name):
         return getattr(self._timers, name)
@@ -32,18 +33,37 @@
         self.timers = ManualTimers()
         self.store = MemoryStore()
 
-    def partition(self, incarnation, clock_error=0.0, settings=None):
-        timers = WrongWallClock(self.timers, clock_error)
+    def partition(self, incarnation, clock_error=0.0, **settings):
         return ClaimPartition(
-            "p", incarnation, self.store, timers, settings or ClaimSettings()
+            "p",
+            incarnation,
+            self.store,
+            WrongWallClock(self.timers, clock_error),
+            ClaimSettings(**settings),
         )
 
+    def ask(self, partition, key):
+        """Claim a key; return the answer after ten seconds."""
+        outcome = self.claim(partition, key)
+        self.timers.advance(10.0)
+        return outcome[0] if outcome else None
+
+    def copy_store(self):
+        return self.store._index, dict(self.store._value_by_key)
+
+    def restore_store(self, copy):
+        self.store._index, self.store._value_by_key = copy[0], dict(copy[1])
+
     def claim(self, partition, key):
         outcome = []
         partition.claim(key, "same").addCallback(outcome.append)
         return outcome
 
 
+def is_unknown(outcome):
+    return isinstance(outcome, Err) and isinstance(outcome.err_value, OutcomeUnknown)
+
+
 @pytest.fixture
 def harness():
     return Harness()
@@ -147,21 +167,60 @@
         """Guards against a second run of a call at the sidecar that made it."""
         owner = harness.partition("owner")
         if has_document:
-            harness.claim(owner, "before")
-            harness.timers.advance(1.0)
-        copied = dict(harness.store._value_by_key)
-        harness.claim(owner, "key")
-        harness.timers.advance(1.0)
-        harness.store._value_by_key = copied
+            harness.ask(owner, "before")
+        copy = harness.copy_store()
+        harness.ask(owner, "key")
+        harness.restore_store(copy)
         for name in ("first", "second", "third"):
-            harness.claim(owner, name)
-            harness.timers.advance(1.0)
-        asked = harness.claim(owner, "key")
-        harness.timers.advance(1.0)
-        assert isinstance(asked[0].err_value, OutcomeUnknown)
-        asked = harness.claim(harness.partition("next"), "key")
-        harness.timers.advance(1.0)
-        assert isinstance(asked[0].err_value, OutcomeUnknown)
+            harness.ask(owner, name)
+        assert is_unknown(harness.ask(owner, "key"))
+        assert is_unknown(harness.ask(harness.partition("next"), "key"))
+
+    def test_claims_made_since_the_copy_are_not_granted_again(self, harness):
+        """Guards against a second run after a claim that no copy and no process has."""
+        harness.ask(harness.partition("one"), "first")
+        copy = harness.copy_store()
+        harness.ask(harness.partition("two"), "key")
+        harness.restore_store(copy)
+        asked = harness.ask(harness.partition("three"), "key")
+        assert isinstance(asked, Err)
+
+    def test_revision_counted_again_lets_no_former_owner_write(self, harness):
+        """Guards against claims that a former owner overwrites at an old revision."""
+        former = harness.partition("former")
+        copy = harness.copy_store()
+        harness.ask(former, "first")
+        revision = former._revision
+        harness.restore_store(copy)
+        later = harness.partition("later")
+        harness.ask(later, "key")
+        assert harness.store._index == revision
+        harness.ask(former, "other")
+        assert is_unknown(harness.ask(former, "key"))
+
+
+class TestOutcomes:
+    def test_outcome_pushed_out_frees_no_key(self, harness):
+        owner = harness.partition("one", most=2)
+        harness.ask(owner, "key")
+        owner.settle("key", ClaimState.UNKNOWN)
+        for number in range(5):
+            harness.ask(owner, f"other-{number}")
+            owner.release(f"other-{number}")
+            harness.timers.advance(10.0)
+        assert is_unknown(harness.ask(owner, "key"))
+
+    def test_release_pushed_out_frees_no_claim_of_another_owner(self, harness):
+        first, second = harness.partition("first", most=2), harness.partition("second")
+        harness.ask(first, "key")
+        harness.ask(second, "other")
+        first.release("key")
+        for number in range(4):
+            harness.ask(first, f"more-{number}")
+            first.release(f"more-{number}")
+            harness.timers.advance(10.0)
+        assert is_unknown(harness.ask(first, "other"))
+        assert not isinstance(harness.ask(first, "key"), Err)
 
 
 class TestRetention:
@@ -194,17 +253,32 @@
         assert self.is_free(harness, last, "key")
 
     def test_claim_of_a_wall_clock_ahead_fills_no_partition_for_good(self, harness):
-        settings = ClaimSettings(most=1)
-        ahead = harness.partition("ahead", 100 * RETENTION, settings)
+        ahead = harness.partition("ahead", 100 * RETENTION, most=1)
         assert self.is_free(harness, ahead, "first")
         harness.timers.advance(RETENTION)
         assert self.is_free(harness, ahead, "second")
         harness.timers.advance(RETENTION)
-        later = harness.partition("later", 0.0, settings)
+        later = harness.partition("later", most=1)
         assert not self.is_free(harness, later, "third")
         harness.timers.advance(RETENTION)
         assert self.is_free(harness, later, "third")
 
+    def test_clock_set_forward_frees_no_key_of_the_same_owner(self, harness):
+        owner = harness.partition("one")
+        assert self.is_free(harness, owner, "key")
+        owner._timers.error = RETENTION
+        assert self.is_free(harness, owner, "other")
+        assert not self.is_free(harness, owner, "key")
+
+    def test_clock_set_back_keeps_no_later_claim_for_good(self, harness):
+        owner = harness.partition("one", 365 * RETENTION, most=3)
+        assert self.is_free(harness, owner, "first")
+        owner._timers.error = 0.0
+        assert self.is_free(harness, owner, "second")
+        assert self.is_free(harness, owner, "third")
+        harness.timers.advance(2 * RETENTION)
+        assert self.is_free(harness, owner, "fourth")
+
     def test_document_without_a_clock_starts_the_retention_anew(self, harness):
         document = {
             "owner": "0.1.0",
