Count a crash for the incarnation of the target that crashed

Callers and operators saw: a request that had crashed three targets was listed with two crashes, and was sent to one target more than need be before it was blamed.

Cause: a gateway sent the request to a target that had restarted, before it had read the new entry. The crash was recorded for the earlier incarnation, for which it counted already, or dropped if the new entry arrived between sending and the break, since the earlier incarnation was then replaced.

Change: an exchange on a connection whose opening began once the listed incarnation was known to have ended belongs to a later one. It is kept by the target's ID and address until that one is listed, and counts once that one's own end is shown. After a break, the listed incarnation is asked whether it listens, not the replaced one.

Remains: an end that no gateway knew of before the next connection was opened.

--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -96,8 +96,30 @@
         if refused is not None:
             raise refused
 
-    def cut_off(self, request: CallerRequest, estimate: TargetEstimate) -> None:
-        """Record that a request's exchange with a target was cut off."""
+    def cut_off(
+        self,
+        request: CallerRequest,
+        estimate: TargetEstimate,
+        opened_at: float = 0.0,
+    ) -> None:
+        """
+        Record that a request's exchange with a target was cut off.
+
+        :param estimate: of the incarnation that was listed when it was chosen.
+        :param opened_at: when the connection began to be opened, in seconds of the
+            timer service; 0 if that incarnation is known to have accepted it.
+        """
+        incarnation = self._find_incarnation(estimate, opened_at)
+        if incarnation is None:
+            self._suspects.unlisted_exchange_broken(
+                request.fingerprint,
+                request.request_id,
+                estimate.target,
+                opened_at,
+                self._timers.now(),
+            )
+            return
+        estimate = incarnation
         if estimate.target.is_leaving or estimate.missing_since is not None:
             # A target that announced its shutdown cuts off what is left when it exits.
             return
@@ -107,8 +129,32 @@
         ):
             self._publish_crash(key, [fingerprint])
 
+    def _find_incarnation(
+        self, estimate: TargetEstimate, opened_at: float
+    ) -> TargetEstimate | None:
+        """
+        Find the incarnation that accepted a connection.
+
+        :param estimate: of the incarnation that was listed when it was chosen.
+        :returns: ``None`` if its entry has not been read yet.
+        """
+        while self._suspects.incarnations.has_ended_before(estimate.target, opened_at):
+            successor = estimate.successor
+            if successor is None or successor.target.address != estimate.target.address:
+                return None
+            estimate = successor
+        return estimate
+
+    def target_listed(self, estimate: TargetEstimate) -> None:
+        """Attribute exchanges cut off by an incarnation before it was listed."""
+        target = estimate.target
+        if self._suspects.target_listed(target, self._timers.now()):
+            self.connection_lost(estimate)
+
     def connection_lost(self, estimate: TargetEstimate) -> None:
         """Check whether a target that broke a connection still listens."""
+        while estimate.successor is not None:
+            estimate = estimate.successor
         key = estimate.target.key
         if self.is_listening is None or key in self._checking:
             return
@@ -182,6 +228,7 @@
             if self._suspects.clear(message.fingerprint, message.targets, now):
                 self._log_cleared(message, source)
             return
+        self._suspects.incarnations.record_end(message.target, now)
         recorded = self._suspects.record_crash(
             message.target, message.fingerprints, now, message.is_tried
         )
--- a/pimentolink/fleet.py
+++ b/pimentolink/fleet.py
@@ -138,14 +138,17 @@
         estimate = self.targets_by_id.get(target.target_id)
         if estimate is not None and target.born < estimate.target.born:
             return estimate
+        replaced = None
         if estimate is not None and target.born > estimate.target.born:
             self._replace(estimate)
-            estimate = None
+            replaced, estimate = estimate, None
         if estimate is None:
             estimate = TargetEstimate(target, self.costs(target.service), self._index)
             estimate.set_model(self._models_by_service.get(target.service))
             self.targets_by_id[target.target_id] = estimate
             self._estimates_by_key[target.key] = estimate
+            if replaced is not None:
+                replaced.successor = estimate
         else:
             self._group(estimate.target).remove(estimate)
         if target.role is not estimate.target.role:
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -20,7 +20,7 @@
 from pimentolink.registration import GATEWAY_PREFIX, GatewayEntry
 from pimentolink.routes import RoutingTable, RoutingTables
 from pimentolink.suspectstore import SUSPECT_PREFIX
-from pimentolink.targetestimate import Target
+from pimentolink.targetestimate import Target, TargetEstimate
 from pimentolink.timers import Timers
 from pimentolink.usagereporter import USAGE_KEY
 
@@ -56,6 +56,8 @@
         restarted.
     :ivar on_target_ended: called with a target that was removed or restarted, as last
         known, and with the sign of its end.
+    :ivar on_target_listed: called with the estimate of a target that is newly listed
+        or restarted.
     :ivar on_suspects: called with changes of stored suspects.
     :ivar on_usage: called with changes of the usage key.
     """
@@ -99,6 +101,7 @@
         self.on_leader: Callable[[Change], None] = lambda change: None
         self.on_target_removed: Callable[[str], None] = lambda target_id: None
         self.on_target_ended: Callable[[Target, str], None] = lambda target, sign: None
+        self.on_target_listed: Callable[[TargetEstimate], None] = lambda estimate: None
         self.on_suspects: Callable[[Change], None] = lambda change: None
         self.on_usage: Callable[[Change], None] = lambda change: None
 
@@ -202,7 +205,7 @@
                 LogEvent.TARGET_OUTDATED, target, previous_born, change
             )
             return
-        self._fleet.put(target)
+        estimate = self._fleet.put(target)
         if target.is_leaving:
             self._ended_targets.mark_leaving(target, self._epoch)
         if target.born > previous_born:
@@ -212,6 +215,8 @@
             self.on_target_removed(target_id)
             if previous is not None:
                 self.on_target_ended(previous.target, "started again")
+        if estimate is not previous:
+            self.on_target_listed(estimate)
         if is_changed:
             self._log.write(
                 LogEvent.TARGET_LISTED,
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -14,6 +14,8 @@
     quarantine_time,
 )
 from pimentolink.errors import Quarantined
+from pimentolink.incarnations import IncarnationTracker, UnlistedExchange
+from pimentolink.targetestimate import Target
 
 # Jitter of quarantines as a share of their length, so that gateways do not all begin
 # a trial at the same moment.
@@ -90,6 +92,8 @@
     begun by gateways that had not yet heard of each other's, neither is blamed.
 
     A request is identified by its fingerprint, an incarnation of a target by its key.
+
+    :ivar incarnations: which incarnations of targets are known to have ended.
     """
 
     def __init__(self, random: Random) -> None:
@@ -99,6 +103,7 @@
         :param random: seeded source for the jitter of quarantines.
         """
         self._random = random
+        self.incarnations = IncarnationTracker()
         self._single_crash_by_fingerprint: OrderedDict[str, CrashHistory] = (
             OrderedDict()
         )
@@ -124,6 +129,48 @@
         :returns: whether the target is known to have crashed and the crash counts
             against the request from now on.
         """
+        is_trial = self._end_broken_trial(fingerprint, request_id, now)
+        ended_at = self._ended_at_by_target.get(target)
+        if ended_at is not None and now - ended_at <= BROKEN_EXCHANGE_TTL:
+            return bool(self.record_crash(target, [fingerprint], now, is_trial))
+        self._add_broken(fingerprint, target, _BrokenExchange(now, is_trial))
+        return False
+
+    def unlisted_exchange_broken(
+        self,
+        fingerprint: str,
+        request_id: str,
+        target: Target,
+        opened_at: float,
+        now: float,
+    ) -> None:
+        """
+        Record that an incarnation not listed yet cut off a request's exchange.
+
+        :param target: an earlier incarnation, which was known to have ended.
+        :param opened_at: when the connection began to be opened.
+        """
+        is_trial = self._end_broken_trial(fingerprint, request_id, now)
+        exchange = UnlistedExchange(fingerprint, opened_at, now, is_trial)
+        self.incarnations.keep(target, exchange)
+
+    def target_listed(self, target: Target, now: float) -> bool:
+        """
+        Attribute kept exchanges to an incarnation whose entry was read.
+
+        The crash counts once the incarnation is known to have ended: it may also have
+        started after another one that was never listed.
+
+        :returns: whether there are any.
+        """
+        found = self.incarnations.take(target, now)
+        for exchange in found:
+            broken = _BrokenExchange(exchange.broken_at, exchange.is_trial)
+            self._add_broken(exchange.fingerprint, target.key, broken)
+        return bool(found)
+
+    def _end_broken_trial(self, fingerprint: str, request_id: str, now: float) -> bool:
+        """End the trial that a request's exchange was; tell whether it was one."""
         is_trial = self._is_tried_as(request_id) or request_id in self._sent_trials
         if is_trial:
             self._sent_trials.pop(request_id, None)
@@ -134,11 +181,7 @@
                 history.quarantined_until = max(
                     history.quarantined_until, now + SUSPECT_QUARANTINE
                 )
-        ended_at = self._ended_at_by_target.get(target)
-        if ended_at is not None and now - ended_at <= BROKEN_EXCHANGE_TTL:
-            return bool(self.record_crash(target, [fingerprint], now, is_trial))
-        self._add_broken(fingerprint, target, _BrokenExchange(now, is_trial))
-        return False
+        return is_trial
 
     def _add_broken(
         self, fingerprint: str, target: int, exchange: _BrokenExchange
@@ -160,6 +203,7 @@
         :returns: fingerprints of the requests that it cut off and against which the
             crash counts.
         """
+        self.incarnations.record_end(target, now)
         self._ended_at_by_target[target] = now
         _evict_oldest(self._ended_at_by_target, MAX_TARGETS)
         broken = self._broken_by_target.pop(target, OrderedDict())
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -40,8 +40,15 @@
         :raises Failure: if it may not be sent.
         """
 
-    def cut_off(self, request: CallerRequest, estimate: TargetEstimate) -> None:
-        """Handle an exchange that ended before the response was complete."""
+    def cut_off(
+        self, request: CallerRequest, estimate: TargetEstimate, opened_at: float
+    ) -> None:
+        """
+        Handle an exchange that ended before the response was complete.
+
+        :param opened_at: when its connection began to be opened, in seconds of the
+            timer service.
+        """
 
     def connection_lost(self, estimate: TargetEstimate) -> None:
         """Handle a connection that broke, or carried an invalid response."""
@@ -264,7 +271,7 @@
             pool,
             connection,
             self._timers.now(),
-            lambda: self._watcher.cut_off(request, estimate),
+            lambda: self._watcher.cut_off(request, estimate, connection.opened_at),
         )
         try:
             call.head = await connection.send(
--- a/pimentolink/targetestimate.py
+++ b/pimentolink/targetestimate.py
@@ -140,6 +140,8 @@
         # Whether the target has restarted since, so that the cache contents of this
         # incarnation are lost.
         self.is_replaced = False
+        # The next listed incarnation, for requests that still refer to this one.
+        self.successor: TargetEstimate | None = None
         self.changing_until = 0.0
         self.refusing_until = 0.0
         self.failure_share = 0.0
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -87,6 +87,7 @@
         self.is_reusable = False
         self.idle_limit = settings.idle
         self.idle_since = timers.now()
+        self.opened_at = timers.now()
         self.on_closed: Callable[[TargetConnection], None] = lambda connection: None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -360,6 +361,7 @@
         :raises NotConnected: if the connection fails for another reason.
         """
         self.count += 1
+        begin = self._timers.now()
         factory = _ConnectionFactory(self._settings, self._timers)
         try:
             connection: TargetConnection = await self._endpoint.connect(factory)
@@ -376,6 +378,8 @@
             self.count -= 1
             raise
         connection.on_closed = self._on_connection_closed
+        # The target may accept it long before this process handles that.
+        connection.opened_at = begin
         return connection
 
     def release(self, connection: TargetConnection) -> None:
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -35,7 +35,7 @@
     async def admit(self, request):
         pass
 
-    def cut_off(self, request, estimate):
+    def cut_off(self, request, estimate, opened_at):
         pass
 
     def connection_lost(self, estimate):
