Attribute a crash by start times where an end was not known

Cause: the entry of the restarted target arrived between sending and the break. The exchange was taken as one with the replaced incarnation, and its crash dropped.

Change: a connection whose opening began after the next listed incarnation had started, by the wall clocks, was not to the one before. The crash counts once the next one's own end is shown, as for all others.

Evidence: TestEndNotKnown.test_entry_read_while_the_request_runs fails with this rule taken out, and passes with it.

--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -138,12 +138,27 @@
         :param estimate: of the incarnation that was listed when it was chosen.
         :returns: ``None`` if its entry has not been read yet.
         """
-        while self._suspects.incarnations.has_ended_before(estimate.target, opened_at):
+        incarnations = self._suspects.incarnations
+        while True:
             successor = estimate.successor
+            has_ended = incarnations.has_ended_before(estimate.target, opened_at)
+            if not has_ended and not self._had_started(successor, opened_at):
+                return estimate
             if successor is None or successor.target.address != estimate.target.address:
                 return None
             estimate = successor
-        return estimate
+
+    def _had_started(self, estimate: TargetEstimate | None, opened_at: float) -> bool:
+        """
+        Tell by the wall clocks whether an incarnation had started at a certain time.
+
+        They may differ by less than a restart takes: connections of the incarnation
+        before it were opened earlier than its end.
+        """
+        if estimate is None or not opened_at:
+            return False
+        wall_time = self._timers.wall_time() - (self._timers.now() - opened_at)
+        return estimate.target.born <= wall_time * 1000
 
     def target_listed(self, estimate: TargetEstimate) -> None:
         """Attribute exchanges cut off by an incarnation before it was listed."""
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -26,7 +26,14 @@
 from tests.test_crashreports import FATAL, make_request
 from tools.replay import QuietLog
 
-FIRST, SECOND, THIRD = (target("t", born=born) for born in (1, 2, 3))
+# Milliseconds; the clocks of restarted targets are ahead of those of gateways, so that
+# start times do not tell which incarnation accepted a connection.
+WALL_TIME = int(ManualTimers().wall_time() * 1000)
+FIRST, SECOND, THIRD = (
+    target("t", born=WALL_TIME + hours * 3_600_000) for hours in (0, 1, 2)
+)
+# The second incarnation, with a correct clock.
+SECOND_ON_TIME = target("t", born=WALL_TIME + 1_015)
 # Seconds between two events.
 STEP = 0.01
 
@@ -217,6 +224,32 @@
         assert second.suspects.is_blamed(FATAL, SECOND.key)
 
 
+class TestEndNotKnown:
+    """A gateway that has not heard of the end before it opens a connection."""
+
+    @pytest.fixture
+    def unaware(self, second):
+        second.suspects.incarnations = IncarnationTracker()
+        return second
+
+    def test_entry_read_while_the_request_runs(self, world, unaware):
+        """A connection opened after the next start was not to the earlier one."""
+        world.do(unaware.send, world.crash)
+        world.do(lambda: unaware.read(SECOND_ON_TIME), unaware.lose)
+        assert unaware.crashes() == keys(FIRST, SECOND_ON_TIME)
+
+    def test_connection_opened_before_the_next_start(self, world, unaware):
+        world.do(unaware.send, world.crash)
+        world.do(lambda: unaware.read(SECOND), unaware.lose)
+        assert unaware.crashes() == keys(FIRST)
+
+    def test_target_that_announced_its_end_after_it_was_listed(self, world, unaware):
+        world.do(unaware.send, lambda: unaware.read(SECOND_ON_TIME))
+        world.do(lambda: unaware.fleet.put(SECOND_ON_TIME._replace(is_leaving=True)))
+        world.do(world.crash, unaware.lose)
+        assert unaware.crashes() == keys(FIRST)
+
+
 class TestRelease:
     def test_crash_told_after_a_release_does_not_quarantine_again(self, world, second):
         second.suspects.record_crash(99, [FATAL], world.timers.now())
