--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -204,6 +204,15 @@
         assert estimate.is_replaced
         assert not estimate.is_usable(world.timers.now())
 
+    def test_each_incarnation_is_reported_once(self, world):
+        listed = []
+        world.membership.on_target_listed = listed.append
+        for born, sequence in ((1000, 1), (1000, 2), (1001, 1), (1000, 3)):
+            world.store.put("servers/a", entry(born=born, sequence=sequence))
+            world.timers.advance(0.3)
+        assert [estimate.target.born for estimate in listed] == [1000, 1001]
+        assert listed[0].successor is listed[1]
+
     def test_late_entry_of_the_earlier_life_changes_nothing(self, world, estimate):
         world.store.put("servers/a", entry(phase="prefill", born=1001))
         world.timers.advance(0.3)
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -2,10 +2,12 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import MemoryReactor
+from twisted.python.failure import Failure
 
 from pimentolink.dialect import CallerRequest, SendOptions, fingerprint_of
-from pimentolink.errors import CannotBeInTime
+from pimentolink.errors import CannotBeInTime, ConnectionBroken, ReplyInvalid
 from pimentolink.gatewaysettings import ConnectionSettings
 from pimentolink.httptypes import HttpRequest
 from pimentolink.logs import Log
@@ -13,7 +15,7 @@
 from pimentolink.platform.dialect import PlatformDialect
 from pimentolink.targetclient import TargetClient
 from pimentolink.timers import ManualTimers
-from tests.gatewaybuilders import fleet, target
+from tests.gatewaybuilders import SocketTransport, fleet, target
 
 REQUEST = CallerRequest(
     request_id="a",
@@ -30,13 +32,16 @@
 
 
 class PermissiveWatcher:
-    """Admits every request."""
+    """Admits every request; keeps when the connections that broke were opened."""
+
+    def __init__(self):
+        self.opened_at = []
 
     async def admit(self, request):
         pass
 
     def cut_off(self, request, estimate, opened_at):
-        pass
+        self.opened_at.append(opened_at)
 
     def connection_lost(self, estimate):
         pass
@@ -48,14 +53,16 @@
 class CallerHarness:
     def __init__(self):
         self.reactor = MemoryReactor()
+        self.timers = ManualTimers()
+        self.watcher = PermissiveWatcher()
         self.fleet = fleet(target("t"))
         self.target_client = TargetClient(
             self.reactor,
             ConnectionSettings(),
             self.fleet,
             PlatformDialect(),
-            PermissiveWatcher(),
-            ManualTimers(),
+            self.watcher,
+            self.timers,
             Log(instance="g"),
             Metrics(),
         )
@@ -110,3 +117,18 @@
     def test_request_with_time_left_is_sent(self, world):
         assert world.begin(0.5) == []
         assert len(world.reactor.tcpClients) == 1
+
+
+class TestBrokenExchange:
+    def test_watcher_learns_when_the_connection_began_to_be_opened(self, world):
+        """The target may have accepted it long before this process handles that."""
+        world.timers.advance(5.0)
+        outcome = world.begin(3.0)
+        world.timers.advance(0.4)
+        factory = world.reactor.tcpClients[0][2]
+        connection = factory.buildProtocol(None)
+        connection.makeConnection(SocketTransport())
+        world.timers.advance(0.1)
+        connection.connectionLost(Failure(ConnectionDone()))
+        assert outcome[0].check(ReplyInvalid, ConnectionBroken)
+        assert world.watcher.opened_at == [5.0]
