Detect crashes of targets behind proxies that still listen

Cause: a crash showed only by a refused connection or by the list of targets. A proxy before the target accepts connections also while its target is down, then resets them. So the one connection opened after a break was accepted, and the target counted as listening until the list told of its next start, 8 to 15 s later. A connection reset before the event loop saw it open counted as listening too.

Change: after a break, up to eight connections are opened and held for 0.5 s, 0.15 s apart. The target has ended if four in a row are closed or reset, a connection was lost that had lasted over twice as long as each of them (so that it had got through), and none such is open. A refused one settles it as before. Kept connections, unreachable targets and connections turned away from the start don't count, nor probes during which this process stood still. Nothing is sent on a probe, and it counts neither as a connection nor as a failure of the target.

Why it holds: the end of a process closes all its connections, and a serving target keeps an idle one; both are needed, so a reset or a proxy that refuses alone is not taken for a crash. A restart within half a second shows by the list, as before. Where a proxy resets all connections of a serving target and then turns new ones away for half a second, a crash is counted by mistake; one crash alone quarantines nothing.

--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -35,9 +35,9 @@
     Detects crashes of targets, and exchanges reports of them with other gateways.
 
     A broken connection alone is not a crash, since targets also reset connections and
-    send malformed responses. The gateway then tries to open a new connection. The
-    target has crashed if nothing listens there any more, or if its entry in the list of
-    targets is soon removed or replaced.
+    send malformed responses. The gateway then tries to open new connections. The target
+    has crashed if they are refused, or closed at once by a proxy before it, or if its
+    entry in the list of targets is soon removed or replaced.
     """
 
     def __init__(
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -174,6 +174,10 @@
     """The attempt to open a connection was cancelled, so nothing was sent."""
 
 
+class ConnectReset(NotConnected):
+    """The connection was reset as it was opened, so nothing was sent."""
+
+
 class NotListening(NotConnected):
     """Nothing listens at the target's address: its process has ended."""
 
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -246,6 +246,11 @@
         logging.WARNING,
         "A target crashed while it was processing the requests shown.",
     )
+    TARGET_CLOSES_CONNECTIONS = (
+        "E1425",
+        logging.WARNING,
+        "A target broke connections off and closes new ones at once: it has ended.",
+    )
     SUSPECT_STRUCK = (
         "E1418",
         logging.WARNING,
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from twisted.internet.defer import Deferred
+
 from pimentolink.dialect import CallerRequest, Dialect, SendOptions, Verdict
 from pimentolink.errors import (
     DEFAULT_RETRY_AFTER,
     CannotBeInTime,
     ConnectionBroken,
+    ConnectReset,
     Failure,
     NotConnected,
     NotListening,
@@ -23,11 +26,22 @@
 from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
-from pimentolink.targetestimate import TargetEstimate
+from pimentolink.targetestimate import Target, TargetEstimate
 from pimentolink.targethttp import ConnectionPool, TargetConnection, exchange
-from pimentolink.timers import Timers
+from pimentolink.targetprobes import (
+    PROBE_HOLD,
+    PROBE_INTERVAL,
+    Probe,
+    ProbeOutcome,
+    ProbeSeries,
+    ProbeVerdict,
+)
+from pimentolink.timers import Timers, pause
 
 MAX_RESPONSE_BYTES = 8_000_000
+# Seconds before a target is probed within which the loss of a connection counts as part
+# of the same end.
+LOSS_WINDOW = 1.0
 
 
 class CallWatcher(Protocol):
@@ -199,22 +213,60 @@
 
     async def is_listening(self, estimate: TargetEstimate) -> bool:
         """
-        Check whether a process listens at a target's address.
-
-        If a connection can be opened, it is kept in the pool for the next call.
+        Check whether a process listens at a target's address, by new connections.
 
-        :returns: ``False`` only if it refuses connections.
+        :returns: ``False`` if it refuses connections, or has closed several at once
+            after others that it had served were lost.
         """
-        pool = self.pool(estimate)
+        target, pool = estimate.target, self.pool(estimate)
+        began_at = self._timers.now()
+        series = ProbeSeries()
+        verdict = None
+        while verdict is None:
+            probe = await self._probe(target)
+            verdict = series.record(
+                probe, pool.longest_lost(began_at - LOSS_WINDOW), pool.longest_open()
+            )
+            if verdict is None:
+                await pause(self._timers, PROBE_INTERVAL)
+        if verdict.has_ended:
+            estimate.record_refused_connection(self._timers.now())
+        if verdict is ProbeVerdict.CLOSES:
+            self._log.write(
+                LogEvent.TARGET_CLOSES_CONNECTIONS,
+                target=target.target_id,
+                after=round(self._timers.now() - began_at, 3),
+            )
+        return not verdict.has_ended
+
+    async def _probe(self, target: Target) -> Probe:
+        """Open a connection on which nothing is sent, and watch whether it is kept."""
+        # Not of the target's pool, whose bound is for calls.
+        pool = ConnectionPool(
+            self._reactor, target.address, self._settings, self._timers
+        )
+        began_at = self._timers.now()
         try:
             connection = await pool.open()
         except NotListening:
-            estimate.record_refused_connection(self._timers.now())
-            return False
+            outcome = ProbeOutcome.REFUSED
+        except ConnectReset:
+            outcome = ProbeOutcome.CLOSED
         except NotConnected:
-            return True
-        pool.release(connection)
-        return True
+            outcome = ProbeOutcome.UNKNOWN
+        else:
+            is_kept = await self._is_kept(connection)
+            outcome = ProbeOutcome.KEPT if is_kept else ProbeOutcome.CLOSED
+        return Probe(outcome, self._timers.now() - began_at)
+
+    async def _is_kept(self, connection: TargetConnection) -> bool:
+        """Hold a connection open, then close it; tell whether the other side did."""
+        ended: Deferred[None] = Deferred()
+        connection.on_closed = lambda _: ended.callback(None)
+        timer = self._timers.call_later(PROBE_HOLD, connection.abort)
+        await ended
+        timer.cancel()
+        return not connection.is_lost
 
     async def admit(self, request: CallerRequest) -> None:
         """
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import h11
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import (
+    ConnectError,
     ConnectingCancelledError,
     ConnectionDone,
     ConnectionRefusedError,
@@ -22,6 +24,7 @@
     ConnectCancelled,
     ConnectionBroken,
     ConnectionsExhausted,
+    ConnectReset,
     NotConnected,
     NotListening,
     ReplyInvalid,
@@ -35,6 +38,9 @@
 # Share of a target's announced idle timeout during which an idle connection is still
 # used; the rest covers network latency and an event loop that runs late.
 IDLE_TIMEOUT_SHARE = 0.8
+# Seconds for which the loss of an old connection is remembered rather than that of a
+# newer one.
+LOST_CONNECTION_TTL = 2.0
 
 
 def set_keep_alive(transport: Any, settings: ConnectionSettings) -> None:
@@ -85,9 +91,10 @@
         self._has_ended = False
         self.is_open = False
         self.is_reusable = False
+        self.is_lost = False
+        self.opened_at = timers.now()
         self.idle_limit = settings.idle
         self.idle_since = timers.now()
-        self.opened_at = timers.now()
         self.on_closed: Callable[[TargetConnection], None] = lambda connection: None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -177,6 +184,7 @@
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
         """Handle the loss of the connection."""
+        self.is_lost = self.is_open
         self.is_open = False
         if self._parser is not None and reason.check(ConnectionDone):
             self._parser.receive_data(b"")
@@ -290,6 +298,13 @@
         return TargetConnection(self._settings, self._timers)
 
 
+class _LostConnection(NamedTuple):
+    """When a connection was lost, and its age in seconds at that time."""
+
+    at: float
+    age: float
+
+
 class ConnectionPool:
     """A bounded pool of reusable connections to one address."""
 
@@ -311,6 +326,8 @@
             reactor, host, port, timeout=settings.connect
         )
         self._idle: list[TargetConnection] = []
+        self._open: set[TargetConnection] = set()
+        self._lost = _LostConnection(0.0, 0.0)
         self._timer: Timer | None = None
         self.is_closed = False
         self.max_connections = settings.most
@@ -357,6 +374,7 @@
         Open a connection.
 
         :raises NotListening: if the target refuses the connection.
+        :raises ConnectReset: if it is reset before it is known to be open.
         :raises ConnectCancelled: if the caller of this method was cancelled.
         :raises NotConnected: if the connection fails for another reason.
         """
@@ -371,6 +389,12 @@
         except ConnectingCancelledError as error:
             self.count -= 1
             raise ConnectCancelled("cancelled while connecting") from error
+        except ConnectError as error:
+            self.count -= 1
+            detail = f"{type(error).__name__}: {error}"
+            if error.osError == errno.ECONNRESET:
+                raise ConnectReset(detail) from error
+            raise NotConnected(detail) from error
         except Exception as error:
             self.count -= 1
             raise NotConnected(f"{type(error).__name__}: {error}") from error
@@ -380,6 +404,7 @@
         connection.on_closed = self._on_connection_closed
         # The target may accept it long before this process handles that.
         connection.opened_at = begin
+        self._open.add(connection)
         return connection
 
     def release(self, connection: TargetConnection) -> None:
@@ -408,8 +433,37 @@
         if self._idle:
             self._timer = self._timers.call_later(1.0, self._close_expired)
 
+    def longest_open(self) -> float:
+        """
+        Find the oldest connection that is open.
+
+        :returns: its age in seconds; 0 if none is open.
+        """
+        now = self._timers.now()
+        return max(
+            (now - item.opened_at for item in self._open if item.is_open), default=0.0
+        )
+
+    def longest_lost(self, since: float) -> float:
+        """
+        Find the oldest connection that was lost lately.
+
+        :param since: seconds of the timer service.
+        :returns: the age in seconds that it had; 0 if none was lost since.
+        """
+        return self._lost.age if self._lost.at >= since else 0.0
+
+    def _record_lost(self, connection: TargetConnection) -> None:
+        now = self._timers.now()
+        age = now - connection.opened_at
+        if age >= self._lost.age or now - self._lost.at > LOST_CONNECTION_TTL:
+            self._lost = _LostConnection(now, age)
+
     def _on_connection_closed(self, connection: TargetConnection) -> None:
         self.count -= 1
+        self._open.discard(connection)
+        if connection.is_lost:
+            self._record_lost(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
