Tell other gateways of broken exchanges before a gateway stops

Cause: a gateway that stopped before it found out about a target's crash took along which requests had been in flight there. It ended as soon as its callers were gone, also with a check of a target under way, and nobody else knew of the exchange that broke off.

Change: a stopping gateway finishes the checks of targets under way, within its time limit. Another gateway records them as it does its own, with their age, and counts them when it learns of the crash, or at once if it knows of it.

Why it holds: what the gateway knows is passed on whatever its own check finds, so that a target's restart within the check, which shows by the list alone, still counts. Requests in flight as the process exits at its time limit, and gateways that are killed, tell nothing.

--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -13,13 +13,14 @@
 from pimentolink.peermessages import (
     MAX_CRASH_FINGERPRINTS,
     MAX_CRASHES,
+    ExchangesBroken,
     PeerPublisher,
     SuspectCleared,
     SuspectMessage,
     SuspectTried,
     crash_messages,
 )
-from pimentolink.suspects import SuspectTracker
+from pimentolink.suspects import BrokenExchanges, SuspectTracker
 from pimentolink.targetestimate import Target, TargetEstimate
 from pimentolink.timers import Timers, pause
 
@@ -27,6 +28,10 @@
 # other gateways arrive.
 TRIAL_NOTICE = 0.05
 
+# Messages of a gateway that stops about exchanges whose crash is not settled. Those of
+# trials come first, then the newest.
+MAX_UNSETTLED_MESSAGES = 16
+
 IsListening = Callable[[TargetEstimate], Coroutine[Any, Any, bool]]
 
 
@@ -186,6 +191,32 @@
         if has_ended:
             self.target_ended(estimate.target, "nothing listens")
 
+    @property
+    def is_checking(self) -> bool:
+        """Return whether it is being checked if a target has ended."""
+        return bool(self._checking)
+
+    def unsettled_messages(self) -> list[ExchangesBroken]:
+        """
+        Describe the exchanges that were cut off and may turn out to be a crash.
+
+        Other gateways need them if this one stops before it learns of the crash.
+        """
+        now = self._timers.now()
+        unsettled = self._suspects.unsettled(now)
+        unsettled.sort(key=lambda item: (item.is_trial, item.at), reverse=True)
+        messages = [
+            ExchangesBroken(
+                item.target,
+                item.fingerprints[begin : begin + MAX_CRASH_FINGERPRINTS],
+                item.is_trial,
+                int((now - item.at) * 1000),
+            )
+            for item in unsettled
+            for begin in range(0, len(item.fingerprints), MAX_CRASH_FINGERPRINTS)
+        ]
+        return messages[:MAX_UNSETTLED_MESSAGES]
+
     def target_ended(self, target: Target, sign: str) -> None:
         """
         Report a crash if a target ended without having announced it.
@@ -243,10 +274,19 @@
             if self._suspects.clear(message.fingerprint, message.targets, now):
                 self._log_cleared(message, source)
             return
-        self._suspects.incarnations.record_end(message.target, now)
-        recorded = self._suspects.record_crash(
-            message.target, message.fingerprints, now, message.is_tried
-        )
+        if isinstance(message, ExchangesBroken):
+            broken = BrokenExchanges(
+                message.target,
+                message.fingerprints,
+                message.is_tried,
+                now - message.age_ms / 1000,
+            )
+            recorded = self._suspects.peer_exchanges_broken(broken, now)
+        else:
+            self._suspects.incarnations.record_end(message.target, now)
+            recorded = self._suspects.record_crash(
+                message.target, message.fingerprints, now, message.is_tried
+            )
         if recorded:
             self._log_suspects(recorded, source)
             self.on_crash_recorded(False)
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -389,6 +389,7 @@
             await pause(self._timers, 0.05)
         if self._factory.connections:
             self.log.write(LogEvent.STOP_TIMEOUT, in_work=self.forwarder.in_work)
+        await self._report_crashes(deadline)
         self._follower.stop()
         self._stall_detector.stop()
         self._verifier.stop()
@@ -400,6 +401,17 @@
             self._reload_repeater.cancel()
         self.log.write(LogEvent.STOPPED)
 
+    async def _report_crashes(self, deadline: float) -> None:
+        """
+        Tell other gateways what this one knows of crashes before it stops.
+
+        :param deadline: seconds of the timer service until which it may wait.
+        """
+        reports = self._quarantine.reports
+        while reports.is_checking and self._timers.now() < deadline:
+            await pause(self._timers, 0.05)
+        self._peers.broadcast_separately(reports.unsettled_messages())
+
     def reload(self) -> None:
         """Read the settings again; invalid settings are logged and ignored."""
         loaded = self._read_settings()
--- a/pimentolink/peermessages.py
+++ b/pimentolink/peermessages.py
@@ -164,6 +164,27 @@
     ]
 
 
+class ExchangesBroken(msgspec.Struct, tag="x", array_like=True):
+    """
+    Exchanges with a target that were cut off at a gateway which now stops.
+
+    If the target is found to have crashed, the crash counts against these requests.
+
+    :ivar target: see :func:`target_key`.
+    :ivar fingerprints: identify the requests.
+    :ivar is_tried: whether each of them was a suspect on trial, see
+        :class:`SuspectTried`.
+    :ivar age_ms: milliseconds since the newest of them was cut off.
+    """
+
+    target: _Natural
+    fingerprints: Annotated[
+        list[Fingerprint], msgspec.Meta(max_length=MAX_CRASH_FINGERPRINTS)
+    ]
+    is_tried: bool
+    age_ms: _Natural
+
+
 class SuspectTried(msgspec.Struct, tag="t", array_like=True):
     """
     The sender begins the trial of a suspect; no other suspect is tried meanwhile.
@@ -250,7 +271,7 @@
 
 
 LoadMessage = PrefillStarted | PrefillEnded | OpenPrefills | InFlight | RoleChanging
-SuspectMessage = TargetCrashed | SuspectTried | SuspectCleared
+SuspectMessage = TargetCrashed | SuspectTried | SuspectCleared | ExchangesBroken
 # The gateways agree on a time of day by clock reports, and assign requests to windows
 # by that time.
 UsageMessage = ClockReport | UsageCounts
--- a/pimentolink/peers.py
+++ b/pimentolink/peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import msgspec
@@ -217,6 +217,15 @@
             wait = min(MAX_SEND_DELAY, queued)
             self._flush_timer = self._timers.call_later(wait, self._flush)
 
+    def broadcast_separately(self, messages: Sequence[Message]) -> None:
+        """
+        Send messages to all other gateways of the cell in datagrams of their own.
+
+        A gateway of an older version discards a datagram with a message that it does
+        not know; no other message is lost with it.
+        """
+        self._send_messages(self._addresses, messages)
+
     def send_to(self, gateways: Iterable[str], messages: list[Message]) -> None:
         """
         Send messages to some gateways, of any cell.
@@ -228,7 +237,7 @@
         self._send_messages(known, messages)
 
     def _send_messages(
-        self, addresses: list[tuple[str, int]], messages: list[Message]
+        self, addresses: list[tuple[str, int]], messages: Sequence[Message]
     ) -> None:
         outbox = PeerOutbox(self._life)
         for message in messages:
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -55,6 +55,20 @@
     is_trial: bool
 
 
+class BrokenExchanges(NamedTuple):
+    """
+    Exchanges with a target that were cut off, and may yet turn out to be a crash.
+
+    :ivar is_trial: whether each of them was a trial.
+    :ivar at: when the newest of them was cut off.
+    """
+
+    target: int
+    fingerprints: list[str]
+    is_trial: bool
+    at: float
+
+
 class _BrokenExchange(NamedTuple):
     """When an exchange with a target was cut off, and whether it was a trial."""
 
@@ -196,6 +210,42 @@
         self._broken_by_target.move_to_end(target)
         _evict_oldest(self._broken_by_target, MAX_TARGETS)
 
+    def unsettled(self, now: float) -> list[BrokenExchanges]:
+        """List the exchanges cut off lately at targets not known to have ended."""
+        found = []
+        for target, broken in self._broken_by_target.items():
+            for is_trial in (True, False):
+                recent = {
+                    fingerprint: exchange.at
+                    for fingerprint, exchange in broken.items()
+                    if exchange.is_trial is is_trial
+                    and now - exchange.at <= BROKEN_EXCHANGE_TTL
+                }
+                if recent:
+                    newest = max(recent.values())
+                    found.append(BrokenExchanges(target, [*recent], is_trial, newest))
+        return found
+
+    def peer_exchanges_broken(self, broken: BrokenExchanges, now: float) -> list[str]:
+        """
+        Record exchanges that were cut off at another gateway.
+
+        :returns: fingerprints of the requests against which a crash counts from now on.
+        """
+        ended_at = self._ended_at_by_target.get(broken.target)
+        if ended_at is not None and now - ended_at <= BROKEN_EXCHANGE_TTL:
+            return self.record_crash(
+                broken.target, broken.fingerprints, now, broken.is_trial
+            )
+        own = self._broken_by_target.get(broken.target, OrderedDict())
+        exchange = _BrokenExchange(broken.at, broken.is_trial)
+        for fingerprint in broken.fingerprints:
+            if fingerprint not in own or (
+                broken.is_trial and not own[fingerprint].is_trial
+            ):
+                self._add_broken(fingerprint, broken.target, exchange)
+        return []
+
     def target_ended(self, target: int, now: float) -> list[str]:
         """
         Record that a target ended without having announced it.
--- a/tests/test_crashreports.py
+++ b/tests/test_crashreports.py
@@ -6,18 +6,23 @@
 from twisted.internet.defer import Deferred
 
 from pimentolink.crashhistory import SUSPECT_QUARANTINE
-from pimentolink.crashreports import TRIAL_NOTICE, CrashReports
+from pimentolink.crashreports import (
+    MAX_UNSETTLED_MESSAGES,
+    TRIAL_NOTICE,
+    CrashReports,
+)
 from pimentolink.dialect import CallerRequest
 from pimentolink.errors import Quarantined
 from pimentolink.httptypes import HttpRequest
 from pimentolink.logs import LogEvent
 from pimentolink.peermessages import (
     MAX_CRASH_FINGERPRINTS,
+    ExchangesBroken,
     SuspectCleared,
     SuspectTried,
     TargetCrashed,
 )
-from pimentolink.suspects import SuspectTracker
+from pimentolink.suspects import BROKEN_EXCHANGE_TTL, SuspectTracker
 from pimentolink.timers import ManualTimers
 from tests.gatewaybuilders import fleet, target
 
@@ -195,3 +200,85 @@
             world.reports.receive(TargetCrashed(key, [FATAL]), "peer")
         world.reports.receive(SuspectCleared(FATAL, [98]), "store")
         world.admit(make_request())
+
+
+class TestStop:
+    """
+    A gateway that stops before it learns of a crash.
+
+    A gateway stopped 0.3 s after a request had crashed a target through it. No other
+    gateway knew that the request had been in flight there.
+    """
+
+    def key(self, world, name="t1"):
+        return world.estimate(name).target.key
+
+    def break_unsettled(self, world, name="t1", fingerprint=FATAL):
+        world.listening.add(name)
+        world.break_connection(name, make_request(fingerprint))
+
+    def hand_over(self, world):
+        """Return another gateway that got the messages of the stopping one."""
+        other = World(target("t1"), target("t3"))
+        for message in world.reports.unsettled_messages():
+            other.reports.receive(message, "peer")
+        return other
+
+    def test_broken_exchange_counts_at_the_crash_that_another_gateway_finds(
+        self, world
+    ):
+        self.break_unsettled(world)
+        other = self.hand_over(world)
+        assert other.crashes(make_request()) == []
+        other.reports.target_ended(other.estimate("t1").target, "started again")
+        assert other.crashes(make_request()) == [self.key(world)]
+        assert other.messages == [TargetCrashed(self.key(world), [FATAL])]
+
+    def test_broken_exchange_counts_at_a_crash_that_is_known_already(self, world):
+        self.break_unsettled(world)
+        other = World(target("t1"))
+        other.reports.target_ended(other.estimate("t1").target, "started again")
+        for message in world.reports.unsettled_messages():
+            other.reports.receive(message, "peer")
+        assert other.crashes(make_request()) == [self.key(world)]
+
+    def test_broken_trial_blames_the_request(self, world):
+        for key in (98, 99):
+            world.reports.receive(TargetCrashed(key, [FATAL]), "peer")
+        world.timers.advance(2 * SUSPECT_QUARANTINE)
+        world.admit(make_request(request_id="tried"))
+        world.listening.add("t1")
+        world.break_connection("t1", make_request(request_id="tried"))
+        other = self.hand_over(world)
+        other.reports.target_ended(other.estimate("t1").target, "started again")
+        assert other.messages == [TargetCrashed(self.key(world), [FATAL], True)]
+
+    def test_own_trial_is_not_forgotten_for_what_another_gateway_sent(self, world):
+        world.reports.receive(ExchangesBroken(7, [FATAL], True, 0), "peer")
+        world.reports.receive(ExchangesBroken(7, [FATAL], False, 0), "peer")
+        assert [item.is_trial for item in world.suspects.unsettled(0.0)] == [True]
+
+    def test_age_of_the_break_is_kept(self, world):
+        self.break_unsettled(world)
+        world.timers.advance(BROKEN_EXCHANGE_TTL - 1.0)
+        other = self.hand_over(world)
+        other.timers.advance(1.5)
+        other.reports.target_ended(other.estimate("t1").target, "started again")
+        assert other.crashes(make_request()) == []
+
+    def test_what_is_settled_is_not_told_again(self, world):
+        world.break_connection("t1", make_request())
+        assert world.reports.unsettled_messages() == []
+
+    def test_what_broke_long_ago_is_not_told(self, world):
+        self.break_unsettled(world)
+        world.timers.advance(BROKEN_EXCHANGE_TTL + 0.1)
+        assert world.reports.unsettled_messages() == []
+
+    def test_messages_fit_and_are_bounded(self, world):
+        for number in range((MAX_UNSETTLED_MESSAGES + 1) * MAX_CRASH_FINGERPRINTS):
+            self.break_unsettled(world, fingerprint=f"{number:032x}")
+        messages = world.reports.unsettled_messages()
+        assert len(messages) == MAX_UNSETTLED_MESSAGES
+        sizes = {len(message.fingerprints) for message in messages}
+        assert sizes == {MAX_CRASH_FINGERPRINTS}
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 from pimentolink.metrics import Metrics
 from pimentolink.peermessages import (
     MAX_ROLE_CHANGE_TIME,
+    ExchangesBroken,
     InFlight,
     OpenPrefills,
     PrefillEnded,
@@ -78,6 +79,33 @@
     return GatewayPair()
 
 
+class TestUnknownMessages:
+    """A gateway of a newer version sends a kind of message that this one ignores."""
+
+    UNKNOWN = msgspec.msgpack.encode(("life-a", [("unknown kind", 1)]))
+
+    def test_it_is_dropped_and_what_follows_is_read(self, pair):
+        pair.peers[1].datagramReceived(self.UNKNOWN, ("127.0.0.1", 1))
+        pair.engine(0).in_flight = 3
+        pair.timers.advance(0.2)
+        assert pair.engine(1).load() == 3
+
+    def test_no_other_message_shares_its_datagram(self, pair):
+        pair.engine(0).in_flight = 3
+        message = ExchangesBroken(ENGINE_KEY, ["f" * 32], False, 0)
+        pair.peers[0].broadcast_separately([message])
+        (datagram,) = pair.transports[0].datagrams
+        _, messages = msgspec.msgpack.decode(datagram)
+        assert messages == [msgspec.to_builtins(message)]
+
+    def test_broken_exchanges_arrive(self, pair):
+        arrived = []
+        pair.peers[1].on_suspects = lambda message, source: arrived.append(message)
+        message = ExchangesBroken(ENGINE_KEY, ["f" * 32], True, 20)
+        pair.peers[0].broadcast_separately([message])
+        assert arrived == [message]
+
+
 class TestInFlight:
     def test_load_of_another_gateway_is_known_within_a_turn(self, pair):
         pair.engine(0).in_flight = 3
--- a/tests/test_proxiedcrash.py
+++ b/tests/test_proxiedcrash.py
@@ -9,11 +9,13 @@
 """
 
 import json
+import signal
 import threading
 import time
 
 import pytest
 
+from pimentolink.gateway import FINAL_ACCEPT_TIME, IDLE_CLOSE_DELAY
 from tests.faultproxy import NO_FAULT, REFUSE
 from tools.fleet import call, free_port, wait_until
 from tools.platformworld import PlatformWorld
@@ -73,6 +75,19 @@
         assert crash["requests"] == 1
 
 
+class TestStop:
+    def test_gateway_that_stops_finishes_its_check(self, world):
+        """A request sent just before the stop, whose crash shows only after it."""
+        assert world.ask() == 200
+        gateway = world.fleet.processes_by_name["gateway"]
+        gateway.send(signal.SIGTERM)
+        time.sleep(IDLE_CLOSE_DELAY + FINAL_ACCEPT_TIME / 4)
+        assert world.ask() == 200
+        world.ask(FATAL)
+        gateway.popen.wait(10.0)
+        assert len(world.crashes()) == 1
+
+
 class TestNoCrash:
     def test_reset_of_a_target_that_serves(self, world):
         world.fault("plain", silent=True)
