--- a/pimentolink/claimtable.py
+++ b/pimentolink/claimtable.py
@@ -84,7 +84,7 @@
     :ivar write: sequence number, by which the owner recognises its own write.
     :ivar claims_by_key: claims by the digest of the call's idempotency key.
     :ivar clock: the partition's clock at the write, in seconds; see
-        :class:`PartitionClock`. Documents of version 0.1.0 have none.
+        :class:`PartitionClock`. Older sidecars store none.
     """
 
     owner: str
@@ -111,7 +111,7 @@
         self._timers = timers
         self._set_to = 0.0
         self._set_at = 0.0
-        # Sidecars of version 0.1.0 compare claims with their wall clocks.
+        # Older sidecars compare the times of claims with their wall clocks.
         self.set(timers.wall_time())
 
     def set(self, seconds: float) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -281,7 +281,7 @@
 
     def test_document_without_a_clock_starts_the_retention_anew(self, harness):
         document = {
-            "owner": "0.1.0",
+            "owner": "older",
             "write": 1,
             "claims_by_key": {"old": ["id:1", "same", 1, "c"]},
         }
