Log each call to a target and whether it had a grant

No line told whether a call that reached a target was free or granted, so the retries that engines counted beyond those granted could not be attributed to calls. E1426 is written before each call of a request, with its kind (prefill or run) and what covers it.

--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -181,7 +181,9 @@
         is_good = False
         is_repeat = relay.prefill_attempts > 0
         try:
-            attempt = self._retry_limiter.spend(work, is_repeat)
+            attempt = self._retry_limiter.spend(
+                work, prefill_engine.target.target_id, is_repeat, is_prefill=True
+            )
             relay.prefill_attempts += 1
             with attempt:
                 prefill = self._prefill_at(work, ticket)
@@ -286,8 +288,9 @@
         """Send the request to an engine and wait for the head of the response."""
         is_once = work.route.repeatability is Repeatability.ONCE
         is_repeat = work.attempts.count > 0
-        attempt = self._retry_limiter.spend(work, is_repeat)
-        work.attempts.sent(estimate.target.target_id)
+        target_id = estimate.target.target_id
+        attempt = self._retry_limiter.spend(work, target_id, is_repeat)
+        work.attempts.sent(target_id)
         try:
             with attempt:
                 call = await self._target_client.begin(
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -236,6 +236,11 @@
         logging.INFO,
         "The shared retry budget granted or denied a retry, based on the inputs shown.",
     )
+    CALL_STARTED = (
+        "E1426",
+        logging.INFO,
+        "A request is about to be sent to a target, by a grant or free as shown.",
+    )
     STREAM_RESUMED = (
         "E1408",
         logging.WARNING,
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -78,7 +78,9 @@
                 break
             is_repeat = work.attempts.count > 0
             try:
-                attempt = self._retry_limiter.spend(work, is_repeat)
+                attempt = self._retry_limiter.spend(
+                    work, estimate.target.target_id, is_repeat
+                )
             except RetryBudgetSpent as failure:
                 last = last or failure
                 break
--- a/pimentolink/retrylimiter.py
+++ b/pimentolink/retrylimiter.py
@@ -31,17 +31,25 @@
         self._budgets.earn(work.service)
 
     def spend(
-        self, work: PendingRequest, is_repeat: bool
+        self,
+        work: PendingRequest,
+        target_id: str,
+        is_repeat: bool,
+        is_prefill: bool = False,
     ) -> AbstractContextManager[None]:
         """
         Request permission for one attempt; first attempts do not use the budget.
 
         :param work: the request.
+        :param target_id: the target that the attempt is sent to.
         :param is_repeat: whether this attempt is a retry.
+        :param is_prefill: whether the target should only prefill the prompt.
         :returns: a context manager that must enclose the attempt.
         :raises RetryBudgetSpent: if the retry is denied.
         """
+        kind = "prefill" if is_prefill else "run"
         if not is_repeat:
+            self._log_call(work, target_id, kind, f"first_{kind}")
             return nullcontext()
         decision = self._budgets.spend(work.service)
         is_granted = decision.grant is not None
@@ -58,4 +66,17 @@
         )
         if decision.grant is None:
             raise RetryBudgetSpent("no repeated attempt is left", DEFAULT_RETRY_AFTER)
+        self._log_call(work, target_id, kind, "grant")
         return decision.grant
+
+    def _log_call(
+        self, work: PendingRequest, target_id: str, kind: str, covered_by: str
+    ) -> None:
+        self._log.write(
+            LogEvent.CALL_STARTED,
+            request=work.request.request_id,
+            service=work.service,
+            target=target_id,
+            kind=kind,
+            covered_by=covered_by,
+        )
