Retry a request whose prefill got an invalid reply

What callers saw, by reading: the connection closed without a response and E1901 in the log, when an engine's reply to a prefill was valid HTTP but no valid document.

Cause: GenerationHandler unwrapped the parsed reply, which raises UnwrapError. That is no Failure, so the request was neither retried nor answered, and the engine was not blamed.

Change: the parse error is recorded against the engine and raised as the attempt's failure. Evidence: tests/test_generation.py failed before with UnwrapError, passes now.

--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from result import Err
 from twisted.internet.defer import Deferred
 
 from pimentolink.dialect import Dialect, PrefilledPrompt, SendOptions, Verdict
@@ -222,9 +223,13 @@
         if reply.head.status != 200:
             self._target_client.failed(work.request, call, reply.head.status)
             raise ReplyInvalid(f"a reading's status {reply.head.status}")
-        return _Prefilled(
-            self._dialect.read_prefill_reply(reply).unwrap(), prefill_engine
-        )
+        prompt = self._dialect.read_prefill_reply(reply)
+        if isinstance(prompt, Err):
+            self._target_client.record_failure(
+                work.request, prefill_engine, prompt.err_value, call.sent_at
+            )
+            raise prompt.err_value
+        return _Prefilled(prompt.ok_value, prefill_engine)
 
     async def _decode(
         self, work: PendingRequest, prefilled: _Prefilled, relay: _Relay
