Require a grant for each call but the platform's free ones

What callers saw: while engines rejected prefills and failed runs, their service took more repeated calls than the shared retry budget allows, which holds engines that are in trouble down for longer.

Cause: two counters in two classes decided which calls are free. The first prefill of a request was free whatever became of it, and so was the first run; the platform exempts one call, and the first prefill that an engine accepts. A request whose first prefill was rejected, or came after a run, sent one call more than it had grants for.

Change: RequestCalls counts a request's calls from their start, in the rule's terms, for every call that is sent for it. A call needs a grant once one that counts was sent. A prefill counts until an engine has accepted it; if it is the first one accepted, its grant is refunded right before the run that follows spends anew, so that the run counts from its own time and no other request takes it.

Tests of refunds go through the call that decides on them; Attempts.count, which only told repeats apart, is gone, and its test asserts on the list that it counted.

--- a/pimentolink/attempts.py
+++ b/pimentolink/attempts.py
@@ -37,11 +37,6 @@
         """Whether any target may have run the request."""
         return bool(self._may_have_run_target_ids) or bool(self._pending_target_id)
 
-    @property
-    def count(self) -> int:
-        """Number of attempts, without those that reached no target."""
-        return len(self.tried_target_ids)
-
     def may_send(self, target_id: str) -> bool:
         """Return whether the request may be sent to this target."""
         if not self.may_have_run:
--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -28,6 +28,7 @@
 from pimentolink.httptypes import Headers, HttpReply, HttpRequest, end_to_end
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
+from pimentolink.requestcalls import RequestCalls
 from pimentolink.routes import Route, RoutingTable, RoutingTables
 from pimentolink.timers import Timers, with_timeout
 
@@ -103,6 +104,7 @@
         self.table = table
         self.responder = responder
         self.attempts = Attempts(route)
+        self.calls = RequestCalls()
         self.first_event_at: float | None = None
         self._has_begun_run = False
         self._on_run = on_execution_started
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -9,7 +9,6 @@
 
 from pimentolink.dialect import Dialect, PrefilledPrompt, SendOptions, Verdict
 from pimentolink.errors import (
-    NOT_SENT_FAILURES,
     ConnectionBroken,
     Failure,
     NoTarget,
@@ -130,7 +129,7 @@
         await self._target_client.admit(work.request)
         ticket = await self._prefill_scheduler.wait(self._waiting_prompt(work, relay))
         if ticket.placement.is_prefill_only:
-            prefilled = await self._prefill(work, ticket, relay)
+            prefilled = await self._prefill(work, ticket)
             call = await self._decode(work, prefilled, relay)
             await self._relay(work, call, relay)
             return
@@ -174,25 +173,20 @@
         )
 
     async def _prefill(
-        self, work: PendingRequest, ticket: DispatchedPrefill, relay: _Relay
+        self, work: PendingRequest, ticket: DispatchedPrefill
     ) -> _Prefilled:
         """Run the prefill on an engine that leaves the decode to another."""
         prefill_engine = ticket.placement.estimate
         timeout = PREFILL_TIMEOUT_FACTOR * ticket.expected + PREFILL_TIMEOUT_MARGIN
         is_good = False
-        is_repeat = relay.prefill_attempts > 0
         try:
-            attempt = self._retry_limiter.spend(
-                work, prefill_engine.target.target_id, is_repeat, is_prefill=True
-            )
-            relay.prefill_attempts += 1
-            with attempt:
+            with self._retry_limiter.start_call(
+                work, prefill_engine.target.target_id, is_prefill=True
+            ) as started:
                 prefill = self._prefill_at(work, ticket)
                 prefilled = await with_timeout(self._timers, timeout, prefill)
+            started.prefill_accepted()
             is_good = True
-        except NOT_SENT_FAILURES:
-            relay.prefill_attempts -= 1
-            raise
         except TimeoutError:
             failure = ConnectionBroken(f"no reading within {timeout:.2f} s")
             self._target_client.record_failure(
@@ -292,12 +286,11 @@
     ) -> TargetCall:
         """Send the request to an engine and wait for the head of the response."""
         is_once = work.route.repeatability is Repeatability.ONCE
-        is_repeat = work.attempts.count > 0
         target_id = estimate.target.target_id
-        attempt = self._retry_limiter.spend(work, target_id, is_repeat)
+        started = self._retry_limiter.start_call(work, target_id)
         work.attempts.sent(target_id)
         try:
-            with attempt:
+            with started:
                 call = await self._target_client.begin(
                     work.request, estimate, options, is_once
                 )
@@ -375,7 +368,6 @@
         self.last_event = work.request.last_event
         self.has_begun = False
         self.attempt_count = 0
-        self.prefill_attempts = 0
 
     async def run(self, call: TargetCall) -> None:
         """Relay events until the stream ends."""
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -239,7 +239,7 @@
     CALL_STARTED = (
         "E1426",
         logging.INFO,
-        "A request is about to be sent to a target, by a grant or free as shown.",
+        "A request is sent to a target, with or without a grant of the retry budget.",
     )
     STREAM_RESUMED = (
         "E1408",
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from contextlib import AbstractContextManager
-
 from twisted.internet.defer import CancelledError, Deferred
 
 from pimentolink.dialect import Dialect, SendOptions, Verdict
@@ -18,6 +16,7 @@
 from pimentolink.forwarder import PendingRequest, forward_reply
 from pimentolink.gatewaysettings import PlacementSettings
 from pimentolink.httptypes import HttpReply
+from pimentolink.requestcalls import StartedCall
 from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.routes import Repeatability
 from pimentolink.targetclient import TargetClient
@@ -76,15 +75,14 @@
             estimate = self._choose(work)
             if estimate is None:
                 break
-            is_repeat = work.attempts.count > 0
             try:
-                attempt = self._retry_limiter.spend(
-                    work, estimate.target.target_id, is_repeat
+                started = self._retry_limiter.start_call(
+                    work, estimate.target.target_id
                 )
             except RetryBudgetSpent as failure:
                 last = last or failure
                 break
-            last = await self._attempt(work, estimate, attempt)
+            last = await self._attempt(work, estimate, started)
             if isinstance(last, Quarantined):
                 break
             if isinstance(last, HttpReply) and not self._is_repeatable(work, last):
@@ -120,14 +118,14 @@
         self,
         work: PendingRequest,
         estimate: TargetEstimate,
-        attempt: AbstractContextManager[None],
+        started: StartedCall,
     ) -> HttpReply | Failure:
         """Make one attempt and return its response or failure."""
         is_once = work.route.repeatability is Repeatability.ONCE
         work.attempts.sent(estimate.target.target_id)
         began_at = self._timers.now()
         try:
-            with attempt:
+            with started:
                 if is_once:
                     reply = await self._shielded(work, estimate)
                 else:
--- a/pimentolink/retrylimiter.py
+++ b/pimentolink/retrylimiter.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from contextlib import AbstractContextManager, nullcontext
-
 from pimentolink.errors import DEFAULT_RETRY_AFTER, RetryBudgetSpent
 from pimentolink.forwarder import PendingRequest
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
-from pimentolink.sharedbudget import SharedBudgets
+from pimentolink.requestcalls import StartedCall
+from pimentolink.sharedbudget import RetryGrant, SharedBudgets
 
 
 class RetryLimiter:
@@ -30,27 +29,31 @@
         """Record a request, which adds credit to the retry budget of its service."""
         self._budgets.earn(work.service)
 
-    def spend(
-        self,
-        work: PendingRequest,
-        target_id: str,
-        is_repeat: bool,
-        is_prefill: bool = False,
-    ) -> AbstractContextManager[None]:
+    def start_call(
+        self, work: PendingRequest, target_id: str, is_prefill: bool = False
+    ) -> StartedCall:
         """
-        Request permission for one attempt; first attempts do not use the budget.
+        Request permission for one call to a target; some calls need no grant.
 
         :param work: the request.
-        :param target_id: the target that the attempt is sent to.
-        :param is_repeat: whether this attempt is a retry.
+        :param target_id: the target that the call is sent to.
         :param is_prefill: whether the target should only prefill the prompt.
-        :returns: a context manager that must enclose the attempt.
-        :raises RetryBudgetSpent: if the retry is denied.
+        :returns: a context manager that must enclose the call.
+        :raises RetryBudgetSpent: if the call needs a grant, which is denied.
         """
-        kind = "prefill" if is_prefill else "run"
-        if not is_repeat:
-            self._log_call(work, target_id, kind, f"first_{kind}")
-            return nullcontext()
+        grant = self._spend(work) if work.calls.needs_grant else None
+        self._log.write(
+            LogEvent.CALL_STARTED,
+            request=work.request.request_id,
+            service=work.service,
+            target=target_id,
+            kind="prefill" if is_prefill else "run",
+            granted=grant is not None,
+        )
+        return work.calls.start(grant)
+
+    def _spend(self, work: PendingRequest) -> RetryGrant:
+        work.calls.refund_unused()
         decision = self._budgets.spend(work.service)
         is_granted = decision.grant is not None
         self._metrics.count("retries", "granted" if is_granted else "denied")
@@ -66,17 +69,4 @@
         )
         if decision.grant is None:
             raise RetryBudgetSpent("no repeated attempt is left", DEFAULT_RETRY_AFTER)
-        self._log_call(work, target_id, kind, "grant")
         return decision.grant
-
-    def _log_call(
-        self, work: PendingRequest, target_id: str, kind: str, covered_by: str
-    ) -> None:
-        self._log.write(
-            LogEvent.CALL_STARTED,
-            request=work.request.request_id,
-            service=work.service,
-            target=target_id,
-            kind=kind,
-            covered_by=covered_by,
-        )
--- a/pimentolink/sharedbudget.py
+++ b/pimentolink/sharedbudget.py
@@ -5,10 +5,8 @@
 import math
 from bisect import bisect_left, insort
 from collections import deque
-from types import TracebackType
 from typing import NamedTuple
 
-from pimentolink.errors import NOT_SENT_FAILURES
 from pimentolink.gatewaysettings import BudgetSettings, GatewaySettings
 from pimentolink.slackshare import SlackShare
 from pimentolink.timers import Timers
@@ -102,7 +100,7 @@
 
 class RetryGrant:
     """
-    Permission for one retry, used as a context manager around it.
+    Permission for one retry.
 
     If the retry reached no target, the grant is refunded to its source, which is the
     earned credit or the slack.
@@ -121,18 +119,9 @@
         self.is_earned = is_earned
         self.spent_at = spent_at
 
-    def __enter__(self) -> None:
-        """Enter the context of the retry."""
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Refund the grant if the retry reached no target."""
-        if isinstance(error, NOT_SENT_FAILURES):
-            self._budget.refund(self)
+    def refund(self) -> None:
+        """Return the grant to the budget, since its call used none of it."""
+        self._budget.refund(self)
 
 
 class RetryDecision(NamedTuple):
@@ -206,7 +195,7 @@
         return RetryDecision(grant, earned, spent, gateways, part)
 
     def refund(self, grant: RetryGrant) -> None:
-        """Refund a grant whose retry reached no target."""
+        """Refund a grant that no call used."""
         if grant.is_earned:
             self._credit.refund(grant.spent_at)
         elif grant.spent_at in self._slack_used_at:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -47,7 +47,7 @@
     def test_sending_that_reached_no_target_is_none(self, failure):
         self.attempts.sent("a")
         self.attempts.failed(failure)
-        assert self.attempts.count == 0
+        assert self.attempts.tried_target_ids == []
         assert self.attempts.may_repeat()
 
 
--- a/tests/test_sharedbudget.py
+++ b/tests/test_sharedbudget.py
@@ -10,6 +10,7 @@
 
 from pimentolink.errors import NotListening
 from pimentolink.gatewaysettings import BudgetSettings
+from pimentolink.requestcalls import RequestCalls
 from pimentolink.sharedbudget import EarnedRetryCredit, SharedBudgets
 from pimentolink.slackshare import ListedGatewayCount
 from pimentolink.timers import ManualTimers
@@ -48,6 +49,12 @@
     return sum(budgets.spend(service).grant is not None for _ in range(attempts))
 
 
+def make_refused_call(grant):
+    """Make a call under a grant that reaches no target."""
+    with pytest.raises(NotListening), RequestCalls().start(grant):
+        raise NotListening("refused")
+
+
 class TestSharedBudgets:
     def test_storm_of_failures_stays_inside_the_deployments_budget(self):
         timers = ManualTimers()
@@ -92,8 +99,7 @@
         for _ in range(100):
             grant = budgets.spend("a").grant
             assert grant
-            with pytest.raises(NotListening), grant:
-                raise NotListening("refused")
+            make_refused_call(grant)
 
     def test_refund_goes_to_the_grant_of_the_failed_attempt(self):
         # Guards against refunding another grant, whose retry reached its target.
@@ -104,8 +110,7 @@
         budgets.share.lease_renewed(timers.boot_time())
         second = budgets.spend("s").grant
         assert first and second
-        with pytest.raises(NotListening), first:
-            raise NotListening("refused")
+        make_refused_call(first)
         timers.advance(4.0)
         assert count_granted(budgets, 10) == 1
 
@@ -185,8 +190,7 @@
         for _ in range(4):
             grant = budgets.spend("s").grant
             assert grant
-            with pytest.raises(NotListening), grant:
-                raise NotListening("refused")
+            make_refused_call(grant)
             timers.advance(0.6)
         timers.advance(0.2)
         assert count_granted(budgets, 3) == 0
