Soak retries of model requests, and count arrivals at engines

The soak of retries let plain calls fail only, and counted runs. It now sends as many requests to model engines, which reject, reset, break off and ignore calls, prefills included, and change their roles beside the restarts. Stand-in engines log each call that reaches them, rejected ones too, and the check counts them by the budget's rule, for each service.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections import Counter
+from random import Random
 from typing import Any
 from uuid import uuid4
 
@@ -28,7 +29,9 @@
     after that many events; ``status`` is the status of responses to plain calls;
     ``wrong_id`` responds with another request's id; ``silent`` accepts requests and
     never responds; ``fatal`` ends the process when it starts to run a request with that
-    body, before the response is complete.
+    body, before the response is complete. ``reject_share``, ``reset_share`` and
+    ``break_share`` are the shares of requests that are rejected, of those whose
+    connection is reset on arrival, and of streams that are reset after one event.
     """
 
     def __init__(self, options: Any) -> None:
@@ -52,7 +55,11 @@
             "wrong_id": False,
             "silent": False,
             "fatal": options.fatal,
+            "reject_share": 0.0,
+            "reset_share": 0.0,
+            "break_share": 0.0,
         }
+        self.random = Random(options.instance)
         self.routes = Routes()
         self.routes.add("PUT", "/faults", self.set_faults)
         self.routes.add("GET", "/runs", self.report_runs)
@@ -132,10 +139,14 @@
         )
         expected = request.getHeader("Pimentolink-Expect-Instance")
         if expected not in (None, self.instance):
-            answer(request, {}, 421, {"Pimentolink-Instance-Id": self.instance})
+            self._misdirect(request, request_id)
         elif self.faults["silent"]:
-            return
-        elif self.faults["reject"]:
+            self._log("ignore", request_id)
+        elif self._occurs("reset_share"):
+            self._log("reset", request_id)
+            request.transport.abortConnection()  # type: ignore[union-attr]
+        elif self.faults["reject"] or self._occurs("reject_share"):
+            self._log("reject", request_id)
             answer(
                 request,
                 {"error": "full"},
@@ -149,6 +160,15 @@
         else:
             self._run_call(request, request_id)
 
+    def _occurs(self, fault: str) -> bool:
+        """Draw whether a fault affects the next request."""
+        return bool(self.faults[fault]) and self.random.random() < self.faults[fault]
+
+    def _misdirect(self, request: Request, request_id: str) -> None:
+        """Reject a request for another instance or for the other role."""
+        self._log("reject", request_id)
+        answer(request, {}, 421, {"Pimentolink-Instance-Id": self.instance})
+
     def _prefill(self, request: Request, request_id: str) -> None:
         self.reads[request_id] += 1
         self._log("read", request_id)
@@ -179,7 +199,7 @@
     def _decode(self, request: Request, request_id: str) -> None:
         source = request.getHeader("Pimentolink-Kv-Source")
         if source is None and self.phase != "decode":
-            answer(request, {}, 421, {"Pimentolink-Instance-Id": self.instance})
+            self._misdirect(request, request_id)
             return
         is_crashing = self._record_run(request_id, raw_body(request).decode())
         request.setHeader(REQUEST_ID_HEADER, request_id)
@@ -189,7 +209,8 @@
         if is_crashing:
             request.write(f"id: {last_id + 1}\ndata: {{}}\n\n".encode())
             return
-        self._write_event(request, request_id, last_id + 1, last_id)
+        is_broken = self._occurs("break_share")
+        self._write_event(request, request_id, last_id + 1, last_id, is_broken)
 
     def _record_run(self, request_id: str, body: str) -> bool:
         """Record the start of a run; return whether it will end this process."""
@@ -202,11 +223,16 @@
         return True
 
     def _write_event(
-        self, request: Request, request_id: str, event_id: int, last_id: int
+        self,
+        request: Request,
+        request_id: str,
+        event_id: int,
+        last_id: int,
+        is_broken: bool,
     ) -> None:
         if request._disconnected:
             return
-        break_after = self.faults["break_after"]
+        break_after = 1 if is_broken else self.faults["break_after"]
         if break_after and event_id - last_id > break_after:
             self.faults["break_after"] = 0
             request.write(f"id: {event_id}\nda".encode())
@@ -218,7 +244,13 @@
         data = json.dumps({"request": request_id, "piece": event_id})
         request.write(f"id: {event_id}\ndata: {data}\n\n".encode())
         reactor.callLater(
-            self.delay, self._write_event, request, request_id, event_id + 1, last_id
+            self.delay,
+            self._write_event,
+            request,
+            request_id,
+            event_id + 1,
+            last_id,
+            is_broken,
         )
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -26,6 +26,8 @@
 EVENTS_PER_STREAM = 6
 FAULTS_FOR = 6.0
 CALLERS = 6
+# Events of targets that the checks of delivery use.
+DELIVERY_EVENTS = ("run", "read", "order", "crash")
 REFUSALS = {408, 421, 429, 503}
 # A request body that crashes each engine that starts to run it, and the seconds between
 # two requests with it.
@@ -65,7 +67,8 @@
     """
     A logged event of a target.
 
-    :ivar event: ``run``, ``read`` (a prefill), ``order`` or ``crash``.
+    :ivar event: ``run``, ``read`` (a prefill), ``order`` or ``crash``; for calls that
+        were not run, ``reject``, ``reset`` or ``ignore``.
     :ivar name: request id, or the holder that sent the order.
     :ivar at: seconds since the epoch.
     :ivar fence: fencing token of an order; otherwise 0.
@@ -320,11 +323,15 @@
         self.addresses = getattr(self, "addresses", {}) | {name: address}
         self.put(f"servers/{name}", entry)
 
-    def target_events(self) -> list[TargetEvent]:
+    def target_events(
+        self, kinds: tuple[str, ...] = DELIVERY_EVENTS
+    ) -> list[TargetEvent]:
+        """Return the logged events of all targets that are of the given kinds."""
+        starts = tuple(f'{{"event": "{kind}"' for kind in kinds)
         found = []
         for name, process in self.fleet.processes_by_name.items():
             for line in process.log_path.read_text().splitlines():
-                if line.startswith(('{"event": "r', '{"event": "o', '{"event": "c')):
+                if line.startswith(starts):
                     record = json.loads(line)
                     fence = record.get("fence", 0)
                     found.append(
--- a/tests/soak_retries.py
+++ b/tests/soak_retries.py
@@ -1,5 +1,8 @@
 """
-Restarts gateways while all targets of a service fail, and checks the retry budget.
+Restarts gateways while the targets of all services fail, and checks the retry budget.
+
+Plain targets fail every call. Engines reject and reset calls, prefills included, break
+streams off, never answer and change their roles.
 
 ``python -m tests.soak_retries --seeds 50 --first 1`` runs one seed after the other.
 """
@@ -12,10 +15,13 @@
 from uuid import uuid4
 
 from tests.soak import Caller, ClientRequest, Faults, SoakWorld, TargetEvent, main
-from tools.fleet import Fleet
+from tools.fleet import Fleet, call
 
 GATEWAYS = 3
 CALLERS = 6
+# Events of targets that are arrivals of calls, whatever became of them.
+ARRIVAL_EVENTS = ("run", "read", "reject", "reset", "ignore")
+ENGINES = ("reader", "writer", "other-writer")
 RATIO = 0.2
 SLACK = 36.0
 WINDOW = 6.0
@@ -25,7 +31,7 @@
 
 
 def problems_of_retries(
-    client_requests: list[ClientRequest], run_events: list[TargetEvent]
+    client_requests: list[ClientRequest], arrivals: list[TargetEvent]
 ) -> list[str]:
     """
     Check that retries over all gateways stay within the budget in every window.
@@ -34,12 +40,9 @@
     earlier and the one a full window earlier.
 
     :param client_requests: all requests to the service.
-    :param run_events: the ``run`` events of its targets.
+    :param arrivals: the calls that reached its targets.
     """
-    arrivals_by_name: dict[str, list[float]] = {}
-    for event in sorted(run_events, key=lambda item: item.at):
-        arrivals_by_name.setdefault(event.name, []).append(event.at)
-    retries = sorted(at for times in arrivals_by_name.values() for at in times[1:])
+    retries = times_of_retries(arrivals)
     for start in retries:
         count = sum(start <= at < start + WINDOW for at in retries)
         requests = max(
@@ -55,20 +58,45 @@
     return []
 
 
+def times_of_retries(arrivals: list[TargetEvent]) -> list[float]:
+    """
+    Return when the calls arrived that use the retry budget.
+
+    The first call of a request does not, nor does its first accepted prefill.
+    """
+    times_by_name: dict[str, list[float]] = {}
+    names_with_prefill: set[str] = set()
+    for event in sorted(arrivals, key=lambda item: item.at):
+        times = times_by_name.setdefault(event.name, [])
+        if event.event == "read" and event.name not in names_with_prefill:
+            names_with_prefill.add(event.name)
+        else:
+            times.append(event.at)
+    return sorted(at for times in times_by_name.values() for at in times[1:])
+
+
 class ReadCaller(Caller):
     """Sends retryable requests, at a rate where slack is about half of the budget."""
 
+    kind = "read"
+
     def run(self) -> None:
         while not self.is_stopped.is_set():
             self.client_requests.append(self.send_request())
             time.sleep(self.random.uniform(0.1, 0.2))
 
-    def send_request(self, kind: str = "read") -> ClientRequest:
-        return super().send_request(kind)
+    def send_request(self, kind: str = "") -> ClientRequest:
+        return super().send_request(kind or self.kind)
+
+
+class StreamCaller(ReadCaller):
+    """Sends requests to model engines, whose streams may be resumed."""
+
+    kind = "resume"
 
 
 class GatewayFaults(Faults):
-    """Injects faults only into gateways and their connections to the store."""
+    """Injects faults into gateways, their connections to the store, and engines."""
 
     def kinds(self) -> tuple:
         return (
@@ -78,8 +106,38 @@
             self.freeze,
             self.reset_store_link,
             self.kill_all_gateways,
+            self.change_engine_faults,
+            self.swap_roles,
         )
 
+    def change_engine_faults(self) -> str:
+        """Draw the shares of calls that engines reject, reset and break off anew."""
+        faults = {
+            "reject_share": self.random.choice((0.2, 0.5, 0.9)),
+            "reset_share": self.random.choice((0.0, 0.1, 0.4)),
+            "break_share": self.random.choice((0.0, 0.5)),
+        }
+        for replica in ENGINES:
+            name, _, _ = self.world.entry_by_replica[replica]
+            self.world.fault(name, **faults, silent=self.random.random() < 0.1)
+        return f"engines {faults}"
+
+    def swap_roles(self) -> str:
+        """Exchange the roles of the engine for prefills and of one for decodes."""
+        for replica in ("reader", "other-writer"):
+            name, service, phase = self.world.entry_by_replica[replica]
+            phase = "prefill" if phase == "decode" else "decode"
+            self.order_role(name, phase)
+            self.world.entry_by_replica[replica] = (name, service, phase)
+            self.world.put_entry(name, service, phase, self.world.addresses[name])
+        return "roles swapped"
+
+    def order_role(self, name: str, phase: str) -> None:
+        url = self.world.fleet.url(name, "/order")
+        sequence = call(self.world.fleet.url(name, "/report")).json["sequence"]
+        order = {"op": "phase", "phase": phase, "expected": sequence}
+        call(url, "POST", order | {"holder": "soak", "fencingToken": 0})
+
     def reset_store_link(self) -> str:
         name = self.random.choice([p for p in self.world.proxies if p[:5] == "store"])
         self.set_mode(name, "reset")
@@ -109,33 +167,45 @@
         budget = {"ratio": RATIO, "slack": SLACK, "window": WINDOW}
         world.gateway_settings = {"budget": budget}
         world.start()
-        callers = [ReadCaller(world, seed * 100 + n) for n in range(CALLERS)]
+        callers = [
+            kind(world, seed * 100 + number)
+            for kind in (ReadCaller, StreamCaller)
+            for number in range(CALLERS)
+        ]
         for caller in callers:
             caller.start()
         time.sleep(ESTABLISHED_AFTER)
         for replica in ("plain", "other-plain"):
             world.fault(f"{replica}-1", status=500)
-        played = GatewayFaults(world, seed).play()
+        faults = GatewayFaults(world, seed)
+        faults.change_engine_faults()
+        played = faults.play()
         for caller in callers:
             caller.is_stopped.set()
         for caller in callers:
             caller.join(10)
-        client_requests = [
-            request for caller in callers for request in caller.client_requests
-        ]
-        names = {request.name for request in client_requests}
-        run_events = [
-            event
-            for event in world.target_events()
-            if event.name in names and event.event == "run"
-        ]
-        found = problems_of_retries(client_requests, run_events) + fleet.faults()
-        retry_count = len(run_events) - len({event.name for event in run_events})
-        print(
-            f"seed {seed}: {len(client_requests)} requests, {retry_count} retries, "
-            f"{played}",
-            flush=True,
-        )
+        found = fleet.faults()
+        for kind in (ReadCaller.kind, StreamCaller.kind):
+            client_requests = [
+                request
+                for caller in callers
+                for request in caller.client_requests
+                if request.kind == kind
+            ]
+            names = {request.name for request in client_requests}
+            arrivals = [
+                event
+                for event in world.target_events(ARRIVAL_EVENTS)
+                if event.name in names
+            ]
+            found += problems_of_retries(client_requests, arrivals)
+            retries = len(times_of_retries(arrivals))
+            print(
+                f"seed {seed}: {len(client_requests)} {kind} requests, "
+                f"{len(arrivals)} calls, {retries} retries",
+                flush=True,
+            )
+        print(f"seed {seed}: {played}", flush=True)
         if found and keep is not None:
             shutil.copytree(fleet.folder, keep / f"{seed}-{uuid4().hex[:6]}")
     return found
--- a/tests/test_soak_retries.py
+++ b/tests/test_soak_retries.py
@@ -11,8 +11,8 @@
     return [ClientRequest(f"r{n}", "read", 200, True, b"", at) for n in range(count)]
 
 
-def target_events(count, at=0.0):
-    return [TargetEvent("t", "run", f"r{n}", at, 0) for n in range(count)]
+def target_events(count, at=0.0, event="run"):
+    return [TargetEvent("t", event, f"r{n}", at, 0) for n in range(count)]
 
 
 class TestProblemsOfRetries:
@@ -42,8 +42,18 @@
             "40 retries for 0"
         )
 
+    def test_only_the_first_accepted_prefill_of_a_request_is_free(self):
+        requests = client_requests(20)
+        prefills = target_events(20, event="read")
+        rejected = target_events(20, 0.1, event="reject")
+        arrivals = rejected + prefills + 2 * target_events(20, 0.2)
+        assert problems_of_retries(requests, arrivals) == []
+        (found,) = problems_of_retries(requests, arrivals + prefills[:1])
+        assert found == "41 retries for 20 requests, 40.0 allowed"
+
 
-# Guards against a restarted gateway using its share of the slack a second time.
+# Guards against a restarted gateway using its share of the slack a second time, and
+# against calls without a grant while engines reject prefills.
 @pytest.mark.parametrize("seed", [5])
 def test_seed(seed):
     assert soak_retries.play(seed) == []
