Time delayed calls by the monotonic clock

What callers saw: streams cut off by two gateways that were stopped, taken more than 6 s after SIGTERM on connections that were still open.

Cause: Twisted's default reactor times delayed calls by the wall clock. The clocks of these instances were set back 12 s during the stop, whose pauses then lasted 12 s longer. Every other timer was late alike, and all fired at once when the clocks were set ahead.

Change: a process sets its reactor's clock to the monotonic one before any call is scheduled.

It holds since DelayedCall, timeout() and runUntilCurrent() all read the reactor's seconds().

--- a/pimentolink/process.py
+++ b/pimentolink/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -15,6 +16,18 @@
 EXIT_FAILED = 1
 
 
+def use_monotonic_clock(reactor: Any) -> None:
+    """
+    Let a reactor time its delayed calls by the monotonic clock.
+
+    Twisted uses the wall clock: once that is set back, all delayed calls are late by
+    the step, and once it is set forward, those within the step are made at once.
+
+    :param reactor: the event loop, before any call is scheduled on it.
+    """
+    reactor.seconds = time.monotonic
+
+
 class Service(Protocol):
     """A service that a process runs."""
 
@@ -35,6 +48,7 @@
         :param reactor: the event loop.
         :param make_service: creates the service on the event loop.
         """
+        use_monotonic_clock(reactor)
         self._reactor = reactor
         self._make_service = make_service
         self._is_stopping = False
