Read on from the store while its response arrives

Cause: a call's timeout of 1 s was for its whole response. Reading some 2,000 routes over a busy link took about as long, so that read after read was given up near its end and begun anew, from 25.9 to 31.6 s; the one that succeeded took 0.97 s.

Evidence: TestSlowResponse fails before with "no answer within 1 s" while parts arrive, passes now.

Change: Timeout can be extended; each part of a response moves the timeout of a call to the store on, for at most 10 s, so that the bound is on silence. A trickle is still given up.

--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -35,7 +35,7 @@
     without_epoch,
 )
 from pimentolink.targethttp import ConnectionPool, exchange
-from pimentolink.timers import Timers, with_timeout
+from pimentolink.timers import Timeout, Timers
 
 # Header of each reply: how often the store has been restored from a backup.
 EPOCH = b"store-era"
@@ -44,6 +44,9 @@
 MAX_REPLY_BYTES = 4_000_000
 # Seconds between two parts of a response that arrives over a busy link.
 MAX_DATA_GAP = 0.3
+# Seconds that a response may take beyond the timeout of its call while parts of it
+# arrive. Over a slow link a read that was started anew would only take as long again.
+MAX_TRANSFER_TIME = 10.0
 # No key has this prefix, so that a read of it returns the revision of the store only.
 UNUSED_PREFIX = "pimentolink/none/"
 # A revision combined with a larger epoch could not be represented exactly as a JSON
@@ -326,11 +329,18 @@
             headers += ((b"Content-Type", b"application/json"),)
         request = HttpRequest(method.encode(), path.encode(), headers, body)
         began_at = self._timers.now()
+        call_timeout = Timeout(self._timers, timeout)
+
+        def on_part() -> None:
+            if self._timers.now() - began_at < timeout + MAX_TRANSFER_TIME:
+                call_timeout.extend(self._settings.timeout)
+            on_data()
+
         pending = exchange(
-            self._pool, request, lambda head: True, MAX_REPLY_BYTES, on_data
+            self._pool, request, lambda head: True, MAX_REPLY_BYTES, on_part
         )
         try:
-            reply = await with_timeout(self._timers, timeout, pending)
+            reply = await call_timeout.wait_for(pending)
         except TimeoutError as error:
             raise KeyValueUnavailable(f"no answer within {timeout:g} s") from error
         except CancelledError:
--- a/pimentolink/timers.py
+++ b/pimentolink/timers.py
@@ -118,6 +118,57 @@
             return
 
 
+class Timeout:
+    """Waits for a coroutine, and cancels it on a timeout, which can be extended."""
+
+    def __init__(self, timers: Timers, seconds: float) -> None:
+        """
+        Start the timeout.
+
+        :param timers: the timer service.
+        :param seconds: time until the timeout.
+        """
+        self._timers = timers
+        self._seconds = seconds
+        self._due_at = timers.now() + seconds
+        self._has_expired = False
+
+    def extend(self, seconds: float) -> None:
+        """Move the timeout to ``seconds`` from now, unless it is due later."""
+        self._due_at = max(self._due_at, self._timers.now() + seconds)
+
+    async def wait_for(self, work: Coroutine[Any, Any, Awaited]) -> Awaited:
+        """
+        Wait for a coroutine.
+
+        :param work: a coroutine that awaits Deferreds.
+        :returns: the result of the coroutine.
+        :raises TimeoutError: if the timeout expired.
+        """
+        pending: Deferred[Awaited] = Deferred.fromCoroutine(work)
+        self._schedule(self._seconds, pending)
+        try:
+            return await pending
+        except CancelledError:
+            if self._has_expired:
+                raise TimeoutError(f"not done within {self._seconds:g} s") from None
+            pending.cancel()
+            raise
+        finally:
+            self._timer.cancel()
+
+    def _schedule(self, seconds: float, pending: Deferred[Any]) -> None:
+        self._timer = self._timers.call_later(seconds, lambda: self._on_timer(pending))
+
+    def _on_timer(self, pending: Deferred[Any]) -> None:
+        remaining = self._due_at - self._timers.now()
+        if remaining > 0:
+            self._schedule(remaining, pending)
+            return
+        self._has_expired = True
+        pending.cancel()
+
+
 async def with_timeout(
     timers: Timers, seconds: float, work: Coroutine[Any, Any, Awaited]
 ) -> Awaited:
@@ -130,24 +181,7 @@
     :returns: the result of the coroutine.
     :raises TimeoutError: if the timeout expired.
     """
-    pending: Deferred[Awaited] = Deferred.fromCoroutine(work)
-    expired = False
-
-    def expire() -> None:
-        nonlocal expired
-        expired = True
-        pending.cancel()
-
-    timer = timers.call_later(seconds, expire)
-    try:
-        return await pending
-    except CancelledError:
-        if expired:
-            raise TimeoutError(f"not done within {seconds:g} s") from None
-        pending.cancel()
-        raise
-    finally:
-        timer.cancel()
+    return await Timeout(timers, seconds).wait_for(work)
 
 
 async def await_all(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -107,6 +107,41 @@
         assert not store.is_receiving_changes()
 
 
+class TestSlowResponse:
+    def start_read(self, monkeypatch):
+        """Read from a store whose response is under way; return what it needs."""
+        callbacks, outcomes = [], []
+
+        async def exchange(pool, request, accepts, max_bytes, on_data):
+            callbacks.append(on_data)
+            await Deferred()
+
+        monkeypatch.setattr(store_module, "exchange", exchange)
+        timers = ManualTimers()
+        settings = StoreSettings(address="127.0.0.1:1", timeout=1.0)
+        store = PlatformStore(None, settings, ConnectionSettings(), timers)
+        store.read_all("").addBoth(outcomes.append)
+        return timers, callbacks[0], outcomes
+
+    def test_is_read_as_long_as_parts_of_it_arrive(self, monkeypatch):
+        # Guards against a configuration that was read from the start again and again,
+        # since its transfer over a slow link took longer than a call's timeout.
+        timers, on_data, outcomes = self.start_read(monkeypatch)
+        for _ in range(5):
+            timers.advance(0.9)
+            on_data()
+        assert outcomes == []
+        timers.advance(1.1)
+        assert outcomes[0].check(KeyValueUnavailable)
+
+    def test_is_given_up_in_the_end_even_if_parts_of_it_arrive(self, monkeypatch):
+        timers, on_data, outcomes = self.start_read(monkeypatch)
+        for _ in range(200):
+            timers.advance(0.1)
+            on_data()
+        assert outcomes[0].check(KeyValueUnavailable)
+
+
 class TestAnswers:
     @pytest.mark.parametrize("value", ["a", "\u0080"])
     def test_value_that_is_no_base64_counts_as_no_answer(self, value):
