Log calls and grants with the outcome of a request

E1426 was written before each call to a target, also for calls that are free: two of the five lines of a usual request to model engines, all on the path of its answer.

The outcome of a request (E1402, E1405, E1415) now tells `calls` and `grants`, and E1423 the target and the kind of the call that it decided. Both free calls follow from that, so nothing is lost but calls of requests that a killed gateway had under way, of which at most two each are free.

The random outcomes of test_retrylimiter check for each request that `calls` covers all arrivals, that `grants` is what the budget gave, and that no more than one call and an accepted prefill went without.

--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -340,6 +340,8 @@
             service=work.service,
             version=work.table.version,
             targets=work.attempts.tried_target_ids,
+            calls=work.calls.sent,
+            grants=work.calls.grants,
             **outcome,
         )
 
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -236,11 +236,6 @@
         logging.INFO,
         "The shared retry budget granted or denied a retry, based on the inputs shown.",
     )
-    CALL_STARTED = (
-        "E1426",
-        logging.INFO,
-        "A request is sent to a target, with or without a grant of the retry budget.",
-    )
     STREAM_RESUMED = (
         "E1408",
         logging.WARNING,
--- a/pimentolink/requestcalls.py
+++ b/pimentolink/requestcalls.py
@@ -16,10 +16,15 @@
     accepts. Every other call needs a grant, whatever becomes of it. A call counts from
     its start, since it may reach its target from then on, so that a prefill is only
     free once its engine has accepted it.
+
+    :ivar sent: calls that may have reached a target, free or not.
+    :ivar grants: grants that these calls use.
     """
 
     def __init__(self) -> None:
         """Start without calls."""
+        self.sent = 0
+        self.grants = 0
         self._counted = 0
         self._has_accepted_prefill = False
         self._unused_grant: RetryGrant | None = None
@@ -37,13 +42,16 @@
         :returns: a context manager that must enclose the call.
         """
         self._counted += 1
+        self.sent += 1
+        if grant is not None:
+            self.grants += 1
         return StartedCall(self, grant)
 
     def discard(self, grant: RetryGrant | None) -> None:
         """Discard a call that was not sent, and refund its grant."""
         self._counted -= 1
-        if grant is not None:
-            grant.refund()
+        self.sent -= 1
+        self._refund(grant)
 
     def prefill_accepted(self, grant: RetryGrant | None) -> None:
         """
@@ -60,7 +68,11 @@
     def refund_unused(self) -> None:
         """Refund the grant of a prefill that turned out to be free."""
         grant, self._unused_grant = self._unused_grant, None
+        self._refund(grant)
+
+    def _refund(self, grant: RetryGrant | None) -> None:
         if grant is not None:
+            self.grants -= 1
             grant.refund()
 
 
--- a/pimentolink/retrylimiter.py
+++ b/pimentolink/retrylimiter.py
@@ -41,18 +41,14 @@
         :returns: a context manager that must enclose the call.
         :raises RetryBudgetSpent: if the call needs a grant, which is denied.
         """
-        grant = self._spend(work) if work.calls.needs_grant else None
-        self._log.write(
-            LogEvent.CALL_STARTED,
-            request=work.request.request_id,
-            service=work.service,
-            target=target_id,
-            kind="prefill" if is_prefill else "run",
-            granted=grant is not None,
-        )
+        grant = None
+        if work.calls.needs_grant:
+            grant = self._spend(work, target_id, is_prefill)
         return work.calls.start(grant)
 
-    def _spend(self, work: PendingRequest) -> RetryGrant:
+    def _spend(
+        self, work: PendingRequest, target_id: str, is_prefill: bool
+    ) -> RetryGrant:
         work.calls.refund_unused()
         decision = self._budgets.spend(work.service)
         is_granted = decision.grant is not None
@@ -61,6 +57,8 @@
             LogEvent.RETRY_DECIDED,
             request=work.request.request_id,
             service=work.service,
+            target=target_id,
+            kind="prefill" if is_prefill else "run",
             granted=is_granted,
             earned=round(decision.earned, 2),
             spent=decision.spent,
--- a/tests/requesthandlers.py
+++ b/tests/requesthandlers.py
@@ -217,6 +217,7 @@
 
     def __init__(self, outcomes=(), budgets=None, engines_per_role=2):
         self.timers = ManualTimers()
+        self.calls_by_request_id = {}
         self.budgets = budgets or SharedBudgets(gateway_settings(), self.timers)
         self.fleet = fleet(
             *(
@@ -278,6 +279,7 @@
             None,
             IgnoringResponder(),
         )
+        self.calls_by_request_id[name] = work.calls
         handler = self._generations if is_generation else self._calls
         serving = with_timeout(self.timers, 2.0, handler.serve(work))
         ended = Deferred.fromCoroutine(serving)
--- a/tests/test_retrylimiter.py
+++ b/tests/test_retrylimiter.py
@@ -137,6 +137,12 @@
     ):
         gateway = gateway_with_checks(outcomes, decisions)
         gateway.serve("r", is_generation)
+        arrivals = gateway.engines.arrivals_by_request_id.get("r", [])
+        calls = gateway.calls_by_request_id["r"]
+        assert calls.sent >= len(arrivals)
+        assert calls.grants == gateway.budgets.granted
+        accepted = [item for item in arrivals if item.is_prefill and item.is_accepted]
+        assert calls.sent - calls.grants <= 1 + len(accepted[:1])
 
     @pytest.mark.parametrize("seed", range(5))
     def test_repeated_calls_of_many_requests_stay_within_the_budget(self, seed):
