Wait for a gateway to adopt a change instead of a fixed time

Cause: the test waited 0.3 s for the gateway to follow the list.

Change: this and the four other tests that waited 0.3 s for a change of the list wait until the gateway logs it, for 2 s at most. It is as strict: a request that follows the adoption at once may not reach the target, where 0.3 s hid what happens in between.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -224,7 +224,7 @@
     def test_callers_leaving_reaches_the_engine_at_once(self, world):
         world.remove("servers/writer")
         world.target("slow", "llm", "decode", pieces=1000, gap=0.05)
-        time.sleep(0.3)
+        world.wait_for_event("target_listed", ADOPTION_LIMIT, target="slow")
         connection = world.connection()
         headers = {
             "Host": HOST,
@@ -243,7 +243,7 @@
         for name in ("plain-1", "plain-2"):
             world.remove(f"servers/{name}")
         world.target("slow", "plain", gap=0.6)
-        time.sleep(0.3)
+        world.wait_for_event("target_listed", ADOPTION_LIMIT, target="slow")
         connection = world.connection()
         headers = {"Host": HOST, "Pimentolink-Request-Id": "once"}
         connection.request("POST", "/once/x", b"x", headers)
@@ -331,12 +331,24 @@
 
 
 class TestLeaving:
+    def drain(self, world, target):
+        world.list_target(target, "plain", state="draining")
+        world.wait_for_event(
+            "target_listed", ADOPTION_LIMIT, target=target, leaving=True
+        )
+
     def test_leaving_target_gets_no_more_work(self, world):
-        world.list_target("plain-1", "plain", state="draining")
-        time.sleep(0.3)
+        self.drain(world, "plain-1")
         names = [world.request("/read/x")[1] for _ in range(5)]
         assert not set(names) & set(world.runs("plain-1")["runs"])
 
+    def test_leaving_targets_get_no_more_work_if_no_other_is_left(self, world):
+        self.drain(world, "plain-1")
+        self.drain(world, "plain-2")
+        assert [world.request("/read/x")[0].status for _ in range(5)] == [503] * 5
+        assert not world.runs("plain-1")["runs"]
+        assert not world.runs("plain-2")["runs"]
+
     def test_target_whose_address_has_another_instance_is_given_up(self, world):
         world.remove("servers/plain-2")
         entry = {
@@ -347,7 +359,7 @@
             "state": "ready",
         }
         world.put("servers/other", entry)
-        time.sleep(0.3)
+        world.wait_for_event("target_listed", ADOPTION_LIMIT, target="other")
         for _ in range(6):
             assert world.request("/once/x")[0].status == 200
 
@@ -453,7 +465,7 @@
         world.target("slow-1", "plain", gap=1.5)
         world.remove("servers/plain-1")
         world.remove("servers/plain-2")
-        time.sleep(0.3)
+        world.wait_for_event("target_gone", ADOPTION_LIMIT, target="plain-2")
         replies = []
         pending_request = threading.Thread(
             target=lambda: replies.append(world.request("/read/x")[0])
--- a/tools/platformworld.py
+++ b/tools/platformworld.py
@@ -199,6 +199,27 @@
 
     def logged(self, gateway: str, request_id: str) -> list[dict[str, Any]]:
         """Return the log lines of a gateway about a request."""
+        return self._log_lines(gateway, {"request": request_id})
+
+    def wait_for_event(
+        self, event: str, within: float, gateway: str = "gateway", **fields: Any
+    ) -> None:
+        """
+        Wait until a gateway has logged an event.
+
+        :param event: its name.
+        :param within: seconds until the wait fails.
+        :param gateway: name of the gateway.
+        :param fields: values that the event must have.
+        """
+        expected = {"event": event, **fields}
+        wait_until(
+            lambda: self._log_lines(gateway, expected),
+            within,
+            f"{expected} of {gateway}",
+        )
+
+    def _log_lines(self, gateway: str, fields: dict[str, Any]) -> list[dict[str, Any]]:
         text = self.fleet.processes_by_name[gateway].log_path.read_text()
         lines = [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
-        return [line for line in lines if line.get("request") == request_id]
+        return [line for line in lines if fields.items() <= line.items()]
