Let no former owner overwrite claims at a revision given out again

What callers saw: nothing yet; found by review. With a store that was restored from an older copy and counts its revisions on from there, a former owner of a partition replaced the claims of its successor by its own, and a call that may not be repeated could run a second time.

Cause: a write rests on the revision alone. After a restore the successor's write may bear the very revision that the former owner has in hand.

Change: an owner that has not written for a second reads the document first. If it names another owner, the claims at hand are refused as not run, as after a failed write. While claims arrive steadily it writes without a read, since calls to the store are limited: TestBudget holds as it was.

One read more for each write that follows a second without one; no other cost was looked for.

It holds but for a restore and a successor's write that both fall between two writes less than a second apart, or between the read and the write.

--- a/pimentolink/claims.py
+++ b/pimentolink/claims.py
@@ -30,6 +30,9 @@
 
 TAKE_OVER_ATTEMPTS = 3
 READ_BACK_DELAY = 0.2
+# Seconds after a write during which the next one is sent without reading the document
+# first. While claims arrive steadily, only one call to the store is made per write.
+OWNERSHIP_CHECK_INTERVAL = 1.0
 
 
 class _PendingClaim(NamedTuple):
@@ -48,6 +51,10 @@
     write of the previous owner fails and its call is not made. Claims that arrive
     during a write are batched into the next one.
 
+    A store that was restored may assign the same revision again, so that a write of a
+    previous owner could replace the claims of its successor. An owner that has not
+    written for a while therefore reads the document first.
+
     :ivar is_owned: whether the last write succeeded, which made this sidecar the owner.
     """
 
@@ -81,6 +88,7 @@
         self._write_number = 0
         self._is_dirty = False
         self._is_writing = False
+        self._written_at = timers.now()
         self.is_owned = False
 
     def claim(self, key: str, fingerprint: str) -> Deferred[Result[None, Failure]]:
@@ -135,6 +143,12 @@
             self._is_writing = False
 
     async def _process_batch(self) -> None:
+        if self.is_owned and self._is_check_due():
+            failure = await self._check_ownership()
+            if failure is not None:
+                self._answer_releases(self._take_releases(), Err(failure))
+                self._refuse_waiting(failure)
+                return
         if not self.is_owned:
             lost = ClaimContended("the partition was taken over")
             self._answer_releases(self._take_releases(), Err(lost))
@@ -155,6 +169,23 @@
         outcome = await self._commit_pending(pending)
         self._answer_releases(releases, outcome)
 
+    def _is_check_due(self) -> bool:
+        return self._timers.now() - self._written_at > OWNERSHIP_CHECK_INTERVAL
+
+    async def _check_ownership(self) -> Failure | None:
+        """Read the document; return why this sidecar is no longer its owner."""
+        self.is_owned = False
+        try:
+            stored = await self._store.get(self._path)
+            if stored.data is not None:
+                owner = _decode_document(stored.data).owner
+                self.is_owned = owner == self._incarnation
+        except KeyValueUnavailable as error:
+            return ClaimUnavailable(str(error), retry_after=1.0)
+        if not self.is_owned:
+            return ClaimContended("the partition was taken over")
+        return None
+
     def _take_releases(self) -> list[Deferred[Result[None, Failure]]]:
         releases, self._releases = self._releases, []
         return releases
@@ -247,6 +278,7 @@
             )
         )
         self.is_owned = False
+        sent_at = self._timers.now()
         try:
             revision = await self._store.compare_and_swap(
                 self._path, data, self._revision
@@ -256,6 +288,7 @@
         if revision is None:
             return False
         self._revision = revision
+        self._written_at = sent_at
         self.is_owned = True
         return True
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -199,6 +199,26 @@
         assert is_unknown(harness.ask(former, "key"))
 
 
+class TestOwnershipCheck:
+    """An owner that has not written for a while reads its document first."""
+
+    def test_costs_one_read_for_each_write_at_most(self, harness):
+        owner = harness.partition("one")
+        harness.ask(owner, "first")
+        before = harness.store.calls
+        harness.ask(owner, "second")
+        assert harness.store.calls == before + 2
+
+    def test_outage_refuses_as_not_run_and_leaves_the_key_free(self, harness):
+        owner = harness.partition("one")
+        harness.ask(owner, "first")
+        harness.store.set_down(True)
+        assert harness.ask(owner, "second").err_value.ran is False
+        harness.store.set_down(False)
+        assert not isinstance(harness.ask(owner, "second"), Err)
+        assert is_unknown(harness.ask(owner, "first"))
+
+
 class TestOutcomes:
     def test_outcome_pushed_out_frees_no_key(self, harness):
         owner = harness.partition("one", most=2)
