Check the retry bound of the tests in one place

The soak of retries and the random outcomes of the retry limiter each counted retries and requests in all windows; both now call retrywindows.describe_excess. Bounds and counts are the same. The role controller's test uses the publisher of the request handlers instead of one of its own.

--- a/tests/soak_retries.py
+++ b/tests/soak_retries.py
@@ -14,6 +14,10 @@
 from pathlib import Path
 from uuid import uuid4
 
+import msgspec
+
+from pimentolink.gatewaysettings import BudgetSettings
+from tests.retrywindows import describe_excess
 from tests.soak import Caller, ClientRequest, Faults, SoakWorld, TargetEvent, main
 from tools.fleet import Fleet, call
 
@@ -22,12 +26,10 @@
 # Events of targets that are arrivals of calls, whatever became of them.
 ARRIVAL_EVENTS = ("run", "read", "reject", "reset", "ignore")
 ENGINES = ("reader", "writer", "other-writer")
-RATIO = 0.2
-SLACK = 36.0
-WINDOW = 6.0
+BUDGET = BudgetSettings(ratio=0.2, slack=36.0, window=6.0)
 LEASE = 2.0
 # A new gateway uses no slack for one window and one lease; the rest is margin.
-ESTABLISHED_AFTER = WINDOW + LEASE + 1.5
+ESTABLISHED_AFTER = BUDGET.window + LEASE + 1.5
 
 
 def problems_of_retries(
@@ -36,26 +38,12 @@
     """
     Check that retries over all gateways stay within the budget in every window.
 
-    The bound uses the highest request count of the same window, the one half a window
-    earlier and the one a full window earlier.
-
     :param client_requests: all requests to the service.
     :param arrivals: the calls that reached its targets.
     """
-    retries = times_of_retries(arrivals)
-    for start in retries:
-        count = sum(start <= at < start + WINDOW for at in retries)
-        requests = max(
-            sum(
-                start - offset <= item.sent_at < start - offset + WINDOW
-                for item in client_requests
-            )
-            for offset in (0, WINDOW / 2, WINDOW)
-        )
-        allowed = RATIO * requests + SLACK
-        if count > allowed:
-            return [f"{count} retries for {requests} requests, {allowed:.1f} allowed"]
-    return []
+    sent_at = [item.sent_at for item in client_requests]
+    excess = describe_excess(times_of_retries(arrivals), sent_at, BUDGET)
+    return [excess] if excess else []
 
 
 def times_of_retries(arrivals: list[TargetEvent]) -> list[float]:
@@ -164,8 +152,7 @@
     """
     with Fleet() as fleet:
         world = SoakWorld(fleet, GATEWAYS, LEASE)
-        budget = {"ratio": RATIO, "slack": SLACK, "window": WINDOW}
-        world.gateway_settings = {"budget": budget}
+        world.gateway_settings = {"budget": msgspec.to_builtins(BUDGET)}
         world.start()
         callers = [
             kind(world, seed * 100 + number)
--- a/tests/test_retrylimiter.py
+++ b/tests/test_retrylimiter.py
@@ -11,10 +11,9 @@
 from pimentolink.targetestimate import EngineRole
 from tests.gatewaybuilders import target
 from tests.requesthandlers import NEVER_ARRIVES, Gateway, Outcome
+from tests.retrywindows import describe_excess
 
-WINDOW = 10.0
-RATIO = 0.2
-SLACK = 20.0
+BUDGET = BudgetSettings(ratio=0.2, slack=20.0, window=10.0)
 
 
 def repeats(arrivals):
@@ -153,9 +152,7 @@
             for _ in range(100_000)
         )
         gateway = Gateway(outcomes, engines_per_role=20)
-        gateway.budgets.settings = BudgetSettings(
-            ratio=RATIO, slack=SLACK, window=WINDOW
-        )
+        gateway.budgets.settings = BUDGET
         sent_at = []
         for number in range(1000):
             gateway.budgets.share.lease_renewed(gateway.timers.boot_time())
@@ -164,11 +161,5 @@
             gateway.timers.advance(random.choice([0.0, 0.02, 0.1]))
         gateway.timers.advance(5.0)
         repeated_at = [item.at for item in all_repeats(gateway)]
-        assert len(repeated_at) > RATIO * len(sent_at) / 2
-        for start in repeated_at:
-            count = sum(start <= at < start + WINDOW for at in repeated_at)
-            requests = max(
-                sum(start - offset <= at < start - offset + WINDOW for at in sent_at)
-                for offset in (0, WINDOW / 2, WINDOW)
-            )
-            assert count <= RATIO * requests + SLACK
+        assert len(repeated_at) > BUDGET.ratio * len(sent_at) / 2
+        assert describe_excess(repeated_at, sent_at, BUDGET) is None
--- a/tests/test_rolecontroller.py
+++ b/tests/test_rolecontroller.py
@@ -17,6 +17,7 @@
 from pimentolink.targetestimate import EngineRole
 from pimentolink.timers import ManualTimers
 from tests.gatewaybuilders import engines, fleet, gateway_settings
+from tests.requesthandlers import IgnoringPublisher
 
 LIST_LAG = 4.0
 
@@ -63,11 +64,6 @@
         pass
 
 
-class FakePublisher:
-    def broadcast(self, message):
-        pass
-
-
 class World:
     """A store, engines, and gateways that compete for leadership."""
 
@@ -95,7 +91,7 @@
             gateway_fleet,
             PlatformDialect(),
             self.engine.send,
-            FakePublisher(),
+            IgnoringPublisher(),
             self.timers,
             Log(),
         )
--- a/tests/test_soak_retries.py
+++ b/tests/test_soak_retries.py
@@ -4,7 +4,7 @@
 
 from tests import soak_retries
 from tests.soak import ClientRequest, TargetEvent
-from tests.soak_retries import WINDOW, problems_of_retries
+from tests.soak_retries import BUDGET, problems_of_retries
 
 
 def client_requests(count, at=0.0):
@@ -29,15 +29,15 @@
         arrivals = (
             target_events(20)
             + target_events(20, 0.1)
-            + target_events(20, 0.1 + WINDOW)
+            + target_events(20, 0.1 + BUDGET.window)
             + target_events(5, 0.2)
         )
         assert problems_of_retries(client_requests(20), arrivals) == []
 
     def test_requests_of_the_previous_window_count(self):
-        requests = client_requests(20, -WINDOW / 2)
+        requests = client_requests(20, -BUDGET.window / 2)
         assert problems_of_retries(requests, 3 * target_events(20)) == []
-        early = client_requests(20, -2 * WINDOW)
+        early = client_requests(20, -2 * BUDGET.window)
         assert problems_of_retries(early, 3 * target_events(20))[0].startswith(
             "40 retries for 0"
         )
