Time commands by the monotonic clock

What operators would see: a command whose store does not respond hung for as long as the wall clock had been set back meanwhile, instead of ending after its timeout.

Cause: only Process set the reactor's clock; commands run the reactor themselves.

The three commands that took the reactor each for themselves take it from one function, which sets the clock before anything is scheduled.

--- a/pimentolink/cli.py
+++ b/pimentolink/cli.py
@@ -19,6 +19,7 @@
 from pimentolink.errors import ConfigurationInvalid, Failure
 from pimentolink.gatewaysettings import GatewaySettings
 from pimentolink.loganalysis import Analysis
+from pimentolink.process import use_monotonic_clock
 from pimentolink.settings import (
     EntrySettings,
     PlatformSettings,
@@ -246,11 +247,9 @@
 
     def status(self, settings: str, json: bool = False) -> None:
         """Show the deployment's status from the store named in a gateway's settings."""
-        from twisted.internet import reactor as default_reactor
-
         from pimentolink.platform.edge import make_store
 
-        reactor: Any = default_reactor
+        reactor = _get_reactor()
         store, documents = make_store(
             reactor, _read_settings(GatewaySettings, [settings])
         )
@@ -283,11 +282,9 @@
     @SetParseFns(fingerprint=str)
     def release(self, settings: str, fingerprint: str) -> None:
         """Release a request that is held back; ``status`` lists such requests."""
-        from twisted.internet import reactor as default_reactor
-
         from pimentolink.platform.edge import make_store
 
-        reactor: Any = default_reactor
+        reactor = _get_reactor()
         store, _ = make_store(reactor, _read_settings(GatewaySettings, [settings]))
         releasing = porcelain.release_suspect(store, fingerprint)
         crashes = _unwrap_or_exit(_run_reactor(reactor, releasing))
@@ -298,13 +295,11 @@
     """Clients of the platform's services, for one command with its own event loop."""
 
     def __init__(self, path: str) -> None:
-        from twisted.internet import reactor as default_reactor
-
         from pimentolink.instances import HttpInstanceList
         from pimentolink.kvstore import HttpStore
 
         settings = _read_settings(PlatformSettings, [path])
-        reactor: Any = default_reactor
+        reactor = _get_reactor()
         self._reactor = reactor
         self.store = HttpStore(reactor, settings)
         self.instances = HttpInstanceList(reactor, settings)
@@ -315,6 +310,14 @@
         return _run_reactor(self._reactor, coroutine)
 
 
+def _get_reactor() -> Any:
+    """Return the reactor, which times by the monotonic clock."""
+    from twisted.internet import reactor
+
+    use_monotonic_clock(reactor)
+    return reactor
+
+
 def _run_reactor(reactor: Any, coroutine: Coroutine[Any, Any, Any]) -> Any:
     """Run the reactor until a coroutine ends; exit with the message of a failure."""
     from twisted.internet.defer import Deferred
