Hold the request longer than the operator's commands take in its test

Cause: the test took for granted that the third crash happens in a trial of the request, which holds it for a minute. Where gateways learn late of the second crash, the third is none, and the quarantine of 4 to 6 s ends, as it should, before a busy machine has run the command.

Change: the test asks until a gateway has logged a quarantine longer than a command may take. What it checks is the same.

--- a/tests/test_fatalrequests.py
+++ b/tests/test_fatalrequests.py
@@ -37,6 +37,8 @@
 CRASH_TIMEOUT = 20.0
 # Seconds in which all gateways learn of the last crash.
 PROPAGATION_TIME = 3.0
+# Seconds in which an operator's commands end.
+COMMAND_TIMEOUT = 30.0
 # How often it may still be sent to targets after that, by all gateways together.
 MAX_SENT = 3
 
@@ -110,6 +112,31 @@
         time.sleep(PROPAGATION_TIME)
         self.restart_crashed()
 
+    def crash_in_a_trial(self, path):
+        """
+        Crash targets until one crashed in a trial of the request.
+
+        Only then is its quarantine longer than what commands take on a busy machine.
+        """
+        self.crash(path)
+        end = time.monotonic() + CRASH_TIMEOUT
+        while not self.longest_quarantine() > COMMAND_TIMEOUT:
+            assert time.monotonic() < end
+            self.ask(path)
+            time.sleep(0.2)
+            self.restart_crashed()
+        time.sleep(PROPAGATION_TIME)
+        self.restart_crashed()
+
+    def longest_quarantine(self):
+        """Return the longest quarantine that a gateway has logged, in seconds."""
+        lines = [
+            line
+            for name in GATEWAYS
+            for line in self.log_lines(name, event="suspect_struck")
+        ]
+        return max((line["wait"] for line in lines), default=0.0)
+
 
 @pytest.fixture
 def world(fleet):
@@ -143,7 +170,7 @@
         assert world.count_sent() - before <= MAX_SENT
 
     def test_is_found_and_released_by_an_operator(self, world):
-        world.crash("/read/x")
+        world.crash_in_a_trial("/read/x")
         settings = str(world.fleet.folder / "gateway-1.json")
         listed = world.fleet.command("gateway", "status", settings, "--json")
         (suspect,) = json.loads(listed.stdout)["suspects"]
--- a/tools/platformworld.py
+++ b/tools/platformworld.py
@@ -199,7 +199,7 @@
 
     def logged(self, gateway: str, request_id: str) -> list[dict[str, Any]]:
         """Return the log lines of a gateway about a request."""
-        return self._log_lines(gateway, {"request": request_id})
+        return self.log_lines(gateway, request=request_id)
 
     def wait_for_event(
         self, event: str, within: float, gateway: str = "gateway", **fields: Any
@@ -214,12 +214,13 @@
         """
         expected = {"event": event, **fields}
         wait_until(
-            lambda: self._log_lines(gateway, expected),
+            lambda: self.log_lines(gateway, **expected),
             within,
             f"{expected} of {gateway}",
         )
 
-    def _log_lines(self, gateway: str, fields: dict[str, Any]) -> list[dict[str, Any]]:
+    def log_lines(self, gateway: str, **fields: Any) -> list[dict[str, Any]]:
+        """Return the log lines of a gateway that have certain fields."""
         text = self.fleet.processes_by_name[gateway].log_path.read_text()
         lines = [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
         return [line for line in lines if fields.items() <= line.items()]
