Derive the calls that count against the budget from those sent

RequestCalls kept the number of calls that count beside the number of calls sent; both changed together but for the first accepted prefill, which is recorded as well. The calls that need a grant now follow from these two.

--- a/pimentolink/requestcalls.py
+++ b/pimentolink/requestcalls.py
@@ -25,14 +25,14 @@
         """Start without calls."""
         self.sent = 0
         self.grants = 0
-        self._counted = 0
         self._has_accepted_prefill = False
         self._unused_grant: RetryGrant | None = None
 
     @property
     def needs_grant(self) -> bool:
         """Whether the next call needs a grant."""
-        return self._counted > 0
+        free_prefills = 1 if self._has_accepted_prefill else 0
+        return self.sent > free_prefills
 
     def start(self, grant: RetryGrant | None) -> StartedCall:
         """
@@ -41,7 +41,6 @@
         :param grant: its grant; ``None`` if it needs none.
         :returns: a context manager that must enclose the call.
         """
-        self._counted += 1
         self.sent += 1
         if grant is not None:
             self.grants += 1
@@ -49,7 +48,6 @@
 
     def discard(self, grant: RetryGrant | None) -> None:
         """Discard a call that was not sent, and refund its grant."""
-        self._counted -= 1
         self.sent -= 1
         self._refund(grant)
 
@@ -62,7 +60,6 @@
         if self._has_accepted_prefill:
             return
         self._has_accepted_prefill = True
-        self._counted -= 1
         self._unused_grant = grant
 
     def refund_unused(self) -> None:
