--- a/tests/test_fatalrequests.py
+++ b/tests/test_fatalrequests.py
@@ -77,12 +77,8 @@
 
     def count_events(self, event):
         """Count the events logged by all incarnations of all targets."""
-        count = 0
-        for name in ("reader", *MODELS, *PLAIN):
-            text = self.fleet.processes_by_name[name].log_path.read_text()
-            lines = [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
-            count += sum(line["event"] == event for line in lines)
-        return count
+        names = ("reader", *MODELS, *PLAIN)
+        return sum(len(self.log_lines(name, event=event)) for name in names)
 
     def count_sent(self):
         """Count the requests that reached targets, for prefill or to be run."""
@@ -103,14 +99,7 @@
 
     def crash(self, path):
         """Send the request until enough targets crashed and all gateways know of it."""
-        end = time.monotonic() + CRASH_TIMEOUT
-        while self.count_events("crash") < CRASHES and time.monotonic() < end:
-            self.ask(path)
-            time.sleep(0.2)
-            self.restart_crashed()
-        assert self.count_events("crash") >= CRASHES
-        time.sleep(PROPAGATION_TIME)
-        self.restart_crashed()
+        self.ask_until(path, lambda: self.count_events("crash") >= CRASHES)
 
     def crash_in_a_trial(self, path):
         """
@@ -119,12 +108,16 @@
         Only then is its quarantine longer than what commands take on a busy machine.
         """
         self.crash(path)
+        self.ask_until(path, lambda: self.longest_quarantine() > COMMAND_TIMEOUT)
+
+    def ask_until(self, path, condition):
+        """Send the request until a condition holds and all gateways know why."""
         end = time.monotonic() + CRASH_TIMEOUT
-        while not self.longest_quarantine() > COMMAND_TIMEOUT:
-            assert time.monotonic() < end
+        while not condition() and time.monotonic() < end:
             self.ask(path)
             time.sleep(0.2)
             self.restart_crashed()
+        assert condition()
         time.sleep(PROPAGATION_TIME)
         self.restart_crashed()
 
--- a/tools/platformworld.py
+++ b/tools/platformworld.py
@@ -219,8 +219,8 @@
             f"{expected} of {gateway}",
         )
 
-    def log_lines(self, gateway: str, **fields: Any) -> list[dict[str, Any]]:
-        """Return the log lines of a gateway that have certain fields."""
-        text = self.fleet.processes_by_name[gateway].log_path.read_text()
+    def log_lines(self, name: str, **fields: Any) -> list[dict[str, Any]]:
+        """Return the log lines of a process that have certain fields."""
+        text = self.fleet.processes_by_name[name].log_path.read_text()
         lines = [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
         return [line for line in lines if fields.items() <= line.items()]
