Log how a target's response delimited its body

What callers saw: responses that looked complete and were not (ORDER). The gateway had logged E1405 for them, and no failed attempt.

What was missing: two hypotheses remain, that an engine ends a response with neither a length nor chunks by closing its connection, or that it frames a part of its stream as the whole. No line tells them apart.

Change: the line of each outcome has `framing`, that of the last target's response. The stand-in of an engine can send streams with neither a length nor chunks, and end streams within an event by closing their connection, at once or by a crash.

--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -25,7 +25,13 @@
     StreamBroken,
     Unauthenticated,
 )
-from pimentolink.httptypes import Headers, HttpReply, HttpRequest, end_to_end
+from pimentolink.httptypes import (
+    BodyFraming,
+    Headers,
+    HttpReply,
+    HttpRequest,
+    end_to_end,
+)
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
 from pimentolink.requestcalls import RequestCalls
@@ -73,6 +79,8 @@
     A request that is being served.
 
     :ivar due_at: deadline of the final response, in seconds of the timer service.
+    :ivar framing: how the last target's response delimits its body; ``None`` before
+        there is one.
     """
 
     def __init__(
@@ -106,6 +114,7 @@
         self.attempts = Attempts(route)
         self.calls = RequestCalls()
         self.first_event_at: float | None = None
+        self.framing: BodyFraming | None = None
         self._has_begun_run = False
         self._on_run = on_execution_started
         timeout = route.timeout
@@ -342,6 +351,7 @@
             targets=work.attempts.tried_target_ids,
             calls=work.calls.sent,
             grants=work.calls.grants,
+            framing=work.framing.value if work.framing else None,
             **outcome,
         )
 
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -326,6 +326,7 @@
     ) -> None:
         """Relay the response to the caller."""
         assert call.head is not None
+        work.framing = call.framing
         try:
             if self._dialect.verdict(call.head) is not Verdict.SUCCESS:
                 await self._relay_failure(work, call, relay)
--- a/pimentolink/httptypes.py
+++ b/pimentolink/httptypes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import NamedTuple
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -75,6 +76,39 @@
         return header_value(self.headers, name)
 
 
+class BodyFraming(enum.Enum):
+    """
+    How a response delimits its body.
+
+    A body that is delimited by the end of its connection may lack a part without any
+    sign of it, since the connection also ends if the sender does.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+# Statuses of responses that never have a body.
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+def body_framing(method: bytes, head: ReplyHead) -> BodyFraming:
+    """
+    Return how a final response delimits its body.
+
+    :param method: of the request.
+    :source: RFC 9112, section 6.3.
+    """
+    if method == b"HEAD" or head.status in BODILESS_STATUSES:
+        return BodyFraming.LENGTH
+    if head.header(b"transfer-encoding") is not None:
+        return BodyFraming.CHUNKED
+    if head.header(b"content-length") is not None:
+        return BodyFraming.LENGTH
+    return BodyFraming.CLOSE
+
+
 class HttpReply(NamedTuple):
     """A complete response."""
 
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -151,6 +151,7 @@
         options = SendOptions(estimate.target.target_id, time_left)
         is_once = work.route.repeatability is Repeatability.ONCE
         call = await self._target_client.begin(request, estimate, options, is_once)
+        work.framing = call.framing
         try:
             reply = await call.read_all()
         except Failure as failure:
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -23,7 +23,7 @@
 )
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import ConnectionSettings
-from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
+from pimentolink.httptypes import BodyFraming, HttpReply, HttpRequest, ReplyHead
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
 from pimentolink.targetestimate import Target, TargetEstimate
@@ -101,6 +101,11 @@
         self._is_closed = False
         self.head: ReplyHead | None = None
 
+    @property
+    def framing(self) -> BodyFraming | None:
+        """How the response delimits its body; ``None`` before its head."""
+        return self._connection.framing
+
     async def read(self) -> bytes | None:
         """Read the next bytes of the response; ``None`` at its end."""
         chunk = await self._connection.read()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -8,7 +8,7 @@
 import time
 from collections import Counter
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 from uuid import uuid4
 
 from twisted.web.server import Request
@@ -21,6 +21,23 @@
 CRASH_DELAY = 0.03
 
 
+class _Stream(NamedTuple):
+    """
+    A stream under way.
+
+    :ivar transport: of the request, which no longer has it once it is finished.
+    :ivar last_id: id of the event after which the stream begins.
+    """
+
+    request: Request
+    transport: Any
+    request_id: str
+    last_id: int
+    is_unframed: bool
+    is_broken: bool
+    is_truncated: bool
+
+
 class PlatformEngineStandIn:
     """
     Prefills prompts, streams events, runs plain calls and accepts orders.
@@ -32,6 +49,8 @@
     body, before the response is complete. ``reject_share``, ``reset_share`` and
     ``break_share`` are the shares of requests that are rejected, of those whose
     connection is reset on arrival, and of streams that are reset after one event.
+    ``truncate_share`` is the share of streams whose connection is closed within the
+    second event; ``unframed_share`` that of streams with neither a length nor chunks.
     """
 
     def __init__(self, options: Any) -> None:
@@ -58,6 +77,8 @@
             "reject_share": 0.0,
             "reset_share": 0.0,
             "break_share": 0.0,
+            "truncate_share": 0.0,
+            "unframed_share": 0.0,
         }
         self.random = Random(options.instance)
         self.routes = Routes()
@@ -205,12 +226,24 @@
         request.setHeader(REQUEST_ID_HEADER, request_id)
         request.setHeader("Pimentolink-Response-Signature", f"signed-{request_id}")
         request.setHeader("Content-Type", "text/event-stream")
+        is_unframed = self._occurs("unframed_share")
+        if is_unframed:
+            # twisted.web sends no chunks to clients of this version.
+            request.clientproto = b"HTTP/1.0"
         last_id = int(request.getHeader("Last-Event-Id") or 0)
         if is_crashing:
-            request.write(f"id: {last_id + 1}\ndata: {{}}\n\n".encode())
+            request.write(f"id: {last_id + 1}\ndata: {{}}\n\nid:".encode())
             return
-        is_broken = self._occurs("break_share")
-        self._write_event(request, request_id, last_id + 1, last_id, is_broken)
+        stream = _Stream(
+            request,
+            request.transport,
+            request_id,
+            last_id,
+            is_unframed,
+            is_broken=self._occurs("break_share"),
+            is_truncated=self._occurs("truncate_share"),
+        )
+        self._write_event(stream, last_id + 1)
 
     def _record_run(self, request_id: str, body: str) -> bool:
         """Record the start of a run; return whether it will end this process."""
@@ -222,36 +255,29 @@
         reactor.callLater(CRASH_DELAY, os._exit, 1)
         return True
 
-    def _write_event(
-        self,
-        request: Request,
-        request_id: str,
-        event_id: int,
-        last_id: int,
-        is_broken: bool,
-    ) -> None:
+    def _write_event(self, stream: _Stream, event_id: int) -> None:
+        request = stream.request
         if request._disconnected:
             return
-        break_after = 1 if is_broken else self.faults["break_after"]
-        if break_after and event_id - last_id > break_after:
+        sent = event_id - stream.last_id - 1
+        break_after = 1 if stream.is_broken else self.faults["break_after"]
+        if break_after and sent >= break_after:
             self.faults["break_after"] = 0
             request.write(f"id: {event_id}\nda".encode())
-            reactor.callLater(0.05, request.transport.abortConnection)  # type: ignore[union-attr]
+            reactor.callLater(0.05, stream.transport.abortConnection)
+            return
+        if stream.is_truncated and sent:
+            request.write(f"id: {event_id}\nda".encode())
+            stream.transport.loseConnection()
             return
         if event_id > self.events_per_stream:
             request.finish()
+            if stream.is_unframed:
+                stream.transport.loseConnection()
             return
-        data = json.dumps({"request": request_id, "piece": event_id})
+        data = json.dumps({"request": stream.request_id, "piece": event_id})
         request.write(f"id: {event_id}\ndata: {data}\n\n".encode())
-        reactor.callLater(
-            self.delay,
-            self._write_event,
-            request,
-            request_id,
-            event_id + 1,
-            last_id,
-            is_broken,
-        )
+        reactor.callLater(self.delay, self._write_event, stream, event_id + 1)
 
 
 if __name__ == "__main__":
--- a/tests/requesthandlers.py
+++ b/tests/requesthandlers.py
@@ -20,7 +20,7 @@
 from pimentolink.gatewaydelay import GatewayDelay
 from pimentolink.gatewaysettings import PlacementSettings
 from pimentolink.generation import GenerationHandler
-from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
+from pimentolink.httptypes import BodyFraming, HttpReply, HttpRequest, ReplyHead
 from pimentolink.logs import Log
 from pimentolink.metrics import Metrics
 from pimentolink.plaincalls import PlainCallHandler
@@ -89,6 +89,7 @@
 
     def __init__(self, engines, estimate, outcome, is_prefill):
         self.estimate = estimate
+        self.framing = BodyFraming.CHUNKED
         self.sent_at = engines.timers.now()
         self._timers = engines.timers
         self._outcome = outcome
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -205,6 +205,19 @@
 
         return wait_until(failures)[0]
 
+    @pytest.mark.parametrize(("share", "framing"), [(0.0, "chunked"), (1.0, "close")])
+    def test_log_tells_how_the_response_was_delimited(self, world, share, framing):
+        world.fault("writer", unframed_share=share)
+        reply, name = world.generate("/stream/x")
+        assert len(parse_event_lines(reply.body)) == 8
+
+        def outcomes():
+            lines = world.logged("gateway", name)
+            return [line for line in lines if line["event"] == "answered"]
+
+        (line,) = wait_until(outcomes)
+        assert line["framing"] == framing
+
     def test_broken_stream_that_may_not_resume_does_not_look_complete(self, world):
         world.fault("writer", break_after=2)
         connection = world.connection()
