Add failing tests of streams that end within an event

The gateway logged E1405 and no failed attempt.

Resumable or not, the caller gets the part of the event and the end of the response, in a test on real processes and in one in virtual time; E1405 has framing=close. The same holds for a part of an event in a response whose framing is whole, and a response of this kind without any event is a complete, empty 200.

--- /dev/null
+++ b/tests/scriptedengines.py
@@ -0,0 +1,339 @@
+"""Engines in virtual time that write a scripted response on each connection."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.python.failure import Failure as TwistedFailure
+
+from pimentolink.dialect import CallerRequest
+from pimentolink.errors import Failure
+from pimentolink.forwarder import PendingRequest
+from pimentolink.gatewaydelay import GatewayDelay
+from pimentolink.gatewaysettings import ConnectionSettings, PlacementSettings
+from pimentolink.generation import GenerationHandler
+from pimentolink.httptypes import HttpRequest
+from pimentolink.logs import Log
+from pimentolink.metrics import Metrics
+from pimentolink.platform.dialect import PlatformDialect
+from pimentolink.prefillscheduler import PrefillScheduler
+from pimentolink.retrylimiter import RetryLimiter
+from pimentolink.routes import Repeatability
+from pimentolink.sharedbudget import SharedBudgets
+from pimentolink.targetclient import TargetClient
+from pimentolink.timers import ManualTimers, with_timeout
+from tests.gatewaybuilders import (
+    SocketTransport,
+    engines,
+    fleet,
+    gateway_settings,
+    make_placer,
+    make_prefill_queue,
+    prompt,
+    route,
+)
+from tests.requesthandlers import IgnoringPublisher
+
+STEP = 0.001
+REQUEST_ID = "r"
+
+
+class Framing(Enum):
+    """How a response delimits its body."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+class Response(NamedTuple):
+    """
+    The response of an engine to one call.
+
+    :ivar sent: bytes of the body that are sent; ``None`` for all of them.
+    :ivar is_framed_whole: whether the framing declares what is sent as the whole body.
+    :ivar is_reset: whether the connection ends in a reset.
+    :ivar cuts: offsets at which what is sent is split into reads.
+    :ivar line_end: ends the lines of events.
+    """
+
+    framing: Framing
+    sent: int | None = None
+    is_framed_whole: bool = False
+    is_reset: bool = False
+    cuts: tuple[int, ...] = ()
+    line_end: bytes = b"\n"
+
+
+class Call(NamedTuple):
+    """
+    A call that an engine received.
+
+    :ivar last_event: id of the last event that the caller has; 0 for none.
+    """
+
+    last_event: int
+    response: Response
+    events: list[bytes]
+
+    @property
+    def body(self) -> bytes:
+        """The part of the stream that the engine sends."""
+        return b"".join(self.events)[: self.response.sent]
+
+    @property
+    def complete_events(self) -> list[bytes]:
+        """The events that the engine sends completely."""
+        found, offset = [], 0
+        for event in self.events:
+            offset += len(event)
+            if offset <= len(self.body):
+                found.append(event)
+        return found
+
+    @property
+    def ends_within_event(self) -> bool:
+        """Whether the last event is sent in part."""
+        return b"".join(self.complete_events) != self.body
+
+    @property
+    def looks_whole(self) -> bool:
+        """Whether nothing shows that a part of the stream is missing."""
+        if self.ends_within_event:
+            return False
+        if self.response.framing is Framing.CLOSE:
+            return bool(self.complete_events) and not self.response.is_reset
+        return self.response.is_framed_whole or len(self.body) == sum(
+            map(len, self.events)
+        )
+
+
+def make_event(event_id: int, line_end: bytes = b"\n") -> bytes:
+    lines = [b"id: %d" % event_id, b"data: %s" % (b"x" * event_id), b"", b""]
+    return line_end.join(lines)
+
+
+def encode(call: Call) -> bytes:
+    """Encode what an engine sends, with the head of its response."""
+    body, response = call.body, call.response
+    whole = b"".join(call.events)
+    is_ended = response.is_framed_whole or len(body) == len(whole)
+    head = (
+        f"HTTP/1.1 200 OK\r\nPimentolink-Request-Id: {REQUEST_ID}\r\n"
+        "Pimentolink-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+    ).encode()
+    if response.framing is Framing.LENGTH:
+        length = len(body) if is_ended else len(whole)
+        return head + b"Content-Length: %d\r\n\r\n%s" % (length, body)
+    if response.framing is Framing.CLOSE:
+        return head + b"\r\n" + body
+    head += b"Transfer-Encoding: chunked\r\n\r\n"
+    chunk = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+    return head + chunk + (b"0\r\n\r\n" if is_ended else b"")
+
+
+class _EngineTransport(SocketTransport):
+    """The gateway's end of a connection to an engine."""
+
+    def __init__(self, engines, protocol):
+        super().__init__()
+        self._engines = engines
+        self._protocol = protocol
+        self._is_lost = False
+
+    def write(self, data):
+        self._engines.receive(data, self)
+
+    def deliver(self, data):
+        if not self._is_lost:
+            self._protocol.dataReceived(data)
+
+    def lose(self, reason):
+        if not self._is_lost:
+            self._is_lost = True
+            self._protocol.connectionLost(TwistedFailure(reason))
+
+    def abortConnection(self):  # noqa: N802
+        self.lose(ConnectionLost())
+
+
+class ScriptedEngines:
+    """
+    Takes the place of the reactor: each connection leads to an engine.
+
+    The n-th call gets the n-th response; calls beyond them get a whole stream.
+    """
+
+    def __init__(self, timers, responses, event_count):
+        self.calls = []
+        self._timers = timers
+        self._responses = iter(responses)
+        self._event_count = event_count
+
+    def connectTCP(self, host, port, factory, **options):  # noqa: N802
+        protocol = factory.buildProtocol(None)
+        protocol.makeConnection(_EngineTransport(self, protocol))
+
+    def receive(self, data, transport):
+        """Answer a request, whose bytes arrive at once."""
+        head = HttpRequest(b"", b"", _parse_headers(data))
+        last_event = int(head.header(b"last-event-id") or 0)
+        response = next(self._responses, Response(Framing.CHUNKED))
+        events = [
+            make_event(event_id, response.line_end)
+            for event_id in range(last_event + 1, self._event_count + 1)
+        ]
+        call = Call(last_event, response, events)
+        self.calls.append(call)
+        encoded = encode(call)
+        offsets = sorted({0, len(encoded), *response.cuts})
+        offsets = [offset for offset in offsets if offset <= len(encoded)]
+        pieces = [
+            encoded[start:end] for start, end in zip(offsets, offsets[1:], strict=False)
+        ]
+        for number, piece in enumerate(pieces, 1):
+            self._timers.call_later(
+                number * STEP, lambda piece=piece: transport.deliver(piece)
+            )
+        reason = ConnectionLost() if response.is_reset else ConnectionDone()
+        self._timers.call_later(
+            (len(pieces) + 1) * STEP, lambda: transport.lose(reason)
+        )
+
+
+def _parse_headers(data):
+    lines = data.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    pairs = (line.partition(b":") for line in lines)
+    return tuple((name, value.strip()) for name, _, value in pairs)
+
+
+class RecordingResponder:
+    """Records the response that a caller receives."""
+
+    def __init__(self):
+        self.has_begun = False
+        self.body = b""
+        self.is_complete = False
+
+    def begin(self, status, headers):
+        self.has_begun = True
+
+    def write(self, data):
+        assert not self.is_complete
+        self.body += data
+
+    def finish(self):
+        assert not self.is_complete
+        self.is_complete = True
+
+    def answer(self, status, headers, body):
+        raise AssertionError("a stream has no response of a known length")
+
+    def abort(self):
+        pass
+
+    def on_pause(self, callback):
+        pass
+
+
+class RecordingWatcher:
+    """Records the exchanges that ended before their response was complete."""
+
+    def __init__(self):
+        self.cut_off_count = 0
+        self.success_count = 0
+
+    async def admit(self, request):
+        pass
+
+    def cut_off(self, request, estimate, opened_at):
+        self.cut_off_count += 1
+
+    def connection_lost(self, estimate):
+        pass
+
+    def request_succeeded(self, request):
+        self.success_count += 1
+
+
+class StreamRun:
+    """
+    One stream, relayed by the handler of a gateway from scripted engines.
+
+    :ivar calls: the calls that engines received, in order.
+    :ivar failure: why the response is incomplete; ``None`` if it is complete.
+    """
+
+    def __init__(self, responses, event_count=4, is_resumable=True):
+        timers = ManualTimers()
+        scripted = ScriptedEngines(timers, responses, event_count)
+        self.calls = scripted.calls
+        self.responder = RecordingResponder()
+        self.watcher = RecordingWatcher()
+        self.failure = None
+        gateway_fleet = fleet(*engines(0, 3))
+        budgets = SharedBudgets(gateway_settings(), timers)
+        for _ in range(40):
+            budgets.earn("s")
+        client = TargetClient(
+            scripted,
+            ConnectionSettings(),
+            gateway_fleet,
+            PlatformDialect(),
+            self.watcher,
+            timers,
+            Log(),
+            Metrics(),
+        )
+        handler = GenerationHandler(
+            client,
+            PlatformDialect(),
+            PrefillScheduler(
+                make_prefill_queue(gateway_fleet),
+                IgnoringPublisher(),
+                timers,
+                Log(),
+                "gateway",
+                GatewayDelay(),
+            ),
+            make_placer(gateway_fleet, PlacementSettings()),
+            RetryLimiter(budgets, Log(), Metrics()),
+            timers,
+            Log(),
+        )
+        self.work = self._make_work(is_resumable)
+        serving = Deferred.fromCoroutine(
+            with_timeout(timers, 2.0, handler.serve(self.work))
+        )
+        serving.addErrback(self._failed)
+        while not serving.called:
+            timers.advance(STEP)
+        if isinstance(serving.result, TwistedFailure):
+            error, serving.result = serving.result, None
+            error.raiseException()
+
+    def _make_work(self, is_resumable):
+        parts = prompt(REQUEST_ID).parts
+        request = CallerRequest(
+            request_id=REQUEST_ID,
+            http=HttpRequest(b"POST", b"/p/", ((b"Host", b"h.example"),)),
+            host="h.example",
+            path="/p/",
+            arrived_at=0.0,
+            caller_timeout=None,
+            parts=parts,
+            prompt_tokens=sum(part.tokens for part in parts),
+        )
+        repeatability = Repeatability.IDEMPOTENT if is_resumable else Repeatability.ONCE
+        stream_route = route(
+            is_stream=True,
+            is_resumable=is_resumable,
+            repeatability=repeatability,
+            max_targets=3 if is_resumable else 1,
+        )
+        return PendingRequest(request, stream_route, "s", None, self.responder)
+
+    def _failed(self, failure):
+        failure.trap(Failure)
+        self.failure = failure.value
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -171,6 +171,22 @@
             ]
             assert ids == ["id: 1", "id: 2", "id: 3", "id: 4"]
 
+    def test_stream_closed_within_an_event_goes_on_at_another_engine(self, world):
+        # Guards against part of an event, then the end of a response with neither a
+        # length nor chunks, that were relayed as the end of the stream.
+        earn_retry_credit(world)
+        world.target("writer-2", "llm", "decode")
+        world.wait_for_event("target_listed", ADOPTION_LIMIT, target="writer-2")
+        world.fault("writer", unframed_share=1.0, truncate_share=1.0)
+        for _ in range(4):
+            reply, name = world.generate("/resume/x")
+            assert reply.body == b"".join(
+                b'id: %d\ndata: {"request": "%s", "piece": %d}\n\n'
+                % (number, name.encode(), number)
+                for number in range(1, 5)
+            )
+        assert world.log_lines("gateway", event="stream_resumed")
+
     def test_failed_attempts_tell_what_was_asked(self, world):
         for name in ("plain-1", "plain-2"):
             world.fault(name, status=500)
@@ -218,8 +234,15 @@
         (line,) = wait_until(outcomes)
         assert line["framing"] == framing
 
-    def test_broken_stream_that_may_not_resume_does_not_look_complete(self, world):
-        world.fault("writer", break_after=2)
+    @pytest.mark.parametrize(
+        "faults",
+        [{"break_after": 2}, {"unframed_share": 1.0, "truncate_share": 1.0}],
+        ids=["reset", "closed"],
+    )
+    def test_broken_stream_that_may_not_resume_does_not_look_complete(
+        self, world, faults
+    ):
+        world.fault("writer", **faults)
         connection = world.connection()
         headers = {
             "Host": HOST,
