Split event streams at line ends of any kind

What callers would see: of a stream whose lines end in CRLF or CR, as the standard allows, no event before its end, and no resumption after its last event. Not seen in an incident; found while looking at which streams end within an event.

Cause: an event ended at LF LF alone; the rest of the stream was written when it was complete.

Change: the splitter looks for two line ends of any kind. A CR that may be the first half of a CRLF is waited for. Empty lines between events are passed on at once, so that what is left is within an event.

--- a/pimentolink/eventstream.py
+++ b/pimentolink/eventstream.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
-EVENT_END = b"\n\n"
+# Ends of a line and of the empty line after it. A CR that may be the first half of a
+# CRLF is waited for, so that events do not depend on how the stream is split.
+# :source: WHATWG HTML, section 9.2.5, allows LF, CRLF and CR.
+_EVENT_END = re.compile(rb"(?:\r\n|\n)(?:\r\n|\n|\r(?=[^\n]))|\r\r")
+_LINE_ENDS = b"\r\n"
 _ID_FIELD = b"id:"
 
 
@@ -38,11 +43,19 @@
 
         :returns: the events that these bytes complete.
         """
-        whole, separator, self._pending = (self._pending + data).rpartition(EVENT_END)
-        if not separator:
-            return []
-        pieces = (whole + separator).split(EVENT_END)[:-1]
-        return [Event(piece + EVENT_END, _event_id(piece)) for piece in pieces]
+        received = self._pending + data
+        events = []
+        start = 0
+        for match in _EVENT_END.finditer(received):
+            piece = received[start : match.end()]
+            events.append(Event(piece, _event_id(piece)))
+            start = match.end()
+        self._pending = received[start:]
+        if self._pending and not self._pending.strip(_LINE_ENDS):
+            # Empty lines between events belong to none of them.
+            events.append(Event(self._pending, None))
+            self._pending = b""
+        return events
 
     def rest(self) -> bytes:
         """Return the buffered bytes of an incomplete event."""
@@ -50,7 +63,7 @@
 
 
 def _event_id(piece: bytes) -> bytes | None:
-    for line in piece.split(b"\n"):
+    for line in piece.splitlines():
         if line.startswith(_ID_FIELD):
             return line[len(_ID_FIELD) :].strip()
     return None
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -1,29 +1,69 @@
 """Event streams in any segmentation."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from pimentolink.eventstream import EventSplitter, is_after
 
-EVENTS = [f"id: {number}\ndata: {'x' * number}\n\n".encode() for number in range(1, 8)]
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
+
+
+def make_events(line_end=b"\n"):
+    return [
+        line_end.join([b"id: %d" % number, b"data: " + b"x" * number, b"", b""])
+        for number in range(1, 8)
+    ]
 
 
 @settings(max_examples=10_000, deadline=None)
-@given(cuts=st.lists(st.integers(0, sum(map(len, EVENTS))), max_size=12))
-def test_any_pieces_give_the_same_events(cuts):
-    whole = b"".join(EVENTS)
-    offsets = sorted({0, len(whole), *cuts})
+@given(
+    cuts=st.lists(st.integers(0, 200), max_size=12), line_end=st.sampled_from(LINE_ENDS)
+)
+def test_any_pieces_give_the_same_events(cuts, line_end):
+    # Guards against streams whose lines end in CR, whose events were only relayed at
+    # the end of the stream.
+    expected = make_events(line_end)
+    whole = b"".join(expected)
+    offsets = sorted({0, len(whole), *(cut for cut in cuts if cut < len(whole))})
     splitter = EventSplitter()
     events = [
         event
         for start, end in zip(offsets, offsets[1:], strict=False)
         for event in splitter.feed(whole[start:end])
     ]
-    assert [event.data for event in events] == EVENTS
+    assert [event.data for event in events] == expected
     assert [event.event_id for event in events] == [b"%d" % n for n in range(1, 8)]
     assert splitter.rest() == b""
 
 
+class TestLineEnds:
+    def test_each_event_is_complete_with_its_empty_line(self):
+        splitter = EventSplitter()
+        for event in make_events(b"\r\n"):
+            assert splitter.feed(event[:-1]) == []
+            (found,) = splitter.feed(event[-1:])
+            assert found.data == event
+
+    @pytest.mark.parametrize("end", [b"\r\n\n", b"\n\r\n", b"\n\n", b"\r\r"])
+    def test_lines_of_one_event_may_end_differently(self, end):
+        splitter = EventSplitter()
+        assert [event.event_id for event in splitter.feed(b"id: 1" + end)] == [b"1"]
+        assert splitter.rest() == b""
+
+    @pytest.mark.parametrize("line_end", LINE_ENDS)
+    def test_line_end_within_an_event_does_not_end_it(self, line_end):
+        splitter = EventSplitter()
+        assert splitter.feed(b"id: 1" + line_end) == []
+        assert splitter.feed(b"data: x") == []
+
+    def test_further_empty_lines_are_passed_on(self):
+        splitter = EventSplitter()
+        events = splitter.feed(b"\nid: 1\n\n\n")
+        assert b"".join(event.data for event in events) == b"\nid: 1\n\n\n"
+        assert splitter.rest() == b""
+
+
 class TestRest:
     def test_torn_event_is_kept_back(self):
         splitter = EventSplitter()
