Treat a stream that ends within an event as broken off

Cause: a response with neither a length nor chunks ends with its connection. h11 takes the end of the connection as the end of the body, unless it is a reset, and the relay took the end of the body as the end of the stream: it wrote the part of an event that it held back, and completed the response (class: the end of a transport taken for the end of a message). The call counted as answered, too: no failed attempt, no retry, a good outcome for the engine, and a request that had crashed it was cleared of suspicion.

Change: TargetCall reads events instead of bytes, and is complete only if the last one is, whatever the framing says. Otherwise the attempt fails with stream_truncated, a broken connection: the part is not relayed, the stream is resumed after its last complete event where its route allows that, else the caller's connection is aborted; the exchange counts as cut off for ejection and for crashes.

It holds for any cut within an event. Between two events nothing tells a stream that was broken off from a complete one; a stream without any event follows.

--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -254,6 +254,12 @@
     ran = True
 
 
+class StreamTruncated(ConnectionBroken):
+    """An event stream ended before it can be complete."""
+
+    code = "stream_truncated"
+
+
 class ReplyInvalid(Failure):
     """The target sent an invalid response."""
 
--- a/pimentolink/eventstream.py
+++ b/pimentolink/eventstream.py
@@ -30,7 +30,8 @@
     Buffers bytes until an event is complete.
 
     Only complete events are relayed, so that a stream that breaks within an event can
-    resume at another target without its caller receiving a partial event.
+    resume at another target without its caller receiving a partial event. A stream that
+    ends while bytes are buffered is truncated.
     """
 
     def __init__(self) -> None:
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -17,7 +17,7 @@
     ReplyInvalid,
     StreamBroken,
 )
-from pimentolink.eventstream import EventSplitter, is_after
+from pimentolink.eventstream import is_after
 from pimentolink.forwarder import PendingRequest, forward_reply
 from pimentolink.httptypes import HttpReply, end_to_end
 from pimentolink.logs import Log, LogEvent
@@ -375,17 +375,14 @@
         assert call.head is not None
         responder = self._work.responder
         responder.on_pause(call.pause)
-        splitter = EventSplitter()
-        while (data := await call.read()) is not None:
-            for event in splitter.feed(data):
+        while (events := await call.read_events()) is not None:
+            for event in events:
                 if not is_after(event.event_id, self.last_event):
                     continue
                 self._begin(call)
                 responder.write(event.data)
                 self.last_event = event.event_id or self.last_event
         self._begin(call)
-        if splitter.rest():
-            responder.write(splitter.rest())
         responder.finish()
 
     def _begin(self, call: TargetCall) -> None:
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -19,8 +19,10 @@
     OtherInstance,
     RejectedUnrun,
     ReplyInvalid,
+    StreamTruncated,
     TargetFailed,
 )
+from pimentolink.eventstream import Event, EventSplitter
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import ConnectionSettings
 from pimentolink.httptypes import BodyFraming, HttpReply, HttpRequest, ReplyHead
@@ -99,6 +101,7 @@
         self._pool = pool
         self._connection = connection
         self._is_closed = False
+        self._events = EventSplitter()
         self.head: ReplyHead | None = None
 
     @property
@@ -106,13 +109,25 @@
         """How the response delimits its body; ``None`` before its head."""
         return self._connection.framing
 
-    async def read(self) -> bytes | None:
-        """Read the next bytes of the response; ``None`` at its end."""
-        chunk = await self._connection.read()
-        if chunk is None:
-            self._is_complete = True
-            self.close()
-        return chunk
+    async def read_events(self) -> list[Event] | None:
+        """
+        Read the next events of a response that is an event stream.
+
+        :returns: the events, none if the next one is incomplete yet; ``None`` at the
+            end of the stream.
+        :raises ConnectionBroken: if the connection breaks before the end.
+        :raises StreamTruncated: if the response ends within an event, however it
+            delimits its body.
+        """
+        data = await self._connection.read()
+        if data is not None:
+            return self._events.feed(data)
+        rest = self._events.rest()
+        if rest:
+            raise StreamTruncated(f"the response ended {len(rest)} bytes into an event")
+        self._is_complete = True
+        self.close()
+        return None
 
     async def read_all(self) -> HttpReply:
         """Read the complete response."""
--- a/tests/requesthandlers.py
+++ b/tests/requesthandlers.py
@@ -16,6 +16,7 @@
     Quarantined,
     RejectedUnrun,
 )
+from pimentolink.eventstream import EventSplitter
 from pimentolink.forwarder import PendingRequest
 from pimentolink.gatewaydelay import GatewayDelay
 from pimentolink.gatewaysettings import PlacementSettings
@@ -107,6 +108,10 @@
             raise ConnectionBroken("cut off")
         return None
 
+    async def read_events(self):
+        data = await self.read()
+        return None if data is None else EventSplitter().feed(data)
+
     async def read_all(self):
         body = b""
         while (chunk := await self.read()) is not None:
