Treat a stream without an event that ends with its connection as broken off

What callers would see: a complete, empty 200 from an engine that ended before its first event.

Cause: the end of the connection was taken for the end of a body with neither a length nor chunks, as for a stream that ends within an event.

Change: such a stream has to have an event. One that is empty by its length or its chunks is complete, as its engine says so. A resumed stream that is empty and ends with its connection is tried again, too: it may be the end of the stream or another break, and only the second costs the caller events.

--- a/pimentolink/eventstream.py
+++ b/pimentolink/eventstream.py
@@ -32,11 +32,14 @@
     Only complete events are relayed, so that a stream that breaks within an event can
     resume at another target without its caller receiving a partial event. A stream that
     ends while bytes are buffered is truncated.
+
+    :ivar has_event: whether there was a complete event.
     """
 
     def __init__(self) -> None:
         """Create a splitter with an empty buffer."""
         self._pending = b""
+        self.has_event = False
 
     def feed(self, data: bytes) -> list[Event]:
         """
@@ -50,6 +53,7 @@
         for match in _EVENT_END.finditer(received):
             piece = received[start : match.end()]
             events.append(Event(piece, _event_id(piece)))
+            self.has_event = self.has_event or bool(piece.strip(_LINE_ENDS))
             start = match.end()
         self._pending = received[start:]
         if self._pending and not self._pending.strip(_LINE_ENDS):
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -117,7 +117,7 @@
             end of the stream.
         :raises ConnectionBroken: if the connection breaks before the end.
         :raises StreamTruncated: if the response ends within an event, however it
-            delimits its body.
+            delimits its body, or if its connection ends before the first event.
         """
         data = await self._connection.read()
         if data is not None:
@@ -125,6 +125,8 @@
         rest = self._events.rest()
         if rest:
             raise StreamTruncated(f"the response ended {len(rest)} bytes into an event")
+        if self.framing is BodyFraming.CLOSE and not self._events.has_event:
+            raise StreamTruncated("the connection ended before the first event")
         self._is_complete = True
         self.close()
         return None
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -70,6 +70,13 @@
         assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")[0].event_id == b"1"
         assert splitter.rest() == b"id: 2\nda"
 
+    def test_empty_lines_are_no_event(self):
+        splitter = EventSplitter()
+        splitter.feed(b"\n\n\n")
+        assert not splitter.has_event
+        splitter.feed(b"id: 1\n\n")
+        assert splitter.has_event
+
 
 class TestOrder:
     def test_only_later_events_are_news(self):
