Test how broken streams end for callers without chunks

A response to HTTP/1.0 ends with its connection, so that a clean end would complete it. The gateway resets the connection, as it did before.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -259,6 +259,19 @@
             broken.value, OSError
         )
 
+    def test_broken_stream_ends_in_a_reset_for_a_caller_without_chunks(self, world):
+        # A clean end would complete a response of this version.
+        request = (
+            f"POST /stream/x HTTP/1.0\r\nHost: {HOST}\r\n"
+            "Pimentolink-Request-Id: %s\r\nPimentolink-Prompt-Prefix: aa:10\r\n"
+            "Pimentolink-Token-Counts: 10,5\r\nContent-Length: 1\r\n\r\nx"
+        )
+        received = world.raw((request % "whole").encode())
+        assert len(parse_event_lines(received)) == 8
+        world.fault("writer", unframed_share=1.0, truncate_share=1.0)
+        with pytest.raises(ConnectionResetError):
+            world.raw((request % "broken").encode())
+
     def test_callers_leaving_reaches_the_engine_at_once(self, world):
         world.remove("servers/writer")
         world.target("slow", "llm", "decode", pieces=1000, gap=0.05)
