Record a prefill whose reply ends early as cut off

What callers would see: a request that crashes engines during its prefill, when the reply ends with its connection, is sent to one engine after the other and never held.

Cause: as for streams, the end of the connection was taken for the end of the body. The reply was found invalid, so that the engine was asked whether it listens, but no exchange was known to have broken off.

Evidence: test_counts_as_broken_off_by_its_engine of the prefill fails before (0 exchanges instead of 1) and passes now.

--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -19,7 +19,7 @@
 )
 from pimentolink.eventstream import is_after
 from pimentolink.forwarder import PendingRequest, forward_reply
-from pimentolink.httptypes import HttpReply, end_to_end
+from pimentolink.httptypes import BodyFraming, HttpReply, end_to_end
 from pimentolink.logs import Log, LogEvent
 from pimentolink.placement import MAX_SIZE, Placer, RequestValueModel, WaitingPrompt
 from pimentolink.prefillscheduler import DispatchedPrefill, PrefillScheduler
@@ -219,6 +219,8 @@
             raise ReplyInvalid(f"a reading's status {reply.head.status}")
         prompt = self._dialect.read_prefill_reply(reply)
         if isinstance(prompt, Err):
+            if call.framing is BodyFraming.CLOSE:
+                call.record_cut_off()
             self._target_client.record_failure(
                 work.request, prefill_engine, prompt.err_value, call.sent_at
             )
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -139,6 +139,10 @@
         self.close()
         return HttpReply(self.head, body)
 
+    def record_cut_off(self) -> None:
+        """Record that a part of the response is missing, though its body has ended."""
+        self._on_cut_off()
+
     def pause(self, is_paused: bool) -> None:
         """Pause or resume reading from the target."""
         transport: Any = self._connection.transport
--- a/tests/scriptedengines.py
+++ b/tests/scriptedengines.py
@@ -33,10 +33,14 @@
     prompt,
     route,
 )
-from tests.requesthandlers import IgnoringPublisher
+from tests.requesthandlers import PREFILLED, IgnoringPublisher
 
 STEP = 0.001
 REQUEST_ID = "r"
+HEAD = (
+    f"HTTP/1.1 200 OK\r\nPimentolink-Request-Id: {REQUEST_ID}\r\n"
+    "Pimentolink-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+).encode()
 
 
 class Framing(Enum):
@@ -119,16 +123,12 @@
     body, response = call.body, call.response
     whole = b"".join(call.events)
     is_ended = response.is_framed_whole or len(body) == len(whole)
-    head = (
-        f"HTTP/1.1 200 OK\r\nPimentolink-Request-Id: {REQUEST_ID}\r\n"
-        "Pimentolink-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
-    ).encode()
     if response.framing is Framing.LENGTH:
         length = len(body) if is_ended else len(whole)
-        return head + b"Content-Length: %d\r\n\r\n%s" % (length, body)
+        return HEAD + b"Content-Length: %d\r\n\r\n%s" % (length, body)
     if response.framing is Framing.CLOSE:
-        return head + b"\r\n" + body
-    head += b"Transfer-Encoding: chunked\r\n\r\n"
+        return HEAD + b"\r\n" + body
+    head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
     chunk = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
     return head + chunk + (b"0\r\n\r\n" if is_ended else b"")
 
@@ -162,13 +162,17 @@
     """
     Takes the place of the reactor: each connection leads to an engine.
 
-    The n-th call gets the n-th response; calls beyond them get a whole stream.
+    The n-th call gets the n-th response; calls beyond them get a whole stream. The n-th
+    prefill gets the n-th reply, which ends with its connection; those beyond them
+    succeed.
     """
 
-    def __init__(self, timers, responses, event_count):
+    def __init__(self, timers, responses, prefill_replies, event_count):
         self.calls = []
+        self.prefill_count = 0
         self._timers = timers
         self._responses = iter(responses)
+        self._prefill_replies = iter(prefill_replies)
         self._event_count = event_count
 
     def connectTCP(self, host, port, factory, **options):  # noqa: N802
@@ -178,6 +182,11 @@
     def receive(self, data, transport):
         """Answer a request, whose bytes arrive at once."""
         head = HttpRequest(b"", b"", _parse_headers(data))
+        if head.header(b"pimentolink-stage") == b"prefill":
+            self.prefill_count += 1
+            reply = next(self._prefill_replies, PREFILLED)
+            self._send(transport, [HEAD + b"\r\n" + reply], ConnectionDone())
+            return
         last_event = int(head.header(b"last-event-id") or 0)
         response = next(self._responses, Response(Framing.CHUNKED))
         events = [
@@ -192,11 +201,14 @@
         pieces = [
             encoded[start:end] for start, end in zip(offsets, offsets[1:], strict=False)
         ]
+        reason = ConnectionLost() if response.is_reset else ConnectionDone()
+        self._send(transport, pieces, reason)
+
+    def _send(self, transport, pieces, reason):
         for number, piece in enumerate(pieces, 1):
             self._timers.call_later(
                 number * STEP, lambda piece=piece: transport.deliver(piece)
             )
-        reason = ConnectionLost() if response.is_reset else ConnectionDone()
         self._timers.call_later(
             (len(pieces) + 1) * STEP, lambda: transport.lose(reason)
         )
@@ -261,18 +273,25 @@
     """
     One stream, relayed by the handler of a gateway from scripted engines.
 
-    :ivar calls: the calls that engines received, in order.
+    :ivar calls: the calls that engines received, in order, without prefills.
     :ivar failure: why the response is incomplete; ``None`` if it is complete.
     """
 
-    def __init__(self, responses, event_count=4, is_resumable=True):
+    def __init__(self, responses, is_resumable=True, prefill_replies=None):
+        """
+        Relay a stream of four events.
+
+        :param prefill_replies: bodies of replies to prefills; ``None`` if the engines
+            that run the decode do them.
+        """
         timers = ManualTimers()
-        scripted = ScriptedEngines(timers, responses, event_count)
+        scripted = ScriptedEngines(timers, responses, prefill_replies or (), 4)
+        self.engines = scripted
         self.calls = scripted.calls
         self.responder = RecordingResponder()
         self.watcher = RecordingWatcher()
         self.failure = None
-        gateway_fleet = fleet(*engines(0, 3))
+        gateway_fleet = fleet(*engines(0 if prefill_replies is None else 2, 3))
         budgets = SharedBudgets(gateway_settings(), timers)
         for _ in range(40):
             budgets.earn("s")
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -86,6 +86,16 @@
         assert run.responder.is_complete
 
 
+class TestPrefillReplyThatEndsEarly:
+    def test_counts_as_broken_off_by_its_engine(self):
+        # Guards against an engine that ended during a prefill, which nobody was
+        # suspected of since the reply had ended with its connection.
+        run = StreamRun([], prefill_replies=[b'{"kvHandle": "h", "tok'])
+        assert run.watcher.cut_off_count == 1
+        assert run.engines.prefill_count == 2
+        assert run.responder.body == stream(1, 4)
+
+
 class TestWholeStream:
     @pytest.mark.parametrize("line_end", LINE_ENDS)
     @pytest.mark.parametrize("framing", Framing)
