Add failing tests of targets that end within a response without a length

What callers would see: the part of a response that its target had sent when it ended, as a complete response. Of plain services that is a part of a document, of engines a stream without its last events.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -50,7 +50,7 @@
     ``break_share`` are the shares of requests that are rejected, of those whose
     connection is reset on arrival, and of streams that are reset after one event.
     ``truncate_share`` is the share of streams whose connection is closed within the
-    second event; ``unframed_share`` that of streams with neither a length nor chunks.
+    second event; ``unframed_share`` that of responses with neither a length nor chunks.
     """
 
     def __init__(self, options: Any) -> None:
@@ -206,7 +206,13 @@
 
     def _run_call(self, request: Request, request_id: str) -> None:
         body = raw_body(request).decode()
+        is_unframed = self._occurs("unframed_share")
+        if is_unframed:
+            self._omit_framing(request)
         if self._record_run(request_id, body):
+            if is_unframed:
+                self._sign(request, request_id)
+                request.write(b'{"name":')
             return
         reported_id = uuid4().hex if self.faults["wrong_id"] else request_id
         headers = {
@@ -215,7 +221,14 @@
         }
         reply = {"name": request_id, "body": body, "path": request.uri.decode()}
         status = self.faults["status"]
-        reactor.callLater(self.delay, answer, request, reply, status, headers)
+        transport: Any = request.transport
+
+        def reply_to_call() -> None:
+            answer(request, reply, status, headers)
+            if is_unframed:
+                transport.loseConnection()
+
+        reactor.callLater(self.delay, reply_to_call)
 
     def _decode(self, request: Request, request_id: str) -> None:
         source = request.getHeader("Pimentolink-Kv-Source")
@@ -223,13 +236,11 @@
             self._misdirect(request, request_id)
             return
         is_crashing = self._record_run(request_id, raw_body(request).decode())
-        request.setHeader(REQUEST_ID_HEADER, request_id)
-        request.setHeader("Pimentolink-Response-Signature", f"signed-{request_id}")
+        self._sign(request, request_id)
         request.setHeader("Content-Type", "text/event-stream")
         is_unframed = self._occurs("unframed_share")
         if is_unframed:
-            # twisted.web sends no chunks to clients of this version.
-            request.clientproto = b"HTTP/1.0"
+            self._omit_framing(request)
         last_id = int(request.getHeader("Last-Event-Id") or 0)
         if is_crashing:
             request.write(f"id: {last_id + 1}\ndata: {{}}\n\nid:".encode())
@@ -245,6 +256,15 @@
         )
         self._write_event(stream, last_id + 1)
 
+    def _omit_framing(self, request: Request) -> None:
+        """Let the response have neither a length nor chunks."""
+        # twisted.web sends no chunks to clients of this version.
+        request.clientproto = b"HTTP/1.0"
+
+    def _sign(self, request: Request, request_id: str) -> None:
+        request.setHeader(REQUEST_ID_HEADER, request_id)
+        request.setHeader("Pimentolink-Response-Signature", f"signed-{request_id}")
+
     def _record_run(self, request_id: str, body: str) -> bool:
         """Record the start of a run; return whether it will end this process."""
         self.runs[request_id] += 1
--- a/tests/scriptedengines.py
+++ b/tests/scriptedengines.py
@@ -4,7 +4,11 @@
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+)
 from twisted.python.failure import Failure as TwistedFailure
 
 from pimentolink.dialect import CallerRequest
@@ -60,6 +64,7 @@
     :ivar is_reset: whether the connection ends in a reset.
     :ivar cuts: offsets at which what is sent is split into reads.
     :ivar line_end: ends the lines of events.
+    :ivar is_crash: whether the engine ends with its connection.
     """
 
     framing: Framing
@@ -68,6 +73,7 @@
     is_reset: bool = False
     cuts: tuple[int, ...] = ()
     line_end: bytes = b"\n"
+    is_crash: bool = False
 
 
 class Call(NamedTuple):
@@ -107,7 +113,8 @@
         if self.ends_within_event:
             return False
         if self.response.framing is Framing.CLOSE:
-            return bool(self.complete_events) and not self.response.is_reset
+            is_broken = self.response.is_reset or self.response.is_crash
+            return bool(self.complete_events) and not is_broken
         return self.response.is_framed_whole or len(self.body) == sum(
             map(len, self.events)
         )
@@ -136,8 +143,9 @@
 class _EngineTransport(SocketTransport):
     """The gateway's end of a connection to an engine."""
 
-    def __init__(self, engines, protocol):
+    def __init__(self, engines, protocol, port):
         super().__init__()
+        self.port = port
         self._engines = engines
         self._protocol = protocol
         self._is_lost = False
@@ -171,13 +179,19 @@
         self.calls = []
         self.prefill_count = 0
         self._timers = timers
+        self._crashed_ports = set()
         self._responses = iter(responses)
         self._prefill_replies = iter(prefill_replies)
         self._event_count = event_count
 
     def connectTCP(self, host, port, factory, **options):  # noqa: N802
+        if port in self._crashed_ports:
+            factory.clientConnectionFailed(
+                None, TwistedFailure(ConnectionRefusedError())
+            )
+            return
         protocol = factory.buildProtocol(None)
-        protocol.makeConnection(_EngineTransport(self, protocol))
+        protocol.makeConnection(_EngineTransport(self, protocol, port))
 
     def receive(self, data, transport):
         """Answer a request, whose bytes arrive at once."""
@@ -202,16 +216,20 @@
             encoded[start:end] for start, end in zip(offsets, offsets[1:], strict=False)
         ]
         reason = ConnectionLost() if response.is_reset else ConnectionDone()
-        self._send(transport, pieces, reason)
+        self._send(transport, pieces, reason, response.is_crash)
 
-    def _send(self, transport, pieces, reason):
+    def _send(self, transport, pieces, reason, is_crash=False):
         for number, piece in enumerate(pieces, 1):
             self._timers.call_later(
                 number * STEP, lambda piece=piece: transport.deliver(piece)
             )
-        self._timers.call_later(
-            (len(pieces) + 1) * STEP, lambda: transport.lose(reason)
-        )
+
+        def end():
+            if is_crash:
+                self._crashed_ports.add(transport.port)
+            transport.lose(reason)
+
+        self._timers.call_later((len(pieces) + 1) * STEP, end)
 
 
 def _parse_headers(data):
@@ -291,7 +309,13 @@
         self.responder = RecordingResponder()
         self.watcher = RecordingWatcher()
         self.failure = None
-        gateway_fleet = fleet(*engines(0 if prefill_replies is None else 2, 3))
+        targets = engines(0 if prefill_replies is None else 2, 3)
+        gateway_fleet = fleet(
+            *(
+                target._replace(address=f"127.0.0.1:{9100 + number}")
+                for number, target in enumerate(targets)
+            )
+        )
         budgets = SharedBudgets(gateway_settings(), timers)
         for _ in range(40):
             budgets.earn("s")
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -15,6 +15,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 from uuid import uuid4
@@ -357,6 +358,7 @@
         end = time.monotonic() + FAULTS_FOR
         while time.monotonic() < end:
             played.append(self.random.choice(kinds)())
+            self.change_stream_ends()
             time.sleep(self.random.uniform(0.1, 0.8))
             self.run_due()
             self.world.restart_ended_targets()
@@ -472,6 +474,9 @@
         self.world.start_again(name, service, phase)
         return f"{name} restarted"
 
+    def change_stream_ends(self) -> None:
+        """Do nothing: all streams end in chunks."""
+
     def put_invalid_entry(self) -> str:
         """Write an invalid target entry, as a faulty client of the store would."""
         entry = self.random.choice(
@@ -496,7 +501,32 @@
         return f"version {self.world.version}"
 
 
-def play(seed: int, keep: Path | None = None) -> list[str]:
+class StreamEndFaults(Faults):
+    """Changes how engines delimit streams and end them, beside all other faults."""
+
+    def __init__(self, world: SoakWorld, seed: int) -> None:
+        super().__init__(world, seed)
+        # A source of its own, so that a seed draws the same other faults without it.
+        self.stream_random = random.Random(f"streams {seed}")
+
+    def change_stream_ends(self) -> None:
+        """Draw anew which streams have no chunks and which end within an event."""
+        faults = {
+            "unframed_share": self.stream_random.choice((0.0, 0.5, 1.0)),
+            "truncate_share": self.stream_random.choice((0.0, 0.1, 0.3)),
+        }
+        for name, _, phase in self.world.entry_by_replica.values():
+            # One that crashes meanwhile keeps its other ends.
+            with suppress(OSError):
+                if phase:
+                    self.world.fault(name, **faults)
+
+
+def play(
+    seed: int,
+    keep: Path | None = None,
+    faults_type: type[Faults] = StreamEndFaults,
+) -> list[str]:
     """
     Run the soak with one seed; return the problems found.
 
@@ -509,7 +539,8 @@
         fatal = FatalCaller(world, seed)
         for caller in (*callers, fatal):
             caller.start()
-        faults = Faults(world, seed)
+        faults = faults_type(world, seed)
+        faults.change_stream_ends()
         played = faults.play()
         for name in world.proxies:
             faults.set_mode(name, NO_FAULT)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -187,6 +187,22 @@
             )
         assert world.log_lines("gateway", event="stream_resumed")
 
+    def test_response_that_ends_with_its_connection_is_passed_on(self, world):
+        world.fault("plain-1", unframed_share=1.0)
+        world.fault("plain-2", unframed_share=1.0)
+        reply, name = world.request("/read/x")
+        assert reply.json["name"] == name
+
+    def test_response_of_a_target_that_ended_within_it_is_not_passed_on(self, world):
+        # Guards against the part of a response without a length, whose target had
+        # ended, that was passed on as a complete one.
+        earn_retry_credit(world)
+        world.fault("plain-1", unframed_share=1.0, fatal="fatal")
+        for _ in range(4):
+            reply, name = world.request("/read/x", body=b"fatal")
+            assert reply.json == {"name": name, "body": "fatal", "path": "/read/x"}
+        assert not world.fleet.processes_by_name["plain-1"].is_running
+
     def test_failed_attempts_tell_what_was_asked(self, world):
         for name in ("plain-1", "plain-2"):
             world.fault(name, status=500)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -112,4 +112,10 @@
 @pytest.mark.parametrize("seed", [2, *FAILED_SEEDS])
 def test_seed(seed, monkeypatch):
     monkeypatch.setattr(soak, "FAULTS_FOR", 5.0)
-    assert soak.play(seed) == []
+    assert soak.play(seed, faults_type=soak.Faults) == []
+
+
+# Guards against part of a stream that was relayed as a complete response.
+def test_seed_with_streams_that_end_early(monkeypatch):
+    monkeypatch.setattr(soak, "FAULTS_FOR", 5.0)
+    assert soak.play(5200) == []
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -86,6 +86,30 @@
         assert run.responder.is_complete
 
 
+class TestStreamWhoseEngineEndsBetweenTwoEvents:
+    """
+    An engine ended, and its streams with neither a length nor chunks with it.
+
+    Nothing in such a response tells that events are missing, so that it was completed.
+    """
+
+    def test_is_resumed_at_another_engine(self):
+        run = StreamRun([broken(FIRST_EVENT, is_crash=True)])
+        assert run.responder.body == stream(1, 4)
+        assert [call.last_event for call in run.calls] == [0, 1]
+
+    def test_does_not_look_complete_if_it_may_not_be_resumed(self):
+        run = StreamRun([broken(FIRST_EVENT, is_crash=True)], is_resumable=False)
+        assert run.responder.body == stream(1, 1)
+        assert not run.responder.is_complete
+        assert run.watcher.cut_off_count == 1
+
+    def test_is_complete_if_its_framing_is_whole(self):
+        response = Response(Framing.CHUNKED, is_crash=True)
+        run = StreamRun([response], is_resumable=False)
+        assert run.responder.is_complete
+
+
 class TestPrefillReplyThatEndsEarly:
     def test_counts_as_broken_off_by_its_engine(self):
         # Guards against an engine that ended during a prefill, which nobody was
@@ -122,6 +146,7 @@
         st.booleans(),
         st.lists(st.integers(0, 300), max_size=6).map(tuple),
         st.sampled_from(LINE_ENDS),
+        st.booleans(),
     ),
     max_size=4,
 )
