Confirm that a target lives before a response without a length is complete

What callers would see: the part of a response that its target had sent when it ended, as a complete response: streams without their last events, and parts of documents of plain services.

Cause: the process ends, and its connections end as they do after a complete response (class: the end of a transport taken for the end of a message). Nothing in the response tells.

Change: before such a response is complete, one new connection has to be accepted by the target and be kept for 50 ms. Otherwise the attempt fails with response_truncated, as for a stream that ends within an event. A proxy whose target has ended closes the connection by then. Responses whose content shows that they are complete (prefills, reports, contents of caches) and failures are not checked, nor are those with a length or chunks.

It costs a connection and 50 ms at the end of each response without a length; all events of a stream are relayed before. It does not hold if only the connection ends between two events while its target lives on, or if the target has started again by then and its new entry is not read yet.

--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -254,10 +254,10 @@
     ran = True
 
 
-class StreamTruncated(ConnectionBroken):
-    """An event stream ended before it can be complete."""
+class ResponseTruncated(ConnectionBroken):
+    """A response ended without a sign of its connection, but may lack a part."""
 
-    code = "stream_truncated"
+    code = "response_truncated"
 
 
 class ReplyInvalid(Failure):
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -211,7 +211,7 @@
         )
         call = await self._target_client.begin(work.request, prefill_engine, options)
         try:
-            reply = await call.read_all()
+            reply = await call.read_all(confirms_end=False)
         finally:
             call.close()
         if reply.head.status != 200:
@@ -314,7 +314,7 @@
         async def drop() -> None:
             call = await self._target_client.send(work.request, prefill_engine, message)
             try:
-                await call.read_all()
+                await call.read_all(confirms_end=False)
             finally:
                 call.close()
 
@@ -350,7 +350,7 @@
     async def _relay_failure(
         self, work: PendingRequest, call: TargetCall, relay: _Relay
     ) -> None:
-        reply: HttpReply = await call.read_all()
+        reply: HttpReply = await call.read_all(confirms_end=False)
         status = reply.head.status
         self._target_client.failed(work.request, call, status)
         if relay.has_begun or (status >= 500 and work.attempts.may_repeat()):
--- a/pimentolink/loganalysis.py
+++ b/pimentolink/loganalysis.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from pimentolink.errors import ConnectionBroken, ReplyInvalid, StreamTruncated
+from pimentolink.errors import ConnectionBroken, ReplyInvalid, ResponseTruncated
 
 # Reported quantiles of the ratio of measured to predicted prefill time.
 QUANTILES = (0.1, 0.5, 0.9)
 # Codes of failures that may mean that the attempt's target crashed.
 BREAK_CODES = frozenset(
-    {ConnectionBroken.code, ReplyInvalid.code, StreamTruncated.code}
+    {ConnectionBroken.code, ReplyInvalid.code, ResponseTruncated.code}
 )
 
 
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -19,7 +19,7 @@
     OtherInstance,
     RejectedUnrun,
     ReplyInvalid,
-    StreamTruncated,
+    ResponseTruncated,
     TargetFailed,
 )
 from pimentolink.eventstream import Event, EventSplitter
@@ -33,6 +33,7 @@
 from pimentolink.targetprobes import (
     PROBE_HOLD,
     PROBE_INTERVAL,
+    REACHABLE_HOLD,
     Probe,
     ProbeOutcome,
     ProbeSeries,
@@ -83,6 +84,7 @@
         connection: TargetConnection,
         sent_at: float,
         on_cut_off: Callable[[], None],
+        is_reachable: Callable[[], Coroutine[Any, Any, bool]],
     ) -> None:
         """
         Start an exchange.
@@ -93,10 +95,12 @@
         :param sent_at: seconds of the timer service.
         :param on_cut_off: called if the exchange is closed before the last byte of
             the response.
+        :param is_reachable: returns whether the target still accepts connections.
         """
         self.estimate = estimate
         self.sent_at = sent_at
         self._on_cut_off = on_cut_off
+        self._is_reachable = is_reachable
         self._is_complete = False
         self._pool = pool
         self._connection = connection
@@ -116,25 +120,50 @@
         :returns: the events, none if the next one is incomplete yet; ``None`` at the
             end of the stream.
         :raises ConnectionBroken: if the connection breaks before the end.
-        :raises StreamTruncated: if the response ends within an event, however it
-            delimits its body, or if its connection ends before the first event.
+        :raises ResponseTruncated: if the response ends within an event, however it
+            delimits its body; or with its connection, before the first event or while
+            the target can't be reached.
         """
         data = await self._connection.read()
         if data is not None:
             return self._events.feed(data)
         rest = self._events.rest()
         if rest:
-            raise StreamTruncated(f"the response ended {len(rest)} bytes into an event")
+            raise ResponseTruncated(
+                f"the response ended {len(rest)} bytes into an event"
+            )
         if self.framing is BodyFraming.CLOSE and not self._events.has_event:
-            raise StreamTruncated("the connection ended before the first event")
+            raise ResponseTruncated("the connection ended before the first event")
+        await self._confirm_end()
         self._is_complete = True
         self.close()
         return None
 
-    async def read_all(self) -> HttpReply:
-        """Read the complete response."""
+    async def _confirm_end(self) -> None:
+        """
+        Check that the target has not ended, if the response ends with its connection.
+
+        The connection of a target that ends within a response ends in the same way.
+
+        :raises ResponseTruncated: if the target can't be reached any more.
+        """
+        if self.framing is BodyFraming.CLOSE and not await self._is_reachable():
+            raise ResponseTruncated("the connection ended, and so did its target")
+
+    async def read_all(self, confirms_end: bool = True) -> HttpReply:
+        """
+        Read the complete response.
+
+        :param confirms_end: whether the response may lack a part without the caller of
+            this method noticing it.
+        :raises ConnectionBroken: if the connection breaks before the end.
+        :raises ResponseTruncated: if ``confirms_end``, and the response ends with its
+            connection while the target can't be reached.
+        """
         assert self.head is not None
         body = await self._connection.read_all(MAX_RESPONSE_BYTES)
+        if confirms_end:
+            await self._confirm_end()
         self._is_complete = True
         self.close()
         return HttpReply(self.head, body)
@@ -265,8 +294,22 @@
             )
         return not verdict.has_ended
 
-    async def _probe(self, target: Target) -> Probe:
-        """Open a connection on which nothing is sent, and watch whether it is kept."""
+    async def is_reachable(self, estimate: TargetEstimate) -> bool:
+        """
+        Check by one new connection whether a target can be reached right now.
+
+        :returns: ``False`` too if a connection is closed at once, as by a proxy whose
+            target has ended, or if the target has restarted.
+        """
+        probe = await self._probe(estimate.target, REACHABLE_HOLD)
+        return probe.outcome is ProbeOutcome.KEPT and not estimate.is_replaced
+
+    async def _probe(self, target: Target, hold: float = PROBE_HOLD) -> Probe:
+        """
+        Open a connection on which nothing is sent, and watch whether it is kept.
+
+        :param hold: seconds for which it is held open.
+        """
         # Not of the target's pool, whose bound is for calls.
         pool = ConnectionPool(
             self._reactor, target.address, self._settings, self._timers
@@ -281,15 +324,15 @@
         except NotConnected:
             outcome = ProbeOutcome.UNKNOWN
         else:
-            is_kept = await self._is_kept(connection)
+            is_kept = await self._is_kept(connection, hold)
             outcome = ProbeOutcome.KEPT if is_kept else ProbeOutcome.CLOSED
         return Probe(outcome, self._timers.now() - began_at)
 
-    async def _is_kept(self, connection: TargetConnection) -> bool:
+    async def _is_kept(self, connection: TargetConnection, hold: float) -> bool:
         """Hold a connection open, then close it; tell whether the other side did."""
         ended: Deferred[None] = Deferred()
         connection.on_closed = lambda _: ended.callback(None)
-        timer = self._timers.call_later(PROBE_HOLD, connection.abort)
+        timer = self._timers.call_later(hold, connection.abort)
         await ended
         timer.cancel()
         return not connection.is_lost
@@ -350,6 +393,7 @@
             connection,
             self._timers.now(),
             lambda: self._watcher.cut_off(request, estimate, connection.opened_at),
+            lambda: self.is_reachable(estimate),
         )
         try:
             call.head = await connection.send(
@@ -367,10 +411,10 @@
         """Raise a failure if the head says that the target did not run the request."""
         verdict = self._dialect.verdict(head)
         if verdict is Verdict.NOT_RUN:
-            await call.read_all()
+            await call.read_all(confirms_end=False)
             raise RejectedUnrun(f"status {head.status}")
         if verdict is Verdict.OTHER_INSTANCE:
-            await call.read_all()
+            await call.read_all(confirms_end=False)
             raise OtherInstance(f"another target has {call.estimate.target.address}")
 
     def succeeded(self, request: CallerRequest, estimate: TargetEstimate) -> None:
--- a/pimentolink/targetprobes.py
+++ b/pimentolink/targetprobes.py
@@ -8,6 +8,9 @@
 # Seconds for which a probe connection is held open. A serving target keeps it, while a
 # proxy whose target has ended closes it once it has found that out.
 PROBE_HOLD = 0.5
+# Seconds for which the connection is held that shows whether a target can be reached;
+# its response waits for them.
+REACHABLE_HOLD = 0.05
 # Seconds between the end of one probe and the next.
 PROBE_INTERVAL = 0.15
 # Probes closed in a row before a target counts as ended.
--- a/tests/requesthandlers.py
+++ b/tests/requesthandlers.py
@@ -112,7 +112,7 @@
         data = await self.read()
         return None if data is None else EventSplitter().feed(data)
 
-    async def read_all(self):
+    async def read_all(self, confirms_end=True):
         body = b""
         while (chunk := await self.read()) is not None:
             body += chunk
--- a/tests/test_loganalysis.py
+++ b/tests/test_loganalysis.py
@@ -103,7 +103,7 @@
         lines = [
             attempt_failed(1, "a", "f1"),
             attempt_failed(2, "b", "f1", code="reply_invalid", after=0.3),
-            attempt_failed(3, "b", "f1", code="stream_truncated"),
+            attempt_failed(3, "b", "f1", code="response_truncated"),
             attempt_failed(1, "a", "f2"),
             attempt_failed(2, "a", "f2"),
         ]
