Accept complete streams of a sidecar's engine that end with their connection

What callers would see: a stream of an engine that sends neither a length nor chunks was reported as broken off after its last event, and its request was sent to another engine.

Cause: twisted ends such a body with PotentialDataLoss, which was taken for a break.

Evidence: test_is_complete_after_its_last_event fails before and passes now. A stream that lacks the last event was and is broken off.

Change: the event that ends a stream of this kind shows that it is complete. Plain responses of this kind remain failures: twisted does not tell whether their connection was reset.

--- a/pimentolink/targets.py
+++ b/pimentolink/targets.py
@@ -12,6 +12,7 @@
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IResponse
 
 from pimentolink.errors import (
@@ -148,7 +149,9 @@
     def connectionLost(  # noqa: N802
         self, reason: TwistedFailure = connectionDone
     ) -> None:
-        self._call.stream_ended(reason.check(ResponseDone) is not None)
+        # The last event shows that a body without a length or chunks is complete.
+        is_ended = reason.check(ResponseDone, PotentialDataLoss) is not None
+        self._call.stream_ended(is_ended)
 
     def pause(self, paused: bool) -> None:
         if self.transport is None:
@@ -218,8 +221,8 @@
         if tokens and self._listener is not None:
             self._listener.tokens(tokens)
 
-    def stream_ended(self, is_body_complete: bool) -> None:
-        if not (self._is_done and is_body_complete):
+    def stream_ended(self, is_body_ended: bool) -> None:
+        if not (self._is_done and is_body_ended):
             self.fail(TargetFailed("the answer broke off"))
         elif self._call.prefill_only:
             self._reader = None
