End a request whose caller leaves while a target is connected to

What callers would see: nothing, they had left. Engines ran requests that nobody waited for any more, and retries were spent on them.

Cause: an attempt to connect that is cancelled raised ConnectCancelled, a NotConnected, so that the handler took it for a target that can't be reached and tried another. The check of a target at the end of a response without a length had the same effect.

--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -170,10 +170,6 @@
     code = "not_connected"
 
 
-class ConnectCancelled(NotConnected):
-    """The attempt to open a connection was cancelled, so nothing was sent."""
-
-
 class ConnectReset(NotConnected):
     """The connection was reset as it was opened, so nothing was sent."""
 
--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -12,7 +12,6 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from pimentolink.errors import (
-    ConnectCancelled,
     Failure,
     HistoryLost,
     KeyValueUnavailable,
@@ -345,11 +344,6 @@
             raise KeyValueUnavailable(f"no answer within {timeout:g} s") from error
         except CancelledError:
             raise
-        except ConnectCancelled as failure:
-            if self._timers.now() - began_at < timeout:
-                # The caller was cancelled and must not go on as after an outage.
-                raise CancelledError from failure
-            raise KeyValueUnavailable(str(failure)) from failure
         except Failure as failure:
             raise KeyValueUnavailable(str(failure)) from failure
         self._learn_epoch(reply)
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 import h11
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import (
     ConnectError,
@@ -21,7 +21,6 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from pimentolink.errors import (
-    ConnectCancelled,
     ConnectionBroken,
     ConnectionsExhausted,
     ConnectReset,
@@ -384,7 +383,7 @@
 
         :raises NotListening: if the target refuses the connection.
         :raises ConnectReset: if it is reset before it is known to be open.
-        :raises ConnectCancelled: if the caller of this method was cancelled.
+        :raises CancelledError: if the caller of this method was cancelled.
         :raises NotConnected: if the connection fails for another reason.
         """
         self.count += 1
@@ -397,7 +396,7 @@
             raise NotListening(str(error)) from error
         except ConnectingCancelledError as error:
             self.count -= 1
-            raise ConnectCancelled("cancelled while connecting") from error
+            raise CancelledError from error
         except ConnectError as error:
             self.count -= 1
             detail = f"{type(error).__name__}: {error}"
--- a/tests/scriptedengines.py
+++ b/tests/scriptedengines.py
@@ -3,11 +3,12 @@
 from enum import Enum
 from typing import NamedTuple
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import (
     ConnectionDone,
     ConnectionLost,
     ConnectionRefusedError,
+    TCPTimedOutError,
 )
 from twisted.python.failure import Failure as TwistedFailure
 
@@ -166,16 +167,28 @@
         self.lose(ConnectionLost())
 
 
+class _SilentConnector:
+    """An attempt to connect that gets no reply."""
+
+    def getDestination(self):  # noqa: N802
+        return None
+
+    def stopConnecting(self):  # noqa: N802
+        pass
+
+
 class ScriptedEngines:
     """
     Takes the place of the reactor: each connection leads to an engine.
 
     The n-th call gets the n-th response; calls beyond them get a whole stream. The n-th
     prefill gets the n-th reply, which ends with its connection; those beyond them
-    succeed.
+    succeed. The attempt to connect whose number is ``silent_connect`` gets no reply.
     """
 
     def __init__(self, timers, responses, prefill_replies, event_count):
+        self.silent_connect = None
+        self.connect_count = 0
         self.calls = []
         self.prefill_count = 0
         self._timers = timers
@@ -185,6 +198,16 @@
         self._event_count = event_count
 
     def connectTCP(self, host, port, factory, **options):  # noqa: N802
+        self.connect_count += 1
+        if self.connect_count == self.silent_connect:
+            connector = _SilentConnector()
+            factory.startedConnecting(connector)
+            failure = TwistedFailure(TCPTimedOutError())
+            self._timers.call_later(
+                options["timeout"],
+                lambda: factory.clientConnectionFailed(connector, failure),
+            )
+            return
         if port in self._crashed_ports:
             factory.clientConnectionFailed(
                 None, TwistedFailure(ConnectionRefusedError())
@@ -295,15 +318,26 @@
     :ivar failure: why the response is incomplete; ``None`` if it is complete.
     """
 
-    def __init__(self, responses, is_resumable=True, prefill_replies=None):
+    def __init__(
+        self,
+        responses,
+        is_resumable=True,
+        prefill_replies=None,
+        silent_connect=None,
+        leaves_after=None,
+    ):
         """
         Relay a stream of four events.
 
         :param prefill_replies: bodies of replies to prefills; ``None`` if the engines
             that run the decode do them.
+        :param silent_connect: number of the attempt to connect that gets no reply.
+        :param leaves_after: seconds after which the caller leaves; ``None`` if it
+            stays.
         """
         timers = ManualTimers()
         scripted = ScriptedEngines(timers, responses, prefill_replies or (), 4)
+        scripted.silent_connect = silent_connect
         self.engines = scripted
         self.calls = scripted.calls
         self.responder = RecordingResponder()
@@ -350,6 +384,8 @@
             with_timeout(timers, 2.0, handler.serve(self.work))
         )
         serving.addErrback(self._failed)
+        if leaves_after is not None:
+            timers.call_later(leaves_after, serving.cancel)
         while not serving.called:
             timers.advance(STEP)
         if isinstance(serving.result, TwistedFailure):
@@ -378,5 +414,5 @@
         return PendingRequest(request, stream_route, "s", None, self.responder)
 
     def _failed(self, failure):
-        failure.trap(Failure)
+        failure.trap(Failure, CancelledError)
         self.failure = failure.value
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from twisted.internet.defer import CancelledError
 
 from pimentolink.errors import Failure
 from tests.scriptedengines import Framing, Response, StreamRun, make_event
@@ -110,6 +111,35 @@
         assert run.responder.is_complete
 
 
+class TestCallerThatLeaves:
+    """A request was sent to another engine though its caller had left."""
+
+    def test_while_an_engine_is_connected_to_ends_its_request(self):
+        run = StreamRun([], silent_connect=1, leaves_after=0.1)
+        assert run.calls == []
+        assert isinstance(run.failure, CancelledError)
+
+    def test_while_the_end_is_confirmed_ends_its_request(self):
+        # The second connection shows whether the engine still lives.
+        run = StreamRun([broken(FIRST_EVENT)], silent_connect=2, leaves_after=0.1)
+        assert len(run.calls) == 1
+        assert not run.responder.is_complete
+        assert isinstance(run.failure, CancelledError)
+
+    def test_while_the_connection_is_held_ends_its_request(self):
+        run = StreamRun([broken(FIRST_EVENT)], leaves_after=0.03)
+        assert run.engines.connect_count == 2
+        assert len(run.calls) == 1
+        assert isinstance(run.failure, CancelledError)
+
+
+class TestEngineThatCannotBeReached:
+    def test_does_not_complete_its_response(self):
+        run = StreamRun([broken(FIRST_EVENT)], silent_connect=2)
+        assert run.responder.body == stream(1, 4)
+        assert [call.last_event for call in run.calls] == [0, 1]
+
+
 class TestPrefillReplyThatEndsEarly:
     def test_counts_as_broken_off_by_its_engine(self):
         # Guards against an engine that ended during a prefill, which nobody was
