Keep a response's framing with its exchange

A connection serves other exchanges later, so that its framing could have been another response's once it was back in its pool. Nothing read it then. Behaviour is the same; details in logs are shorter.

--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -220,6 +220,7 @@
         prompt = self._dialect.read_prefill_reply(reply)
         if isinstance(prompt, Err):
             if call.framing is BodyFraming.CLOSE:
+                # The engine may have ended within its reply.
                 call.record_cut_off()
             self._target_client.record_failure(
                 work.request, prefill_engine, prompt.err_value, call.sent_at
--- a/pimentolink/httptypes.py
+++ b/pimentolink/httptypes.py
@@ -90,7 +90,7 @@
 
 
 # Statuses of responses that never have a body.
-BODILESS_STATUSES = frozenset({204, 304})
+_BODILESS_STATUSES = frozenset({204, 304})
 
 
 def body_framing(method: bytes, head: ReplyHead) -> BodyFraming:
@@ -100,7 +100,7 @@
     :param method: of the request.
     :source: RFC 9112, section 6.3.
     """
-    if method == b"HEAD" or head.status in BODILESS_STATUSES:
+    if method == b"HEAD" or head.status in _BODILESS_STATUSES:
         return BodyFraming.LENGTH
     if head.header(b"transfer-encoding") is not None:
         return BodyFraming.CHUNKED
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -25,7 +25,13 @@
 from pimentolink.eventstream import Event, EventSplitter
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import ConnectionSettings
-from pimentolink.httptypes import BodyFraming, HttpReply, HttpRequest, ReplyHead
+from pimentolink.httptypes import (
+    BodyFraming,
+    HttpReply,
+    HttpRequest,
+    ReplyHead,
+    body_framing,
+)
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
 from pimentolink.targetestimate import Target, TargetEstimate
@@ -75,7 +81,12 @@
 
 
 class TargetCall:
-    """One exchange with a target, up to the last byte of the response."""
+    """
+    One exchange with a target, up to the last byte of the response.
+
+    :ivar head: of the response; ``None`` before it has arrived.
+    :ivar framing: how the response delimits its body; ``None`` before its head.
+    """
 
     def __init__(
         self,
@@ -107,11 +118,7 @@
         self._is_closed = False
         self._events = EventSplitter()
         self.head: ReplyHead | None = None
-
-    @property
-    def framing(self) -> BodyFraming | None:
-        """How the response delimits its body; ``None`` before its head."""
-        return self._connection.framing
+        self.framing: BodyFraming | None = None
 
     async def read_events(self) -> list[Event] | None:
         """
@@ -127,13 +134,10 @@
         data = await self._connection.read()
         if data is not None:
             return self._events.feed(data)
-        rest = self._events.rest()
-        if rest:
-            raise ResponseTruncated(
-                f"the response ended {len(rest)} bytes into an event"
-            )
+        if rest := self._events.rest():
+            raise ResponseTruncated(f"it ended {len(rest)} bytes into an event")
         if self.framing is BodyFraming.CLOSE and not self._events.has_event:
-            raise ResponseTruncated("the connection ended before the first event")
+            raise ResponseTruncated("its connection ended before the first event")
         await self._confirm_end()
         self._is_complete = True
         self.close()
@@ -148,7 +152,7 @@
         :raises ResponseTruncated: if the target can't be reached any more.
         """
         if self.framing is BodyFraming.CLOSE and not await self._is_reachable():
-            raise ResponseTruncated("the connection ended, and so did its target")
+            raise ResponseTruncated("its connection ended, and its target is gone")
 
     async def read_all(self, confirms_end: bool = True) -> HttpReply:
         """
@@ -399,6 +403,7 @@
             call.head = await connection.send(
                 message, lambda head: self._dialect.is_reply_to(request, head)
             )
+            call.framing = body_framing(message.method, call.head)
             await self._check(call, call.head)
         except BaseException as error:
             call.close()
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -29,13 +29,7 @@
     ReplyInvalid,
 )
 from pimentolink.gatewaysettings import ConnectionSettings
-from pimentolink.httptypes import (
-    BodyFraming,
-    HttpReply,
-    HttpRequest,
-    ReplyHead,
-    body_framing,
-)
+from pimentolink.httptypes import HttpReply, HttpRequest, ReplyHead
 from pimentolink.settings import split_address
 from pimentolink.timers import Timer, Timers
 
@@ -94,7 +88,6 @@
         self._reader: Deferred[bytes | None] | None = None
         self._failure: ConnectionBroken | ReplyInvalid | None = None
         self._has_ended = False
-        self.framing: BodyFraming | None = None
         self.is_open = False
         self.is_reusable = False
         self.is_lost = False
@@ -231,8 +224,6 @@
             self._parser = None
 
     def _handle_head(self, head: ReplyHead) -> None:
-        assert self._request is not None
-        self.framing = body_framing(self._request.method, head)
         pending, self._head = self._head, None
         self._set_idle_limit(head)
         if pending is not None:
