Forward the end of a proxied connection after its data, and resets as such

The gateway had E1405 with framing=close; the engine lived and had run the whole stream.

Cause: the proxy before the engine was silent at the time. It buffered the rest of the stream and passed on the end of the connection, so that it dropped data and ended in order, which no silent link does. It also turned every reset into such an end, and data that was delayed could be overtaken by data that came later.

Change: what was received is forwarded in order, the end of the connection last, once it is due and not blocked; a reset is passed on as a reset. The checks of the soaks are the same.

--- a/tests/faultproxy.py
+++ b/tests/faultproxy.py
@@ -1,7 +1,9 @@
 """A TCP proxy on loopback that delays, blocks, refuses or resets connections."""
 
+from collections import deque
 from typing import Any
 
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 from twisted.web.server import Request
 
@@ -15,6 +17,8 @@
 REFUSE = "refuse"
 MODES = (DELAY, SILENT, NO_REQUESTS, NO_RESPONSES, REFUSE)
 DELAY_SECONDS = 0.15
+# Seconds between two attempts to forward what is not due or blocked.
+RETRY_SECONDS = 0.01
 
 
 class FaultState:
@@ -43,37 +47,56 @@
         self.state = state
         self.is_client_side = is_client_side
         self.peer: Any = None
-        self.buffered: list[bytes] = []
+        # Data received and when to forward it; ``None`` for the end of the connection.
+        self.received: deque[tuple[float, bytes | None]] = deque()
+        self.is_scheduled = False
 
     def connectionMade(self) -> None:  # noqa: N802
         self.state.connections.add(self)
         self.transport.setTcpNoDelay(True)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        delay = DELAY_SECONDS if self.state.mode == DELAY else 0.0
-        if delay:
-            reactor.callLater(delay, self.forward, data)
-        else:
-            self.forward(data)
-
-    def forward(self, data: bytes) -> None:
-        """Write data to the other side, or buffer it while the fault blocks it."""
-        # Data blocked by a fault is delivered in order once the fault is removed.
-        self.buffered.append(data)
-        if not self.state.is_forwarding(self.is_client_side):
-            reactor.callLater(0.05, self.forward, b"")
-            return
-        if self.peer is not None and self.peer.transport is not None:
-            self.peer.transport.write(b"".join(self.buffered))
-            self.buffered.clear()
+        self._receive(data)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         self.state.connections.discard(self)
+        if reason.check(ConnectionDone):
+            self._receive(None)
+            return
+        self.received.clear()
         if self.peer is not None and self.peer.transport is not None:
-            if reason.check(ConnectionResetError):
-                self.peer.transport.abortConnection()
-            else:
+            self.peer.transport.abortConnection()
+
+    def _receive(self, data: bytes | None) -> None:
+        delay = DELAY_SECONDS if self.state.mode == DELAY else 0.0
+        self.received.append((reactor.seconds() + delay, data))
+        self.forward()
+
+    def forward(self) -> None:
+        """
+        Forward what is due.
+
+        What a fault blocks follows in order once it is removed.
+        """
+        while self.received and self._may_forward(self.received[0][0]):
+            _, data = self.received.popleft()
+            if data is None:
                 self.peer.transport.loseConnection()
+            else:
+                self.peer.transport.write(data)
+        if self.received and not self.is_scheduled:
+            self.is_scheduled = True
+            reactor.callLater(RETRY_SECONDS, self._forward_again)
+
+    def _forward_again(self) -> None:
+        self.is_scheduled = False
+        self.forward()
+
+    def _may_forward(self, due: float) -> bool:
+        if self.peer is None or self.peer.transport is None:
+            return False
+        is_due = due <= reactor.seconds()
+        return is_due and self.state.is_forwarding(self.is_client_side)
 
 
 class FrontendFactory(Factory):
@@ -104,10 +127,11 @@
     def buildProtocol(self, addr: Any) -> ProxiedConnection:  # noqa: N802
         connection = ProxiedConnection(self.state, is_client_side=False)
         connection.peer, self.front.peer = self.front, connection
-        reactor.callLater(0, self.front.forward, b"")
+        reactor.callLater(0, self.front.forward)
         return connection
 
     def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: N802
+        self.front.received.clear()
         if self.front.transport is not None:
             self.front.transport.abortConnection()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -115,7 +115,17 @@
     assert soak.play(seed, faults_type=soak.Faults) == []
 
 
-# Guards against part of a stream that was relayed as a complete response.
-def test_seed_with_streams_that_end_early(monkeypatch):
+FAILED_STREAM_SEEDS = [
+    # Engines that crashed ended their connections between two events, and the part of
+    # the stream was relayed as a complete response.
+    5200,
+    # A silent proxy dropped the rest of a stream and forwarded the end of its
+    # connection.
+    5212,
+]
+
+
+@pytest.mark.parametrize("seed", FAILED_STREAM_SEEDS)
+def test_seed_with_streams_that_end_early(seed, monkeypatch):
     monkeypatch.setattr(soak, "FAULTS_FOR", 5.0)
-    assert soak.play(5200) == []
+    assert soak.play(seed) == []
