Keep a trial under way when another request alike is answered

Cause: gateway-1 announced its trial of a request at 05.809. gateway-2, which did not suspect that request, answered two like it at 05.820 and 05.834, took the trial for over, and began one of the fatal request at 05.885. The engine crashed under both at 05.96, so that the crash was contested and blamed neither; the fatal request was tried once more.

Evidence: test_goes_on_when_another_request_alike_is_answered fails before for a request like the one that is tried, and passes now.

Change: an answer ends a trial only if the trial's own request got it. Other gateways end it by the message that clears the request, as before, or after its time.

--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -252,7 +252,9 @@
     def request_succeeded(self, request: CallerRequest) -> None:
         """Clear a request that got its complete response."""
         fingerprint = request.fingerprint
-        crashes = self._suspects.answered(fingerprint, self._timers.now())
+        crashes = self._suspects.answered(
+            fingerprint, request.request_id, self._timers.now()
+        )
         if len(crashes) < MIN_SUSPECT_CRASHES:
             return
         cleared = SuspectCleared(fingerprint, crashes[:MAX_CRASHES])
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -480,17 +480,21 @@
         if current is None or not is_under_way or fingerprint < current.fingerprint:
             self._trial = _Trial(fingerprint, "", now + TRIAL_TIME)
 
-    def answered(self, fingerprint: str, now: float) -> list[int]:
+    def answered(self, fingerprint: str, request_id: str, now: float) -> list[int]:
         """
         Record that a request got its complete response, which clears it.
 
+        A trial of it goes on unless it was the one that got the response.
+
         :returns: the targets whose crash counted against it until now.
         """
         self._answered_at[fingerprint] = now
         self._answered_at.move_to_end(fingerprint)
         _evict_oldest(self._answered_at, MAX_SUCCESSES)
         crashes = self.crashes(fingerprint, now)
-        self.clear(fingerprint, crashes, now)
+        if request_id and self._is_tried_as(request_id):
+            self._end_trial(fingerprint)
+        self._clear(fingerprint, crashes, now)
         return crashes
 
     def clear(self, fingerprint: str, targets: Iterable[int], now: float) -> bool:
@@ -500,6 +504,9 @@
         :returns: whether any of them counted against it.
         """
         self._end_trial(fingerprint)
+        return self._clear(fingerprint, targets, now)
+
+    def _clear(self, fingerprint: str, targets: Iterable[int], now: float) -> bool:
         attributed = {
             target
             for target in targets
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -122,6 +122,9 @@
     # A silent proxy dropped the rest of a stream and forwarded the end of its
     # connection.
     5212,
+    # A gateway took another's trial for over when it answered a request like the one
+    # that was being tried, and began one as well: the crash blamed neither.
+    5209,
 ]
 
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -136,6 +136,15 @@
         suspected.peer_trial_begun(FATAL, now)
         assert suspected.refusal(FATAL, "a", now) is not None
 
+    @pytest.mark.parametrize("name", [FATAL, OTHER])
+    def test_goes_on_when_another_request_alike_is_answered(self, suspected, name):
+        # Two gateways had a trial under way at one engine when it crashed, since the
+        # second had answered a request like the one that the first was trying.
+        now = 2 * SUSPECT_QUARANTINE
+        suspected.peer_trial_begun(name, now)
+        suspected.answered(OTHER, "sent earlier", now + 0.01)
+        assert suspected.refusal(FATAL, "a", now + 0.02) is not None
+
 
 class TestWhoIsToBlame:
     """
@@ -174,7 +183,7 @@
         now = 2 * SUSPECT_QUARANTINE
         suspected.begin_trial(FATAL, "a", now)
         if ending == "answered":
-            suspected.answered(FATAL, now + 0.1)
+            suspected.answered(FATAL, "a", now + 0.1)
         else:
             crash(suspected, 3, now + 0.1, FATAL)
         assert suspected.refusal(OTHER, "b", now + 0.1) is None
@@ -271,18 +280,18 @@
     def test_answer_clears(self, suspects):
         for target in (1, 2):
             crash(suspects, target, 0.0, FATAL)
-        assert suspects.answered(FATAL, 10.0) == [1, 2]
+        assert suspects.answered(FATAL, "a", 10.0) == [1, 2]
         assert suspects.refusal(FATAL, "a", 10.0) is None
 
     def test_what_many_ask_and_is_answered_is_not_struck(self, suspects):
         """Many targets fail at once, with the same lookup in flight at each."""
-        suspects.answered(OTHER, 0.0)
+        suspects.answered(OTHER, "a", 0.0)
         for target in range(8):
             crash(suspects, target, 1.0, OTHER)
         assert suspects.crashes(OTHER, 1.0) == []
 
     def test_answer_of_long_ago_proves_nothing(self, suspects):
-        suspects.answered(FATAL, 0.0)
+        suspects.answered(FATAL, "a", 0.0)
         crash(suspects, 1, SUCCESS_TTL, FATAL)
         assert suspects.crashes(FATAL, SUCCESS_TTL) == [1]
 
@@ -343,7 +352,7 @@
             elif what == "ended":
                 suspects.target_ended(target, now)
             elif what == "answered":
-                cleared |= {(name, item) for item in suspects.answered(name, now)}
+                cleared |= {(name, item) for item in suspects.answered(name, "a", now)}
             elif what == "clear":
                 suspects.clear(name, [target], now)
                 cleared.add((name, target))
