--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -64,7 +64,7 @@
 
 
 class TestStreamWithoutAnEvent:
-    """A caller received a complete, empty response from an engine that had crashed."""
+    """An engine that ends before its first event seems to send an empty stream."""
 
     def test_that_ends_with_its_connection_is_sent_to_another_engine(self):
         run = StreamRun([broken(0)])
