Drop two conditions that nothing needs any more

Cause: the store's client passed a cancellation on in a clause of its own, beside one for cancelled connects that is gone; what is left catches only Failure, which CancelledError is not. SuspectTracker.answered asked whether the request has an id, though requests without one are rejected and _is_tried_as is asked without that elsewhere.

Change: both are removed; behaviour is the same. Tests of the store, its followers and of suspects pass unchanged (132).

--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from result import Err
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
 
 from pimentolink.errors import (
     Failure,
@@ -342,8 +342,6 @@
             reply = await call_timeout.wait_for(pending)
         except TimeoutError as error:
             raise KeyValueUnavailable(f"no answer within {timeout:g} s") from error
-        except CancelledError:
-            raise
         except Failure as failure:
             raise KeyValueUnavailable(str(failure)) from failure
         self._learn_epoch(reply)
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -492,7 +492,7 @@
         self._answered_at.move_to_end(fingerprint)
         _evict_oldest(self._answered_at, MAX_SUCCESSES)
         crashes = self.crashes(fingerprint, now)
-        if request_id and self._is_tried_as(request_id):
+        if self._is_tried_as(request_id):
             self._end_trial(fingerprint)
         self._clear(fingerprint, crashes, now)
         return crashes
