Build request handlers, requests and events of tests in one place

Cause: the scripted engines built the handler of requests to model engines, requests, the wait for their end and the caller's side as tests/requesthandlers.py does, a watcher as test_targetclient did, events as test_eventstream did, and had an enum of their own for BodyFraming. Whether a body is framed to its end was worked out twice.

Change: one builder each (make_generation_handler, make_request, advance_until_ended, PermissiveWatcher, make_event), used by both sides. No assertion or expectation changed; parameters are named by BodyFraming.

Measured: the tests of streams, events, clients and handlers pass.

--- a/tests/gatewaybuilders.py
+++ b/tests/gatewaybuilders.py
@@ -142,6 +142,12 @@
     )
 
 
+def make_event(event_id: int, line_end: bytes = b"\n") -> bytes:
+    """Encode a server-sent event whose length grows with its id."""
+    lines = [b"id: %d" % event_id, b"data: " + b"x" * event_id, b"", b""]
+    return line_end.join(lines)
+
+
 class SocketTransport(StringTransport):
     """A string transport that accepts socket options and records an abort."""
 
--- a/tests/requesthandlers.py
+++ b/tests/requesthandlers.py
@@ -218,6 +218,78 @@
         pass
 
 
+class PermissiveWatcher:
+    """
+    Admits every request, and counts how exchanges end.
+
+    :ivar opened_at: when the connections of those began to be opened that ended before
+        the response was complete.
+    """
+
+    def __init__(self):
+        self.opened_at = []
+        self.success_count = 0
+
+    @property
+    def cut_off_count(self):
+        return len(self.opened_at)
+
+    async def admit(self, request):
+        pass
+
+    def cut_off(self, request, estimate, opened_at):
+        self.opened_at.append(opened_at)
+
+    def connection_lost(self, estimate):
+        pass
+
+    def request_succeeded(self, request):
+        self.success_count += 1
+
+
+def make_generation_handler(target_client, gateway_fleet, retry_limiter, timers):
+    scheduler = PrefillScheduler(
+        make_prefill_queue(gateway_fleet),
+        IgnoringPublisher(),
+        timers,
+        Log(),
+        "gateway",
+        GatewayDelay(),
+    )
+    return GenerationHandler(
+        target_client,
+        PlatformDialect(),
+        scheduler,
+        make_placer(gateway_fleet, PlacementSettings()),
+        retry_limiter,
+        timers,
+        Log(),
+    )
+
+
+def make_request(name, arrived_at, is_generation=True):
+    parts = prompt(name).parts if is_generation else ()
+    return CallerRequest(
+        request_id=name,
+        http=HttpRequest(b"POST", b"/p/", ((b"Host", b"h.example"),)),
+        host="h.example",
+        path="/p/",
+        arrived_at=arrived_at,
+        caller_timeout=None,
+        parts=parts,
+        prompt_tokens=sum(part.tokens for part in parts),
+    )
+
+
+def advance_until_ended(timers, serving, step):
+    """Let time pass until a request has ended; raise what is no failure of it."""
+    while not serving.called:
+        timers.advance(step)
+    if isinstance(serving.result, TwistedFailure):
+        error, serving.result = serving.result, None
+        error.raiseException()
+
+
 class Gateway:
     """The request handlers of a gateway in front of engines, in virtual time."""
 
@@ -238,22 +310,8 @@
         )
         self.engines = Engines(self.timers, outcomes, self.fleet)
         limiter = RetryLimiter(self.budgets, Log(), Metrics())
-        scheduler = PrefillScheduler(
-            make_prefill_queue(self.fleet),
-            IgnoringPublisher(),
-            self.timers,
-            Log(),
-            "gateway",
-            GatewayDelay(),
-        )
-        self._generations = GenerationHandler(
-            self.engines,
-            PlatformDialect(),
-            scheduler,
-            make_placer(self.fleet, PlacementSettings()),
-            limiter,
-            self.timers,
-            Log(),
+        self._generations = make_generation_handler(
+            self.engines, self.fleet, limiter, self.timers
         )
         self._calls = PlainCallHandler(
             self.engines,
@@ -267,17 +325,7 @@
 
     def start(self, name, is_generation=True):
         """Begin to serve a request; the Deferred fires when it ends."""
-        parts = prompt(name).parts if is_generation else ()
-        request = CallerRequest(
-            request_id=name,
-            http=HttpRequest(b"POST", b"/p/", ()),
-            host="h.example",
-            path="/p/",
-            arrived_at=self.timers.now(),
-            caller_timeout=None,
-            parts=parts,
-            prompt_tokens=sum(part.tokens for part in parts),
-        )
+        request = make_request(name, self.timers.now(), is_generation)
         work = PendingRequest(
             request,
             route(is_stream=is_generation, is_resumable=True, max_targets=3),
@@ -298,8 +346,4 @@
 
     def advance_until(self, serving):
         """Let time pass until a request has ended; raise what is no failure of it."""
-        while not serving.called:
-            self.timers.advance(CALL_SECONDS)
-        if isinstance(serving.result, TwistedFailure):
-            error, serving.result = serving.result, None
-            error.raiseException()
+        advance_until_ended(self.timers, serving, CALL_SECONDS)
--- a/tests/scriptedengines.py
+++ b/tests/scriptedengines.py
@@ -1,6 +1,5 @@
 """Engines in virtual time that write a scripted response on each connection."""
 
-from enum import Enum
 from typing import NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -12,17 +11,13 @@
 )
 from twisted.python.failure import Failure as TwistedFailure
 
-from pimentolink.dialect import CallerRequest
 from pimentolink.errors import Failure
 from pimentolink.forwarder import PendingRequest
-from pimentolink.gatewaydelay import GatewayDelay
-from pimentolink.gatewaysettings import ConnectionSettings, PlacementSettings
-from pimentolink.generation import GenerationHandler
-from pimentolink.httptypes import HttpRequest
+from pimentolink.gatewaysettings import ConnectionSettings
+from pimentolink.httptypes import BodyFraming, HttpRequest
 from pimentolink.logs import Log
 from pimentolink.metrics import Metrics
 from pimentolink.platform.dialect import PlatformDialect
-from pimentolink.prefillscheduler import PrefillScheduler
 from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.routes import Repeatability
 from pimentolink.sharedbudget import SharedBudgets
@@ -33,14 +28,20 @@
     engines,
     fleet,
     gateway_settings,
-    make_placer,
-    make_prefill_queue,
-    prompt,
+    make_event,
     route,
 )
-from tests.requesthandlers import PREFILLED, IgnoringPublisher
+from tests.requesthandlers import (
+    PREFILLED,
+    IgnoringResponder,
+    PermissiveWatcher,
+    advance_until_ended,
+    make_generation_handler,
+    make_request,
+)
 
 STEP = 0.001
+EVENT_COUNT = 4
 REQUEST_ID = "r"
 HEAD = (
     f"HTTP/1.1 200 OK\r\nPimentolink-Request-Id: {REQUEST_ID}\r\n"
@@ -48,14 +49,6 @@
 ).encode()
 
 
-class Framing(Enum):
-    """How a response delimits its body."""
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CLOSE = "close"
-
-
 class Response(NamedTuple):
     """
     The response of an engine to one call.
@@ -68,7 +61,7 @@
     :ivar is_crash: whether the engine ends with its connection.
     """
 
-    framing: Framing
+    framing: BodyFraming
     sent: int | None = None
     is_framed_whole: bool = False
     is_reset: bool = False
@@ -108,37 +101,33 @@
         """Whether the last event is sent in part."""
         return b"".join(self.complete_events) != self.body
 
+    @property
+    def is_framed_to_its_end(self) -> bool:
+        """Whether a length or the last chunk declares the end of what is sent."""
+        return self.response.is_framed_whole or self.body == b"".join(self.events)
+
     @property
     def looks_whole(self) -> bool:
         """Whether nothing shows that a part of the stream is missing."""
         if self.ends_within_event:
             return False
-        if self.response.framing is Framing.CLOSE:
+        if self.response.framing is BodyFraming.CLOSE:
             is_broken = self.response.is_reset or self.response.is_crash
             return bool(self.complete_events) and not is_broken
-        return self.response.is_framed_whole or len(self.body) == sum(
-            map(len, self.events)
-        )
-
-
-def make_event(event_id: int, line_end: bytes = b"\n") -> bytes:
-    lines = [b"id: %d" % event_id, b"data: %s" % (b"x" * event_id), b"", b""]
-    return line_end.join(lines)
+        return self.is_framed_to_its_end
 
 
 def encode(call: Call) -> bytes:
     """Encode what an engine sends, with the head of its response."""
-    body, response = call.body, call.response
-    whole = b"".join(call.events)
-    is_ended = response.is_framed_whole or len(body) == len(whole)
-    if response.framing is Framing.LENGTH:
-        length = len(body) if is_ended else len(whole)
-        return HEAD + b"Content-Length: %d\r\n\r\n%s" % (length, body)
-    if response.framing is Framing.CLOSE:
+    body, framing = call.body, call.response.framing
+    if framing is BodyFraming.LENGTH:
+        declared = body if call.is_framed_to_its_end else b"".join(call.events)
+        return HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(declared), body)
+    if framing is BodyFraming.CLOSE:
         return HEAD + b"\r\n" + body
     head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
     chunk = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
-    return head + chunk + (b"0\r\n\r\n" if is_ended else b"")
+    return head + chunk + (b"0\r\n\r\n" if call.is_framed_to_its_end else b"")
 
 
 class _EngineTransport(SocketTransport):
@@ -186,8 +175,7 @@
     succeed. The attempt to connect whose number is ``silent_connect`` gets no reply.
     """
 
-    def __init__(self, timers, responses, prefill_replies, event_count):
-        self.silent_connect = None
+    def __init__(self, timers, responses, prefill_replies, silent_connect):
         self.connect_count = 0
         self.calls = []
         self.prefill_count = 0
@@ -195,11 +183,11 @@
         self._crashed_ports = set()
         self._responses = iter(responses)
         self._prefill_replies = iter(prefill_replies)
-        self._event_count = event_count
+        self._silent_connect = silent_connect
 
     def connectTCP(self, host, port, factory, **options):  # noqa: N802
         self.connect_count += 1
-        if self.connect_count == self.silent_connect:
+        if self.connect_count == self._silent_connect:
             connector = _SilentConnector()
             factory.startedConnecting(connector)
             failure = TwistedFailure(TCPTimedOutError())
@@ -225,10 +213,10 @@
             self._send(transport, [HEAD + b"\r\n" + reply], ConnectionDone())
             return
         last_event = int(head.header(b"last-event-id") or 0)
-        response = next(self._responses, Response(Framing.CHUNKED))
+        response = next(self._responses, Response(BodyFraming.CHUNKED))
         events = [
             make_event(event_id, response.line_end)
-            for event_id in range(last_event + 1, self._event_count + 1)
+            for event_id in range(last_event + 1, EVENT_COUNT + 1)
         ]
         call = Call(last_event, response, events)
         self.calls.append(call)
@@ -261,17 +249,13 @@
     return tuple((name, value.strip()) for name, _, value in pairs)
 
 
-class RecordingResponder:
+class RecordingResponder(IgnoringResponder):
     """Records the response that a caller receives."""
 
     def __init__(self):
-        self.has_begun = False
         self.body = b""
         self.is_complete = False
 
-    def begin(self, status, headers):
-        self.has_begun = True
-
     def write(self, data):
         assert not self.is_complete
         self.body += data
@@ -283,32 +267,6 @@
     def answer(self, status, headers, body):
         raise AssertionError("a stream has no response of a known length")
 
-    def abort(self):
-        pass
-
-    def on_pause(self, callback):
-        pass
-
-
-class RecordingWatcher:
-    """Records the exchanges that ended before their response was complete."""
-
-    def __init__(self):
-        self.cut_off_count = 0
-        self.success_count = 0
-
-    async def admit(self, request):
-        pass
-
-    def cut_off(self, request, estimate, opened_at):
-        self.cut_off_count += 1
-
-    def connection_lost(self, estimate):
-        pass
-
-    def request_succeeded(self, request):
-        self.success_count += 1
-
 
 class StreamRun:
     """
@@ -327,7 +285,7 @@
         leaves_after=None,
     ):
         """
-        Relay a stream of four events.
+        Relay a stream of ``EVENT_COUNT`` events.
 
         :param prefill_replies: bodies of replies to prefills; ``None`` if the engines
             that run the decode do them.
@@ -336,12 +294,13 @@
             stays.
         """
         timers = ManualTimers()
-        scripted = ScriptedEngines(timers, responses, prefill_replies or (), 4)
-        scripted.silent_connect = silent_connect
+        scripted = ScriptedEngines(
+            timers, responses, prefill_replies or (), silent_connect
+        )
         self.engines = scripted
         self.calls = scripted.calls
         self.responder = RecordingResponder()
-        self.watcher = RecordingWatcher()
+        self.watcher = PermissiveWatcher()
         self.failure = None
         targets = engines(0 if prefill_replies is None else 2, 3)
         gateway_fleet = fleet(
@@ -363,47 +322,16 @@
             Log(),
             Metrics(),
         )
-        handler = GenerationHandler(
-            client,
-            PlatformDialect(),
-            PrefillScheduler(
-                make_prefill_queue(gateway_fleet),
-                IgnoringPublisher(),
-                timers,
-                Log(),
-                "gateway",
-                GatewayDelay(),
-            ),
-            make_placer(gateway_fleet, PlacementSettings()),
-            RetryLimiter(budgets, Log(), Metrics()),
-            timers,
-            Log(),
-        )
-        self.work = self._make_work(is_resumable)
-        serving = Deferred.fromCoroutine(
-            with_timeout(timers, 2.0, handler.serve(self.work))
-        )
+        limiter = RetryLimiter(budgets, Log(), Metrics())
+        handler = make_generation_handler(client, gateway_fleet, limiter, timers)
+        work = self._make_work(is_resumable)
+        serving = Deferred.fromCoroutine(with_timeout(timers, 2.0, handler.serve(work)))
         serving.addErrback(self._failed)
         if leaves_after is not None:
             timers.call_later(leaves_after, serving.cancel)
-        while not serving.called:
-            timers.advance(STEP)
-        if isinstance(serving.result, TwistedFailure):
-            error, serving.result = serving.result, None
-            error.raiseException()
+        advance_until_ended(timers, serving, STEP)
 
     def _make_work(self, is_resumable):
-        parts = prompt(REQUEST_ID).parts
-        request = CallerRequest(
-            request_id=REQUEST_ID,
-            http=HttpRequest(b"POST", b"/p/", ((b"Host", b"h.example"),)),
-            host="h.example",
-            path="/p/",
-            arrived_at=0.0,
-            caller_timeout=None,
-            parts=parts,
-            prompt_tokens=sum(part.tokens for part in parts),
-        )
         repeatability = Repeatability.IDEMPOTENT if is_resumable else Repeatability.ONCE
         stream_route = route(
             is_stream=True,
@@ -411,6 +339,7 @@
             repeatability=repeatability,
             max_targets=3 if is_resumable else 1,
         )
+        request = make_request(REQUEST_ID, arrived_at=0.0)
         return PendingRequest(request, stream_route, "s", None, self.responder)
 
     def _failed(self, failure):
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -5,15 +5,13 @@
 from hypothesis import strategies as st
 
 from pimentolink.eventstream import EventSplitter, is_after
+from tests.gatewaybuilders import make_event
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 
 
-def make_events(line_end=b"\n"):
-    return [
-        line_end.join([b"id: %d" % number, b"data: " + b"x" * number, b"", b""])
-        for number in range(1, 8)
-    ]
+def make_events(line_end):
+    return [make_event(number, line_end) for number in range(1, 8)]
 
 
 @settings(max_examples=10_000, deadline=None)
--- a/tests/test_streamends.py
+++ b/tests/test_streamends.py
@@ -6,7 +6,9 @@
 from twisted.internet.defer import CancelledError
 
 from pimentolink.errors import Failure
-from tests.scriptedengines import Framing, Response, StreamRun, make_event
+from pimentolink.httptypes import BodyFraming
+from tests.gatewaybuilders import make_event
+from tests.scriptedengines import Response, StreamRun
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 # A part of the second event of a stream: within a line, after its id, and without the
@@ -19,7 +21,7 @@
     return b"".join(make_event(n, line_end) for n in range(first, last + 1))
 
 
-def broken(sent, framing=Framing.CLOSE, **fields):
+def broken(sent, framing=BodyFraming.CLOSE, **fields):
     return Response(framing, sent, **fields)
 
 
@@ -50,7 +52,7 @@
         assert run.watcher.cut_off_count == 1
         assert run.watcher.success_count == 0
 
-    @pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED])
+    @pytest.mark.parametrize("framing", [BodyFraming.LENGTH, BodyFraming.CHUNKED])
     def test_is_broken_off_even_if_its_framing_is_whole(self, framing):
         response = broken(FIRST_EVENT + 3, framing, is_framed_whole=True)
         run = StreamRun([response])
@@ -80,7 +82,7 @@
         run = StreamRun([broken(FIRST_EVENT + 3), broken(0)])
         assert run.responder.body == stream(1, 4)
 
-    @pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED])
+    @pytest.mark.parametrize("framing", [BodyFraming.LENGTH, BodyFraming.CHUNKED])
     def test_is_complete_if_its_framing_is_whole(self, framing):
         run = StreamRun([broken(0, framing, is_framed_whole=True)])
         assert run.responder.body == b""
@@ -106,7 +108,7 @@
         assert run.watcher.cut_off_count == 1
 
     def test_is_complete_if_its_framing_is_whole(self):
-        response = Response(Framing.CHUNKED, is_crash=True)
+        response = Response(BodyFraming.CHUNKED, is_crash=True)
         run = StreamRun([response], is_resumable=False)
         assert run.responder.is_complete
 
@@ -152,7 +154,7 @@
 
 class TestWholeStream:
     @pytest.mark.parametrize("line_end", LINE_ENDS)
-    @pytest.mark.parametrize("framing", Framing)
+    @pytest.mark.parametrize("framing", BodyFraming)
     def test_is_complete_with_any_framing_and_any_line_ends(self, framing, line_end):
         run = StreamRun([Response(framing, line_end=line_end)])
         assert run.responder.body == stream(1, 4, line_end)
@@ -170,7 +172,7 @@
 RESPONSES = st.lists(
     st.builds(
         Response,
-        st.sampled_from(Framing),
+        st.sampled_from(BodyFraming),
         st.none() | st.integers(0, 100),
         st.booleans(),
         st.booleans(),
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -16,6 +16,7 @@
 from pimentolink.targetclient import TargetClient
 from pimentolink.timers import ManualTimers
 from tests.gatewaybuilders import SocketTransport, fleet, target
+from tests.requesthandlers import PermissiveWatcher
 
 REQUEST = CallerRequest(
     request_id="a",
@@ -31,25 +32,6 @@
 )
 
 
-class PermissiveWatcher:
-    """Admits every request; keeps when the connections that broke were opened."""
-
-    def __init__(self):
-        self.opened_at = []
-
-    async def admit(self, request):
-        pass
-
-    def cut_off(self, request, estimate, opened_at):
-        self.opened_at.append(opened_at)
-
-    def connection_lost(self, estimate):
-        pass
-
-    def request_succeeded(self, request):
-        pass
-
-
 class CallerHarness:
     def __init__(self):
         self.reactor = MemoryReactor()
