Split the input of parser tests in one place

Cause: three test modules cut their input at drawn offsets with the same two lines, and the scripted engines added a fourth copy.

Change: all four call gatewaybuilders.split_at. The same pieces, the same assertions; the four modules' tests pass.

--- a/tests/gatewaybuilders.py
+++ b/tests/gatewaybuilders.py
@@ -1,5 +1,6 @@
 """Builders of routes, targets, fleets and prompts with defaults for tests."""
 
+from collections.abc import Iterable
 from random import Random
 from typing import Any
 
@@ -142,6 +143,12 @@
     )
 
 
+def split_at(data: bytes, cuts: Iterable[int]) -> list[bytes]:
+    """Split data at the given offsets; those beyond its end are ignored."""
+    offsets = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
+    return [data[start:end] for start, end in zip(offsets, offsets[1:], strict=False)]
+
+
 def make_event(event_id: int, line_end: bytes = b"\n") -> bytes:
     """Encode a server-sent event whose length grows with its id."""
     lines = [b"id: %d" % event_id, b"data: " + b"x" * event_id, b"", b""]
--- a/tests/scriptedengines.py
+++ b/tests/scriptedengines.py
@@ -30,6 +30,7 @@
     gateway_settings,
     make_event,
     route,
+    split_at,
 )
 from tests.requesthandlers import (
     PREFILLED,
@@ -220,12 +221,7 @@
         ]
         call = Call(last_event, response, events)
         self.calls.append(call)
-        encoded = encode(call)
-        offsets = sorted({0, len(encoded), *response.cuts})
-        offsets = [offset for offset in offsets if offset <= len(encoded)]
-        pieces = [
-            encoded[start:end] for start, end in zip(offsets, offsets[1:], strict=False)
-        ]
+        pieces = split_at(encode(call), response.cuts)
         reason = ConnectionLost() if response.is_reset else ConnectionDone()
         self._send(transport, pieces, reason, response.is_crash)
 
--- a/tests/test_callerhttp.py
+++ b/tests/test_callerhttp.py
@@ -9,7 +9,7 @@
 from pimentolink.metrics import Metrics
 from pimentolink.routes import CallerBounds
 from pimentolink.timers import ManualTimers
-from tests.gatewaybuilders import SocketTransport
+from tests.gatewaybuilders import SocketTransport, split_at
 
 HEAD = b"POST /p HTTP/1.1\r\nHost: x\r\n"
 PIECES = st.lists(st.binary(min_size=1, max_size=40), max_size=5)
@@ -47,11 +47,10 @@
         self.connection.makeConnection(self.transport)
 
     def send(self, data, cuts=()):
-        offsets = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
-        for start, end in zip(offsets, offsets[1:], strict=False):
+        for piece in split_at(data, cuts):
             if self.transport.disconnecting:
                 return
-            self.connection.dataReceived(data[start:end])
+            self.connection.dataReceived(piece)
 
     @property
     def bodies(self):
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from pimentolink.eventstream import EventSplitter, is_after
-from tests.gatewaybuilders import make_event
+from tests.gatewaybuilders import make_event, split_at
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 
@@ -22,13 +22,11 @@
     # Guards against streams whose lines end in CR, whose events were only relayed at
     # the end of the stream.
     expected = make_events(line_end)
-    whole = b"".join(expected)
-    offsets = sorted({0, len(whole), *(cut for cut in cuts if cut < len(whole))})
     splitter = EventSplitter()
     events = [
         event
-        for start, end in zip(offsets, offsets[1:], strict=False)
-        for event in splitter.feed(whole[start:end])
+        for piece in split_at(b"".join(expected), cuts)
+        for event in splitter.feed(piece)
     ]
     assert [event.data for event in events] == expected
     assert [event.event_id for event in events] == [b"%d" % n for n in range(1, 8)]
--- a/tests/test_targethttp.py
+++ b/tests/test_targethttp.py
@@ -13,7 +13,7 @@
 from pimentolink.httptypes import HttpRequest
 from pimentolink.targethttp import ConnectionPool, TargetConnection
 from pimentolink.timers import ManualTimers
-from tests.gatewaybuilders import SocketTransport
+from tests.gatewaybuilders import SocketTransport, split_at
 
 REQUEST = HttpRequest(b"GET", b"/", ((b"Host", b"a"),))
 
@@ -56,10 +56,9 @@
         self.outcome = failure.value
 
     def receive(self, data, cuts=()):
-        offsets = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
-        for start, end in zip(offsets, offsets[1:], strict=False):
+        for piece in split_at(data, cuts):
             if self.connection.is_open:
-                self.connection.dataReceived(data[start:end])
+                self.connection.dataReceived(piece)
 
     def close(self, is_reset=False):
         reason = ConnectionLost() if is_reset else ConnectionDone()
