Sign responses and omit framing in one place in the stand-in engine

Cause: plain calls and streams of the stand-in each drew and applied the share of responses without a length or chunks, and plain calls built the headers of a signed response once more beside _sign.

Change: _omits_framing draws and applies; every run is signed by _sign, and wrong_id replaces the id after it.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -206,25 +206,20 @@
 
     def _run_call(self, request: Request, request_id: str) -> None:
         body = raw_body(request).decode()
-        is_unframed = self._occurs("unframed_share")
-        if is_unframed:
-            self._omit_framing(request)
+        self._sign(request, request_id)
+        is_unframed = self._omits_framing(request)
         if self._record_run(request_id, body):
             if is_unframed:
-                self._sign(request, request_id)
                 request.write(b'{"name":')
             return
-        reported_id = uuid4().hex if self.faults["wrong_id"] else request_id
-        headers = {
-            REQUEST_ID_HEADER: reported_id,
-            "Pimentolink-Response-Signature": f"signed-{request_id}",
-        }
+        if self.faults["wrong_id"]:
+            request.setHeader(REQUEST_ID_HEADER, uuid4().hex)
         reply = {"name": request_id, "body": body, "path": request.uri.decode()}
         status = self.faults["status"]
         transport: Any = request.transport
 
         def reply_to_call() -> None:
-            answer(request, reply, status, headers)
+            answer(request, reply, status)
             if is_unframed:
                 transport.loseConnection()
 
@@ -238,9 +233,7 @@
         is_crashing = self._record_run(request_id, raw_body(request).decode())
         self._sign(request, request_id)
         request.setHeader("Content-Type", "text/event-stream")
-        is_unframed = self._occurs("unframed_share")
-        if is_unframed:
-            self._omit_framing(request)
+        is_unframed = self._omits_framing(request)
         last_id = int(request.getHeader("Last-Event-Id") or 0)
         if is_crashing:
             request.write(f"id: {last_id + 1}\ndata: {{}}\n\nid:".encode())
@@ -256,10 +249,13 @@
         )
         self._write_event(stream, last_id + 1)
 
-    def _omit_framing(self, request: Request) -> None:
-        """Let the response have neither a length nor chunks."""
-        # twisted.web sends no chunks to clients of this version.
-        request.clientproto = b"HTTP/1.0"
+    def _omits_framing(self, request: Request) -> bool:
+        """Draw whether the response has neither a length nor chunks, and see to it."""
+        is_unframed = self._occurs("unframed_share")
+        if is_unframed:
+            # twisted.web sends no chunks to clients of this version.
+            request.clientproto = b"HTTP/1.0"
+        return is_unframed
 
     def _sign(self, request: Request, request_id: str) -> None:
         request.setHeader(REQUEST_ID_HEADER, request_id)
