Move the exchange with a target to a module of its own

Change: TargetCall and the bound on its response are in targetcall.py, unchanged. Nothing else moves.

--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -25,7 +25,8 @@
 from pimentolink.prefillscheduler import DispatchedPrefill, PrefillScheduler
 from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.routes import Repeatability
-from pimentolink.targetclient import TargetCall, TargetClient
+from pimentolink.targetcall import TargetCall
+from pimentolink.targetclient import TargetClient
 from pimentolink.targetestimate import TargetEstimate
 from pimentolink.timers import Timers, with_timeout
 
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
@@ -19,14 +19,11 @@
     OtherInstance,
     RejectedUnrun,
     ReplyInvalid,
-    ResponseTruncated,
     TargetFailed,
 )
-from pimentolink.eventstream import Event, EventSplitter
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaysettings import ConnectionSettings
 from pimentolink.httptypes import (
-    BodyFraming,
     HttpReply,
     HttpRequest,
     ReplyHead,
@@ -34,6 +31,7 @@
 )
 from pimentolink.logs import Log, LogEvent
 from pimentolink.metrics import Metrics
+from pimentolink.targetcall import MAX_RESPONSE_BYTES, TargetCall
 from pimentolink.targetestimate import Target, TargetEstimate
 from pimentolink.targethttp import ConnectionPool, TargetConnection, exchange
 from pimentolink.targetprobes import (
@@ -47,7 +45,6 @@
 )
 from pimentolink.timers import Timers, pause
 
-MAX_RESPONSE_BYTES = 8_000_000
 # Seconds before a target is probed within which the loss of a connection counts as part
 # of the same end.
 LOSS_WINDOW = 1.0
@@ -80,123 +77,6 @@
         """Handle a request that got its complete response."""
 
 
-class TargetCall:
-    """
-    One exchange with a target, up to the last byte of the response.
-
-    :ivar head: of the response; ``None`` before it has arrived.
-    :ivar framing: how the response delimits its body; ``None`` before its head.
-    """
-
-    def __init__(
-        self,
-        estimate: TargetEstimate,
-        pool: ConnectionPool,
-        connection: TargetConnection,
-        sent_at: float,
-        on_cut_off: Callable[[], None],
-        is_reachable: Callable[[], Coroutine[Any, Any, bool]],
-    ) -> None:
-        """
-        Start an exchange.
-
-        :param estimate: the estimated state of the target.
-        :param pool: the pool to which the connection is returned.
-        :param connection: the connection that carries the exchange.
-        :param sent_at: seconds of the timer service.
-        :param on_cut_off: called if the exchange is closed before the last byte of
-            the response.
-        :param is_reachable: returns whether the target still accepts connections.
-        """
-        self.estimate = estimate
-        self.sent_at = sent_at
-        self._on_cut_off = on_cut_off
-        self._is_reachable = is_reachable
-        self._is_complete = False
-        self._pool = pool
-        self._connection = connection
-        self._is_closed = False
-        self._events = EventSplitter()
-        self.head: ReplyHead | None = None
-        self.framing: BodyFraming | None = None
-
-    async def read_events(self) -> list[Event] | None:
-        """
-        Read the next events of a response that is an event stream.
-
-        :returns: the events, none if the next one is incomplete yet; ``None`` at the
-            end of the stream.
-        :raises ConnectionBroken: if the connection breaks before the end.
-        :raises ResponseTruncated: if the response ends within an event, however it
-            delimits its body; or with its connection, before the first event or while
-            the target can't be reached.
-        """
-        data = await self._connection.read()
-        if data is not None:
-            return self._events.feed(data)
-        if rest := self._events.rest():
-            raise ResponseTruncated(f"it ended {len(rest)} bytes into an event")
-        if self.framing is BodyFraming.CLOSE and not self._events.has_event:
-            raise ResponseTruncated("its connection ended before the first event")
-        await self._confirm_end()
-        self._is_complete = True
-        self.close()
-        return None
-
-    async def _confirm_end(self) -> None:
-        """
-        Check that the target has not ended, if the response ends with its connection.
-
-        The connection of a target that ends within a response ends in the same way.
-
-        :raises ResponseTruncated: if the target can't be reached any more.
-        """
-        if self.framing is BodyFraming.CLOSE and not await self._is_reachable():
-            raise ResponseTruncated("its connection ended, and its target is gone")
-
-    async def read_all(self, confirms_end: bool = True) -> HttpReply:
-        """
-        Read the complete response.
-
-        :param confirms_end: whether the response may lack a part without the caller of
-            this method noticing it.
-        :raises ConnectionBroken: if the connection breaks before the end.
-        :raises ResponseTruncated: if ``confirms_end``, and the response ends with its
-            connection while the target can't be reached.
-        """
-        assert self.head is not None
-        body = await self._connection.read_all(MAX_RESPONSE_BYTES)
-        if confirms_end:
-            await self._confirm_end()
-        self._is_complete = True
-        self.close()
-        return HttpReply(self.head, body)
-
-    def record_cut_off(self) -> None:
-        """Record that a part of the response is missing, though its body has ended."""
-        self._on_cut_off()
-
-    def pause(self, is_paused: bool) -> None:
-        """Pause or resume reading from the target."""
-        transport: Any = self._connection.transport
-        if self._is_closed or transport is None:
-            return
-        if is_paused:
-            transport.pauseProducing()
-        else:
-            transport.resumeProducing()
-
-    def close(self) -> None:
-        """End the exchange; abort the connection if the response is incomplete."""
-        if self._is_closed:
-            return
-        self._is_closed = True
-        self.estimate.in_flight -= 1
-        self._pool.release(self._connection)
-        if not self._is_complete:
-            self._on_cut_off()
-
-
 class TargetClient:
     """Sends calls over pooled connections to targets."""
 
