--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -17,14 +17,7 @@
 from pimentolink.routes import RoutingTable, RoutingTables
 from pimentolink.timers import ManualTimers
 from tests.gatewaybuilders import route
-
-
-class RecordingLog:
-    def __init__(self):
-        self.lines = []
-
-    def write(self, event, **fields):
-        self.lines.append((event, fields))
+from tests.recordinglog import RecordingLog
 
 
 class HangingHandler:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,6 +8,7 @@
 from pimentolink.logs import LogEvent
 from pimentolink.settings import LinkSettings
 from pimentolink.timers import ManualTimers
+from tests.recordinglog import RecordingLog
 
 SETTINGS = LinkSettings(silence=4.0)
 CHECK_INTERVAL = SETTINGS.silence / CHECKS_PER_SILENCE_TIMEOUT
@@ -34,14 +35,6 @@
         pass
 
 
-class RecordingLog:
-    def __init__(self):
-        self.lines = []
-
-    def write(self, event, **fields):
-        self.lines.append((event, fields))
-
-
 @pytest.fixture
 def log():
     return RecordingLog()
