Log what a gateway waits for until it is ready, and failed reads of the store

A gateway that starts while the store does not respond logged one line, that its registration got no response, and nothing more until the store had been read: neither whether it reads, nor why that fails, nor what it waits for. Two of the hypotheses for service that does not come back could not be told apart.

E1009 lists the unmet conditions for serving whenever they change, E1008 tells when all are met, both with the seconds since the start. E1221 tells why a full read failed and after how long. Failed calls of the store name the call. No logic changes: is_ready() asks the same conditions.

--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -40,6 +40,7 @@
 from pimentolink.prefillqueue import PrefillQueue
 from pimentolink.prefillscheduler import PrefillScheduler
 from pimentolink.quarantine import Quarantine
+from pimentolink.readiness import Readiness
 from pimentolink.registration import Registration
 from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.rolebalance import RoleBalancer
@@ -195,6 +196,15 @@
         self._ports: list[Any] = []
         self._reload_repeater: Repeater | None = None
         self._stall_detector = StallDetector(timers, self.log, self._stall_ended)
+        self._readiness = Readiness(
+            {
+                "configuration": lambda: self.tables.table is not None,
+                "target_list": lambda: self.membership.is_loaded,
+                "current_keys": self._may_serve_keys,
+            },
+            timers,
+            self.log,
+        )
         self.is_stopping = False
 
     def _make_prefill_scheduler(self, placer: Placer) -> PrefillScheduler:
@@ -271,6 +281,9 @@
         table = self.tables.table
         return table is not None and table.api_keys is not None
 
+    def _may_serve_keys(self) -> bool:
+        return not self._uses_api_keys() or self.age.is_current()
+
     def _make_metering(
         self, keyspace: Keyspace, usage_api: UsageApi | None
     ) -> Metering | None:
@@ -371,6 +384,7 @@
             self._metering.start()
         self._reload_repeater = Repeater(self._timers, RELOAD_INTERVAL, self.reload)
         self.log.write(LogEvent.STARTED, settings=msgspec.to_builtins(self._settings))
+        self._readiness.log_change()
 
     async def stop(self) -> None:
         """Stop gracefully: accept no more requests and finish those in flight."""
@@ -489,6 +503,7 @@
         self._peers.set_peer_addresses(peers.values())
         self.budgets.share.listed_count.update(len(gateways))
         self.prefill_scheduler.dispatch_waiting()
+        self._readiness.log_change()
 
     def _dispatch_prefills(self) -> None:
         self.prefill_scheduler.dispatch_waiting()
@@ -517,12 +532,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this gateway."""
-        return (
-            not self.is_stopping
-            and self.tables.table is not None
-            and self.membership.is_loaded
-            and (not self._uses_api_keys() or self.age.is_current())
-        )
+        return not self.is_stopping and not self._readiness.unmet()
 
     def _make_page_factory(
         self, page: Callable[[], tuple[int, bytes]]
@@ -538,6 +548,7 @@
         )
 
     def _readiness_page(self) -> tuple[int, bytes]:
+        self._readiness.log_change()
         return (200, b"ready\n") if self.is_ready() else (503, b"not ready\n")
 
     def _metrics_page(self) -> tuple[int, bytes]:
--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -207,7 +207,16 @@
 
     async def _read_all(self) -> None:
         requested_at = self._timers.boot_time()
-        snapshot = await self._keyspace.read_all(self._prefix)
+        try:
+            snapshot = await self._keyspace.read_all(self._prefix)
+        except KeyValueUnavailable as failure:
+            self._log.write(
+                LogEvent.STORE_UNREAD,
+                prefix=self._prefix,
+                detail=failure.detail,
+                took=round(self._timers.boot_time() - requested_at, 3),
+            )
+            raise
         self._record_response()
         for item in snapshot.items:
             change = Change(item.key, item.value, item.revision)
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -27,6 +27,16 @@
     """All log events; docs/EVENTS.md is generated from this enum."""
 
     STARTED = ("E1001", logging.INFO, "The process has started and is listening.")
+    READY = (
+        "E1008",
+        logging.INFO,
+        "All conditions for serving are met, ``after`` seconds from the start.",
+    )
+    NOT_READY = (
+        "E1009",
+        logging.WARNING,
+        "Conditions for serving are unmet; the load balancer is told so.",
+    )
     STOPPING = (
         "E1002",
         logging.INFO,
@@ -90,6 +100,11 @@
         logging.INFO,
         "All keys of the store were read; changes are watched from this revision on.",
     )
+    STORE_UNREAD = (
+        "E1221",
+        logging.WARNING,
+        "Reading all keys of the store failed; it is tried again.",
+    )
     WATCH_LOST = (
         "E1220",
         logging.WARNING,
--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -327,6 +327,7 @@
         if body:
             headers += ((b"Content-Type", b"application/json"),)
         request = HttpRequest(method.encode(), path.encode(), headers, body)
+        resource = path.partition("?")[0]
         began_at = self._timers.now()
         call_timeout = Timeout(self._timers, timeout)
 
@@ -341,9 +342,10 @@
         try:
             reply = await call_timeout.wait_for(pending)
         except TimeoutError as error:
-            raise KeyValueUnavailable(f"no answer within {timeout:g} s") from error
+            detail = f"no answer within {timeout:g} s"
+            raise KeyValueUnavailable(f"{method} {resource}: {detail}") from error
         except Failure as failure:
-            raise KeyValueUnavailable(str(failure)) from failure
+            raise KeyValueUnavailable(f"{method} {resource}: {failure}") from failure
         self._learn_epoch(reply)
         return reply
 
