Add failing tests of gateways that start while the store only partly responds

Service does not come back after all gateways lost power: their first read of the store got no response, and from then on the store responds to reads, but not to writes, or takes 1.5 s for each call. The logs of the second are E1009, one E1221, one E1212, and nothing more: the store is not read again until a registration is complete.

The stand-in of the store gets two faults: ignore_writes and delay.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -45,6 +45,8 @@
             "down": "",
             "lose_answers": 0,
             "lose_watches": False,
+            "ignore_writes": False,
+            "delay": 0.0,
             "status": 503,
         }
         self.routes = Routes()
@@ -70,7 +72,8 @@
 
         ``down`` is ``busy``, ``reset`` or ``silent``. ``lose_watches`` drops the
         pending watches and those that are requested while it is set; they are never
-        answered.
+        answered. ``ignore_writes`` leaves all calls but reads without an answer.
+        ``delay`` is the time in seconds before any call is handled.
         """
         self.faults.update(body_of(request))
         self.keys.answers_to_lose = self.faults["lose_answers"]
@@ -223,8 +226,10 @@
         def handle(request: Request) -> None:
             request.setHeader("Store-Era", str(self.keys.epoch + FIRST_EPOCH))
             down = self.faults["down"]
+            if self.faults["ignore_writes"] and request.method != b"GET":
+                return
             if not down:
-                handler(request)
+                reactor.callLater(self.faults["delay"], _handle_late, handler, request)
             elif down == "busy":
                 answer(request, {"error": "busy"}, self.faults["status"])
             elif down == "reset":
@@ -233,6 +238,12 @@
         return handle
 
 
+def _handle_late(handler: Any, request: Request) -> None:
+    """Handle a request unless the client has given it up meanwhile."""
+    if not request._disconnected:
+        handler(request)
+
+
 def _encode_item(item: Item) -> dict[str, Any]:
     value = base64.b64encode(item.value).decode()
     revision = without_epoch(item.revision)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,6 +14,8 @@
 
 # Seconds after its acknowledgement within which a change must have taken effect.
 ADOPTION_LIMIT = 2.0
+# Seconds after a start within which a gateway must serve, if the store answers reads.
+RECOVERY_LIMIT = 12.0
 # Seconds after SIGTERM within which a gateway must have begun to stop.
 STOP_LIMIT = 4.0
 
@@ -397,6 +399,38 @@
         assert platform_world.runs("reader")["reads"][name] == 2
 
 
+class TestFullStop:
+    """
+    All gateways start at once, their first calls to the store get no response, and from
+    then on the store responds to reads.
+    """
+
+    def start_after_outage(self, world, **faults):
+        world.fault("store", down="silent")
+        gateway = world.fleet.start_gateway(
+            "gateway", store={"address": world.fleet.address("store"), "timeout": 1.0}
+        )
+        world.fleet.settle()
+        wait_until(lambda: "renewal_unanswered" in gateway.log_path.read_text())
+        world.fault("store", down="", **faults)
+        wait_until(lambda: world.is_ready("gateway"), within=RECOVERY_LIMIT)
+
+    @pytest.fixture
+    def stopped_world(self, fleet):
+        platform_world = PlatformWorld(fleet)
+        platform_world.target("plain-1", "plain")
+        platform_world.configure(1)
+        return platform_world
+
+    def test_serves_though_its_registration_gets_no_response(self, stopped_world):
+        self.start_after_outage(stopped_world, ignore_writes=True)
+        assert stopped_world.request("/read/x")[0].status == 200
+
+    def test_serves_though_responses_take_longer_than_a_call(self, stopped_world):
+        self.start_after_outage(stopped_world, delay=1.5)
+        assert stopped_world.request("/read/x")[0].status == 200
+
+
 class TestLeaving:
     def drain(self, world, target):
         world.list_target(target, "plain", state="draining")
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -13,6 +13,9 @@
 from pimentolink.timers import ManualTimers
 from tests.gatewaybuilders import gateway_settings
 
+# Seconds within which the store must be read once it responds to reads.
+RECOVERY_LIMIT = 12.0
+
 
 class WatchDroppingStore:
     """A store that, while silent, does not respond and drops all watches."""
@@ -162,6 +165,38 @@
         world.timers.advance(2.0)
         assert world.follower.is_connected
 
+    def test_first_read_does_not_wait_for_renewals(self):
+        """
+        The first calls of a gateway get no response. Later the store responds to reads,
+        but to no renewal.
+        """
+
+        def make_silent_store(timers):
+            store = WatchDroppingStore(timers)
+            store.put("op/config", b"new")
+            store.silence()
+            return store
+
+        world = World(make_store=make_silent_store)
+        world.follower.may_call_store = lambda: False
+        world.timers.advance(1.5)
+        world.store.is_silent = False
+        back_at = world.timers.now()
+        world.timers.advance(30.0)
+        assert world.listener.known_at["op/config"] - back_at < RECOVERY_LIMIT
+
+    def test_read_after_an_outage_does_not_wait_for_renewals_forever(self, world):
+        """After an outage, the store responds to reads, but to no renewal."""
+        world.timers.advance(3.3)
+        world.store.silence()
+        world.follower.may_call_store = lambda: False
+        world.timers.advance(30.0)
+        world.store.is_silent = False
+        world.store.put("op/config", b"new")
+        back_at = world.timers.now()
+        world.timers.advance(30.0)
+        assert world.listener.known_at["op/config"] - back_at < RECOVERY_LIMIT
+
     def test_steady_store_is_read_once(self, world):
         restarts = []
         world.registration.on_store_recovered = lambda: restarts.append(1)
