Read the store for the first time without waiting for the registration

What callers saw: after all gateways had lost power, every request was refused (none has arrived yet) for as long as the store lost the answers to writes, though it answered reads; 4 of 171 requests were served from 12 s on after the machines were back.

Cause: during an outage the follower retries its reads only once the registration reports that the store responds, which saves calls. The registration reports that from writes (a grant, a renewal) alone, and a gateway whose very first read failed counted as in an outage. So a process without any configuration waited for a lease that it does not need (class: a belief about one thing taken for another).

Change: until all keys were read once, reads are retried with the backoff alone; later, they are retried every 6 s even if the registration gets no response. The test that an outage costs few reads holds unchanged.

Why it holds: the first read depends on no other call, and its attempts are at most a call's timeout and 1 s apart.

--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -21,6 +21,9 @@
     run_in_background,
 )
 
+# Longest time in an outage, in seconds, without an attempt to read the store.
+MAX_READ_PAUSE = 6.0
+
 
 class KeyspaceListener(Protocol):
     """Receives the content of the store and its changes."""
@@ -90,10 +93,12 @@
         self._backoff = Backoff(settings.backoff_first, settings.backoff_most, random)
         self._loop: Deferred[None] | None = None
         self._revision: int | None = None
+        self._has_read = False
+        self._failed_at = 0.0
         self._overdue_check: Timer | None = None
         self._catching_up: Deferred[None] | None = None
         self.is_connected = False
-        # Whether the store is expected to respond. During an outage, retries are
+        # Whether the store is expected to respond. During an outage, most retries are
         # skipped while this is false, since each one costs a call.
         self.may_call_store: Callable[[], bool] = lambda: True
         self.confirmed_at = timers.now()
@@ -191,7 +196,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                if self.may_call_store() or self.is_connected:
+                if self._is_call_due():
                     await self._read_or_watch()
                 else:
                     await pause(self._timers, self._settings.backoff_first)
@@ -202,6 +207,18 @@
                 self._record_outage(failure)
                 await pause(self._timers, self._backoff.next())
 
+    def _is_call_due(self) -> bool:
+        """
+        Return whether to call the store now.
+
+        In an outage, mostly calls of others find out when it ends. But the store may
+        respond to reads and not to those calls, and without a first read this gateway
+        cannot serve at all.
+        """
+        if not self._has_read or self.is_connected or self.may_call_store():
+            return True
+        return self._timers.now() - self._failed_at >= MAX_READ_PAUSE
+
     def _read_or_watch(self) -> Coroutine[Any, Any, None]:
         return self._read_all() if self._revision is None else self._watch()
 
@@ -228,6 +245,7 @@
         )
         call_logging_errors(self._listener.changes_delivered)
         self._revision = snapshot.revision
+        self._has_read = True
         self._log.write(
             LogEvent.STORE_READ,
             prefix=self._prefix,
@@ -265,6 +283,7 @@
         # Changes between a failed watch and the next call may be missed, so that call
         # reads all keys.
         self._revision = None
+        self._failed_at = self._timers.now()
         if self.is_connected:
             self.is_connected = False
             self._log.write(
