Wait longer for full reads of the store after one that timed out

What callers saw: after all gateways had lost power, none was served while the store took 1.6 s for each call; 0 of 161 requests from 12 s on after the machines were back.

Cause: each page of a full read had the timeout of any call, 1 s, however often it had run out, so a store that responds later was never read (class: unbounded repetition of what cannot succeed).

Change: a page may take twice as long as the one before it, from 1 to 4 s; a page that times out doubles it. A quick response brings it back.

Why it holds: after 1 + 2 s of timeouts and backoff any response within 4 s is waited for; at worst a page of 4 s, a pause of 1 s and the read itself pass once the store responds.

--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -33,6 +33,7 @@
     with_epoch,
     without_epoch,
 )
+from pimentolink.retry import AdaptiveTimeout
 from pimentolink.targethttp import ConnectionPool, exchange
 from pimentolink.timers import Timeout, Timers
 
@@ -46,6 +47,8 @@
 # Seconds that a response may take beyond the timeout of its call while parts of it
 # arrive. Over a slow link a read that was started anew would only take as long again.
 MAX_TRANSFER_TIME = 10.0
+# Longest timeout of a page of a full read, as a multiple of that of other calls.
+MAX_PAGE_TIMEOUT_FACTOR = 4
 # No key has this prefix, so that a read of it returns the revision of the store only.
 UNUSED_PREFIX = "pimentolink/none/"
 # A revision combined with a larger epoch could not be represented exactly as a JSON
@@ -122,6 +125,9 @@
         self._settings = settings
         self._timers = timers
         self._pool = ConnectionPool(reactor, settings.address, connections, timers)
+        self._page_timeout = AdaptiveTimeout(
+            settings.timeout, MAX_PAGE_TIMEOUT_FACTOR * settings.timeout
+        )
         self.calls = 0
         self._watch_data_at = -MAX_DATA_GAP
         self.epoch = 0
@@ -174,7 +180,7 @@
         epoch: int | None = None
         while True:
             query = {"prefix": prefix} | ({"after": after} if after else {})
-            page = await self._get(f"/kv-range?{urlencode(query)}", _RangeReply)
+            page = await self._read_page(query)
             epoch = self.epoch if epoch is None else epoch
             if epoch != self.epoch:
                 raise KeyValueUnavailable("restored between two pages")
@@ -189,6 +195,17 @@
                 return Snapshot(tuple(items), with_epoch(epoch, revision))
             after = page.items[-1].key
 
+    async def _read_page(self, query: dict[str, str]) -> _RangeReply:
+        began_at = self._timers.now()
+        path = f"/kv-range?{urlencode(query)}"
+        try:
+            page = await self._get(path, _RangeReply, self._page_timeout.seconds)
+        except KeyValueUnavailable:
+            self._page_timeout.record(self._timers.now() - began_at)
+            raise
+        self._page_timeout.record(self._timers.now() - began_at)
+        return page
+
     async def _changes(self, prefix: str, after: int, wait: float) -> Changes:
         epoch = self._require_epoch(after)
         query = {
@@ -238,7 +255,9 @@
 
     async def _read_revision(self) -> int:
         query = urlencode({"prefix": UNUSED_PREFIX})
-        page = await self._get(f"/kv-range?{query}", _RangeReply)
+        page = await self._get(
+            f"/kv-range?{query}", _RangeReply, self._settings.timeout
+        )
         return with_epoch(self.epoch, page.current_rev)
 
     async def _write(self, write: Write) -> int | None:
@@ -306,8 +325,10 @@
             return
         await self._call("DELETE", path, self._settings.timeout)
 
-    async def _get(self, path: str, reply_type: type[Decoded]) -> Decoded:
-        reply = await self._call("GET", path, self._settings.timeout)
+    async def _get(
+        self, path: str, reply_type: type[Decoded], timeout: float
+    ) -> Decoded:
+        reply = await self._call("GET", path, timeout)
         return _decode_reply(_require_success(reply), reply_type)
 
     def _post(self, path: str, document: object) -> Coroutine[Any, Any, HttpReply]:
--- a/pimentolink/retry.py
+++ b/pimentolink/retry.py
@@ -1,4 +1,4 @@
-"""Retry budget and exponential backoff."""
+"""Retry budget, exponential backoff and adaptive timeouts."""
 
 from __future__ import annotations
 
@@ -75,3 +75,33 @@
     def reset(self) -> None:
         """Record a success, which returns to the shortest delay."""
         self._failures = 0
+
+
+class AdaptiveTimeout:
+    """
+    Timeout of a call, twice what the previous one took, within limits.
+
+    A call that ends by its timeout doubles it, so a service that has become slow is
+    waited for after a few calls; one that responds quickly again is not.
+
+    :ivar seconds: timeout of the next call.
+    """
+
+    def __init__(self, least: float, most: float) -> None:
+        """
+        Start with the shortest timeout.
+
+        :param least: shortest timeout, in seconds.
+        :param most: longest timeout, in seconds.
+        """
+        self._least = least
+        self._most = most
+        self.seconds = least
+
+    def record(self, took: float) -> None:
+        """
+        Record a call that has ended.
+
+        :param took: its duration in seconds, also if it failed.
+        """
+        self.seconds = min(self._most, max(self._least, 2 * took))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -18,8 +18,9 @@
 from pimentolink.logs import Log
 from pimentolink.platform import store as store_module
 from pimentolink.platform.store import MAX_DATA_GAP, PlatformStore
-from pimentolink.timers import ManualTimers
+from pimentolink.timers import ManualTimers, pause
 from tests.jsonvalues import DOCUMENTS, VALUES, documents_with
+from tests.test_registration import RECOVERY_LIMIT, Listener
 
 ITEM = {"key": "k", "revision": 3, "value": "YQ=="}
 ITEMS = st.lists(
@@ -142,6 +143,33 @@
         assert outcomes[0].check(KeyValueUnavailable)
 
 
+class TestSlowStore:
+    @pytest.mark.parametrize("delay", [0.5, 1.5, 2.5, 3.5])
+    def test_is_read_in_time_after_an_outage(self, monkeypatch, delay):
+        """Each response takes longer than the timeout of a call, after an outage."""
+        timers = ManualTimers()
+        back_at = 30.0
+
+        async def exchange(pool, request, accepts, max_bytes, on_data):
+            if timers.now() < back_at or b"/kv-watch" in request.path:
+                await Deferred()
+            await pause(timers, delay)
+            page = {"items": [ITEM], "morePages": False, "currentRev": 5}
+            body = msgspec.json.encode(page)
+            return HttpReply(ReplyHead(200, ()), body)
+
+        monkeypatch.setattr(store_module, "exchange", exchange)
+        settings = StoreSettings(address="127.0.0.1:1", timeout=1.0)
+        store = PlatformStore(None, settings, ConnectionSettings(), timers)
+        listener = Listener(timers)
+        follower = KeyspaceFollower(
+            "", store, listener, settings, timers, Random(1), Log()
+        )
+        follower.start()
+        timers.advance(back_at + RECOVERY_LIMIT)
+        assert ITEM["key"] in listener.known_at
+
+
 class TestAnswers:
     @pytest.mark.parametrize("value", ["a", "\u0080"])
     def test_value_that_is_no_base64_counts_as_no_answer(self, value):
