Verify the configuration while the store responds to reads only

What callers saw: requests with API keys were refused by all gateways with configuration_outdated, 2 to 5 s after the store began to lose the answers to writes and renewals, for as long as it did, though it answered reads.

Verifications stopped once a renewal of the lease got no response, and without them keys are not trusted (class: a belief about one thing taken for another).

Evidence: TestApiKeys.test_key_is_served_while_the_store_responds_to_reads_only fails before (E1212, then E1105 at an age of 2.0 s, bound 1.9).

Change: the store counts as responding if the latest renewal or the latest read that ended had a response.

Why it holds: a read that succeeds permits the next one, whatever happens to writes; in an outage the first read that fails ends the permission.

--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -516,7 +516,7 @@
         self.leadership.invalidate_lease()
 
     def _may_call_store(self) -> bool:
-        return self._registration.is_store_reachable
+        return self._registration.is_store_reachable or self._keyspace.responds_to_reads
 
     def _reread_store(self) -> None:
         """Read the store again, which may have changed unnoticed."""
--- a/pimentolink/keyspace.py
+++ b/pimentolink/keyspace.py
@@ -119,10 +119,13 @@
     The store operations that a gateway uses; each call counts towards its cost.
 
     :ivar epoch: of the store in its latest response; 0 before the first.
+    :ivar responds_to_reads: whether the latest read to end had a response. A store may
+        respond to reads while it does not respond to writes and renewals.
     :ivar on_restored: called when a response shows that the store was restored.
     """
 
     epoch: int
+    responds_to_reads: bool
     on_restored: Callable[[], None]
 
     def read_all(self, prefix: str) -> Deferred[Snapshot]:
--- a/pimentolink/memorykeyspace.py
+++ b/pimentolink/memorykeyspace.py
@@ -45,6 +45,7 @@
 
     :ivar revision: of the latest change.
     :ivar calls: number of calls, including failed ones.
+    :ivar responds_to_reads: see :class:`~pimentolink.keyspace.Keyspace`.
     :ivar is_down: whether calls fail; see :meth:`set_down`.
     :ivar answers_to_lose: number of next writes that are applied but fail as if their
         response was lost.
@@ -66,6 +67,7 @@
         self._expiry_by_lease: dict[int, Timer] = {}
         self._next_lease = 1
         self.epoch = 0
+        self.responds_to_reads = True
         self.on_restored: Callable[[], None] = lambda: None
         self.revision = 0
         self.calls = 0
@@ -227,6 +229,7 @@
         :param pauses_leases: whether leases do not expire during the outage.
         """
         self.is_down = is_down
+        self.responds_to_reads = not is_down
         if pauses_leases:
             for timer in self._expiry_by_lease.values():
                 timer.cancel()
--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -39,6 +39,8 @@
 
 # Header of each reply: how often the store has been restored from a backup.
 EPOCH = b"store-era"
+# Statuses by which the store rejects a call.
+REJECTIONS = (429, 503)
 # Largest reply accepted, in bytes. The store sends pages of about 1 MB, which base64
 # makes a third larger.
 MAX_REPLY_BYTES = 4_000_000
@@ -132,6 +134,7 @@
         self._watch_data_at = -MAX_DATA_GAP
         self.epoch = 0
         self._is_epoch_known = False
+        self.responds_to_reads = True
         self.on_restored: Callable[[], None] = lambda: None
 
     def read_all(self, prefix: str) -> Deferred[Snapshot]:
@@ -363,13 +366,21 @@
         try:
             reply = await call_timeout.wait_for(pending)
         except TimeoutError as error:
+            self._record_outcome(method, is_response=False)
             detail = f"no answer within {timeout:g} s"
             raise KeyValueUnavailable(f"{method} {resource}: {detail}") from error
         except Failure as failure:
+            self._record_outcome(method, is_response=False)
             raise KeyValueUnavailable(f"{method} {resource}: {failure}") from failure
+        is_rejection = reply.head.status in REJECTIONS
+        self._record_outcome(method, is_response=not is_rejection)
         self._learn_epoch(reply)
         return reply
 
+    def _record_outcome(self, method: str, is_response: bool) -> None:
+        if method == "GET":
+            self.responds_to_reads = is_response
+
     def _learn_epoch(self, reply: HttpReply) -> None:
         """
         Detect from a reply's epoch whether the store was restored.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -706,3 +706,9 @@
         wait_until(lambda: not keyed_world.is_ready("gateway"))
         keyed_world.fault("store", down="")
         wait_until(lambda: self.call_with_key(keyed_world, "k-north")[0].status == 200)
+
+    def test_key_is_served_while_the_store_responds_to_reads_only(self, keyed_world):
+        keyed_world.fault("store", ignore_writes=True)
+        for _ in range(30):
+            assert self.call_with_key(keyed_world, "k-north")[0].status == 200
+            time.sleep(0.2)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -170,6 +170,41 @@
         assert ITEM["key"] in listener.known_at
 
 
+class TestRespondsToReads:
+    @pytest.mark.parametrize(
+        ("call", "status", "expected"),
+        [
+            ("read_all", 200, True),
+            ("read", 404, True),
+            ("changes", 410, True),
+            ("read_revision", 503, False),
+            ("read_all", 429, False),
+            ("grant", 503, True),
+        ],
+    )
+    def test_depends_on_the_latest_read(self, monkeypatch, call, status, expected):
+        async def exchange(*arguments):
+            return HttpReply(ReplyHead(status, ()), b"{}")
+
+        monkeypatch.setattr(store_module, "exchange", exchange)
+        settings = StoreSettings(address="127.0.0.1:1")
+        store = PlatformStore(None, settings, ConnectionSettings(), ManualTimers())
+        CALLS[call](store).addErrback(lambda _: None)
+        assert store.responds_to_reads is expected
+
+    def test_is_false_after_a_timeout(self, monkeypatch):
+        async def exchange(*arguments):
+            await Deferred()
+
+        monkeypatch.setattr(store_module, "exchange", exchange)
+        settings = StoreSettings(address="127.0.0.1:1")
+        timers = ManualTimers()
+        store = PlatformStore(None, settings, ConnectionSettings(), timers)
+        store.read("k").addErrback(lambda _: None)
+        timers.advance(settings.timeout)
+        assert not store.responds_to_reads
+
+
 class TestAnswers:
     @pytest.mark.parametrize("value", ["a", "\u0080"])
     def test_value_that_is_no_base64_counts_as_no_answer(self, value):
