Give a lone prefill engine the decode role

What callers saw: once all engines of a service but one were gone and that one had the prefill role, every request for a completion was refused (no engine takes work) until another engine started.

Cause: role changes were considered for two engines and more only, so that one remains for each role (class: missing state; a service of one engine).

Evidence: TestLoneEngine fails before, no change in 20 s.

Change: the least number of decode engines is one also if there is only one engine. A lone decode engine keeps its role, whatever is rejected.

Why it holds: a decode engine prefills too, so one engine in that role serves, and one in the other never does.

--- a/pimentolink/rolebalance.py
+++ b/pimentolink/rolebalance.py
@@ -168,7 +168,7 @@
         decode_engines = self._of_role(service, EngineRole.DECODE)
         count = len(prefill_engines) + len(decode_engines)
         limit = max(1, int(count * self._settings.most_changing))
-        if count < 2 or len(state.changing_by_id) >= limit:
+        if not count or len(state.changing_by_id) >= limit:
             return None
         decode_engines_wanted = self._decode_engines_wanted(
             service, state, regret, prefill_engines, decode_engines
@@ -237,7 +237,8 @@
         minimum = math.ceil(count * self._settings.least_share)
         if count >= self._settings.least_from:
             minimum = max(minimum, self._settings.least_count)
-        return min(count - 1, max(1, minimum))
+        # Without a decode engine there are no responses, so a lone engine must be one.
+        return max(1, min(count - 1, minimum))
 
     def _regret_covered(
         self, service: str, state: _ServiceState, regret: float
--- a/tests/test_rolebalance.py
+++ b/tests/test_rolebalance.py
@@ -212,3 +212,16 @@
     def test_at_least_one_engine_reads(self):
         gateway_fleet = fleet(*engines(1, 1))
         assert simulate(gateway_fleet, lambda second: 500, 10) == []
+
+
+class TestLoneEngine:
+    def test_prefill_engine_becomes_a_decode_engine(self):
+        """Without it, requests for completions are rejected until another starts."""
+        changes = simulate(fleet(*engines(1, 0)), lambda second: 0, 20)
+        assert [role for _, role in changes] == [EngineRole.DECODE]
+
+    def test_decode_engine_keeps_its_role(self):
+        changes = simulate(
+            fleet(*engines(0, 1)), lambda second: 10, 20, lambda second: 1.5
+        )
+        assert changes == []
