Test how soon a missing role is ordered after a full stop

If no decode engine is left as all gateways start again, requests for completions are rejected until an engine has changed its role.

With a store that responds, the order comes in time on the code as it was: the test passes for all thirty moments of the stop. It guards the bound that the election, its wait and the renewals add up to.

--- a/tests/test_rolecontroller.py
+++ b/tests/test_rolecontroller.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pimentolink.errors import NotConnected
+from pimentolink.gatewaysettings import StoreSettings
 from pimentolink.httptypes import HttpReply, ReplyHead
 from pimentolink.keyspace import Change
 from pimentolink.leadership import LEADER_KEY, Leadership
@@ -16,10 +17,15 @@
 from pimentolink.rolecontroller import ORDER_UNCERTAINTY, RoleController
 from pimentolink.targetestimate import EngineRole
 from pimentolink.timers import ManualTimers
-from tests.gatewaybuilders import engines, fleet, gateway_settings
+from tests.gatewaybuilders import MODEL, engines, fleet, gateway_settings
 from tests.requesthandlers import IgnoringPublisher
 
 LIST_LAG = 4.0
+# Seconds for which gateways are down in a full stop.
+DOWN_TIME = 1.5
+# Seconds after it within which an engine must be ordered to take a missing role: 12 s
+# for service to come back, less the time of the change and that of listing engines.
+ORDER_LIMIT = 12.0 - MODEL.switch_time - StoreSettings(address="store:1").return_time
 
 
 class FakeEngines:
@@ -73,10 +79,12 @@
         self.engine = FakeEngines(self.timers)
         self.controllers = []
 
-    def gateway(self, readers=2, writers=5):
+    def gateway(self, readers=2, writers=5, instance=""):
+        """Start a gateway; with the name of one that ended, it takes its place."""
         gateway_fleet = fleet(*engines(readers, writers))
         self.engine.fleets.append(gateway_fleet)
-        settings = gateway_settings(instance=f"g{len(self.controllers)}")
+        instance = instance or f"g{len(self.controllers)}"
+        settings = gateway_settings(instance=instance)
         leadership = Leadership(
             settings,
             f"life-{len(self.controllers)}",
@@ -97,7 +105,7 @@
         )
         leadership.lead = controller.lead
         controller.services = lambda: ["s"]
-        leadership.key_changed(Change(LEADER_KEY, None, 0))
+        leadership.key_changed(self.leader_key())
         self.controllers.append(controller)
         leadership.start()
         self._follow(leadership)
@@ -116,6 +124,10 @@
             lambda _: self.timers.call_later(0.1, lambda: self._follow(leadership)),
         )
 
+    def leader_key(self):
+        found = self.store._items_by_key.get(LEADER_KEY)
+        return Change(LEADER_KEY, found and found.value, found.revision if found else 0)
+
     def fencing_tokens(self):
         return [order["fencingToken"] for _, _, order in self.engine.orders]
 
@@ -179,6 +191,32 @@
         assert controller._may_order(change)
 
 
+class TestFullStop:
+    """All gateways end at once and start again, as the only decode engine is lost."""
+
+    @pytest.mark.parametrize("offset", [0.1 * number for number in range(30)])
+    def test_engine_gets_the_missing_role_in_time(self, world, offset):
+        leader, other = world.gateway(), world.gateway()
+        if not leader._leadership.lease:
+            leader, other = other, leader
+        world.timers.advance(20.0 + offset)
+        assert leader._leadership.lease or other._leadership.lease
+        order_count = len(world.engine.orders)
+        for controller in (leader, other):
+            controller._leadership._running.cancel()
+        world.timers.advance(DOWN_TIME)
+        world.engine.phases = dict.fromkeys(("reader-0", "reader-1"), "prefill")
+        back_at = world.timers.now()
+        for controller in (leader, other):
+            name = controller._leadership.instance
+            world.gateway(readers=2, writers=0, instance=name)
+        world.timers.advance(30.0)
+        ordered_at, _, order = world.engine.orders[order_count]
+        assert order["phase"] == "decode"
+        assert ordered_at - back_at < ORDER_LIMIT
+        assert world.fencing_tokens() == sorted(world.fencing_tokens())
+
+
 class TestRounds:
     """Load pattern: a large fleet that starts in the wrong roles."""
 
