--- a/tests/soak.py
+++ b/tests/soak.py
@@ -365,6 +365,15 @@
         self.run_due(run_all=True)
         return played
 
+    def finish(self, fatal: FatalCaller) -> list[str]:
+        """
+        Inject the last faults, after all others have ended.
+
+        :param fatal: repeats the request that crashes engines.
+        :returns: a description of each.
+        """
+        return []
+
     def kinds(self) -> tuple:
         """Return the fault methods to draw from; a repeated one is drawn more often."""
         return (
@@ -544,6 +553,7 @@
         played = faults.play()
         for name in world.proxies:
             faults.set_mode(name, NO_FAULT)
+        played += faults.finish(fatal)
         found = recovery_problems(world, callers[0])
         for caller in (*callers, fatal):
             caller.is_stopped.set()
