Count any rejection of a read by the store, and test what repeats requests

Statuses from 500 on mean that the store does not respond to reads, not 503 alone. The duration of a page is recorded in one place. Tests of repeat_until_outcome and AdaptiveTimeout by themselves.

--- a/pimentolink/platform/store.py
+++ b/pimentolink/platform/store.py
@@ -39,8 +39,7 @@
 
 # Header of each reply: how often the store has been restored from a backup.
 EPOCH = b"store-era"
-# Statuses by which the store rejects a call.
-REJECTIONS = (429, 503)
+TOO_MANY_REQUESTS = 429
 # Largest reply accepted, in bytes. The store sends pages of about 1 MB, which base64
 # makes a third larger.
 MAX_REPLY_BYTES = 4_000_000
@@ -215,17 +214,14 @@
             is_receiving = True
 
         try:
-            page = await repeat_until_outcome(
+            return await repeat_until_outcome(
                 self._timers,
                 self._settings.timeout,
                 lambda: self._get(path, _RangeReply, timeout, on_data),
                 lambda: timeout > self._settings.timeout and not is_receiving,
             )
-        except KeyValueUnavailable:
+        finally:
             self._page_timeout.record(self._timers.now() - began_at)
-            raise
-        self._page_timeout.record(self._timers.now() - began_at)
-        return page
 
     async def _changes(self, prefix: str, after: int, wait: float) -> Changes:
         epoch = self._require_epoch(after)
@@ -394,8 +390,7 @@
         except Failure as failure:
             self._record_outcome(method, is_response=False)
             raise KeyValueUnavailable(f"{method} {resource}: {failure}") from failure
-        is_rejection = reply.head.status in REJECTIONS
-        self._record_outcome(method, is_response=not is_rejection)
+        self._record_outcome(method, is_response=not _is_rejection(reply))
         self._learn_epoch(reply)
         return reply
 
@@ -422,6 +417,10 @@
             self._timers.call_later(0, lambda: self.on_restored())
 
 
+def _is_rejection(reply: HttpReply) -> bool:
+    return reply.head.status == TOO_MANY_REQUESTS or reply.head.status >= 500
+
+
 def _require_success(reply: HttpReply) -> HttpReply:
     if reply.head.status != 200:
         raise KeyValueUnavailable(f"status {reply.head.status}")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -9,7 +9,7 @@
 from pimentolink.claimtable import ClaimState, ClaimTable
 from pimentolink.errors import AlreadyRun, OutcomeUnknown, Overloaded
 from pimentolink.prefixes import PrefixIndex
-from pimentolink.retry import Backoff, RetryBudget
+from pimentolink.retry import AdaptiveTimeout, Backoff, RetryBudget
 from pimentolink.router import RoundRobin, Router
 from pimentolink.settings import (
     ClaimSettings,
@@ -41,6 +41,20 @@
         assert backoff.next() <= 0.1
 
 
+class TestAdaptiveTimeout:
+    def test_doubles_with_timeouts_to_its_bound_and_shrinks_with_a_quick_call(self):
+        timeout = AdaptiveTimeout(1.0, 4.0)
+        granted = []
+        for _ in range(4):
+            granted.append(timeout.seconds)
+            timeout.record(timeout.seconds)
+        assert granted == [1.0, 2.0, 4.0, 4.0]
+        timeout.record(1.5)
+        assert timeout.seconds == 3.0
+        timeout.record(0.01)
+        assert timeout.seconds == 1.0
+
+
 class TestEjection:
     settings = RoutingSettings(ejection_failures=2, ejection_time=1, ejection_most=4)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -190,6 +190,7 @@
             ("changes", 410, True),
             ("read_revision", 503, False),
             ("read_all", 429, False),
+            ("read", 500, False),
             ("grant", 503, True),
         ],
     )
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -10,7 +10,12 @@
 from twisted.internet.defer import Deferred
 from twisted.logger import globalLogPublisher
 
-from pimentolink.timers import RESTART_DELAY, ManualTimers, run_in_background
+from pimentolink.timers import (
+    RESTART_DELAY,
+    ManualTimers,
+    repeat_until_outcome,
+    run_in_background,
+)
 from tests.virtual import VirtualNetwork, VirtualProcess
 
 # Prints what it handles: data on a socket, which cancels a timer, or that timer.
@@ -106,3 +111,46 @@
         network.clock.advance(3.0)
         process.resume()
         assert made == ["response"]
+
+
+class TestRepeatUntilOutcome:
+    @pytest.fixture
+    def timers(self):
+        return ManualTimers()
+
+    def start(self, timers, may_repeat=lambda: True):
+        """Start attempts that never end; return them, and what the caller gets."""
+        attempts, outcomes = [], []
+
+        async def attempt():
+            attempts.append(Deferred())
+            return await attempts[-1]
+
+        work = repeat_until_outcome(timers, 1.0, attempt, may_repeat)
+        Deferred.fromCoroutine(work).addBoth(outcomes.append)
+        return attempts, outcomes
+
+    def test_first_result_counts_and_ends_the_other_attempts(self, timers):
+        attempts, outcomes = self.start(timers)
+        timers.advance(2.5)
+        first, second, third = attempts
+        second.callback("result")
+        timers.advance(5.0)
+        assert outcomes == ["result"]
+        assert len(attempts) == 3
+        assert first.called
+        assert third.called
+
+    def test_failure_of_an_attempt_ends_the_others(self, timers):
+        attempts, outcomes = self.start(timers)
+        timers.advance(1.5)
+        attempts[0].errback(ValueError("no"))
+        assert outcomes[0].check(ValueError)
+        assert attempts[1].called
+
+    def test_no_attempt_starts_that_may_not(self, timers):
+        attempts, outcomes = self.start(timers, lambda: False)
+        timers.advance(5.0)
+        assert len(attempts) == 1
+        attempts[0].callback("result")
+        assert outcomes == ["result"]
