Say plainly when a follower reads and how long a restarted leader waits

Cause: a newcomer could not tell from the docstring of _is_call_due which calls detect the end of an outage, nor from the comment of OWN_TAKEOVER_WAIT whose messages are waited for.

Change: both reworded, no code.

--- a/pimentolink/keyspacefollower.py
+++ b/pimentolink/keyspacefollower.py
@@ -211,8 +211,8 @@
         """
         Return whether to call the store now.
 
-        In an outage, mostly calls of others find out when it ends. But the store may
-        respond to reads and not to those calls, and without a first read this gateway
+        During an outage, renewals of the lease usually detect its end, at a lower cost.
+        But the store may respond to reads only, and without a first read this gateway
         cannot serve at all.
         """
         if not self._has_read or self.is_connected or self.may_call_store():
--- a/pimentolink/leadership.py
+++ b/pimentolink/leadership.py
@@ -27,9 +27,9 @@
 # Seconds for which a read of the leader key may be acted on. The store may remove the
 # key without the leader noticing, so a new leader waits for this time beyond the lease.
 MAX_READ_AGE = 0.5
-# Seconds after a gateway took over from its own previous process until nothing that it
-# sent can still arrive: it may have acted on a read for MAX_READ_AGE, and the order may
-# have been under way. No other gateway has led in between.
+# Seconds after a gateway took over from its own previous process until nothing that the
+# latter sent can still arrive: it may have acted on a read for MAX_READ_AGE, and its
+# order may have been under way. No other gateway has led in between.
 OWN_TAKEOVER_WAIT = 2.0
 # Maximum random delay, in seconds, before an attempt to become the leader.
 CAMPAIGN_JITTER = 1.0
