Log who says that a request has not run, and over which connection

Cause: open; this commit changes no decision. No line told which status a target had sent, whether its response named the request, whether its connection had carried others before, nor which status the caller got, so that the hypotheses could not be told apart.

Change: E1401 has `status`, `names`, `exchanges` and `connection_age`; E1402 and E1405 have the `status` that the caller got; E1426 tells of a response that names another request. A dialect tells own, unnamed and other responses apart; unnamed ones are accepted as before.

Why it holds: fields of lines that exist, read from the exchange itself.

--- a/pimentolink/dialect.py
+++ b/pimentolink/dialect.py
@@ -126,6 +126,14 @@
     OTHER_INSTANCE = "other_instance"
 
 
+class ReplyMatch(enum.Enum):
+    """Which request a response names as its own."""
+
+    OWN = "own"
+    UNNAMED = "unnamed"
+    OTHER = "other"
+
+
 class Dialect(Protocol):
     """Parses and builds the headers and bodies of a deployment's wire format."""
 
@@ -142,8 +150,8 @@
     ) -> HttpRequest:
         """Build the request to a target."""
 
-    def is_reply_to(self, request: CallerRequest, head: ReplyHead) -> bool:
-        """Return whether a response belongs to a request."""
+    def match_reply(self, request: CallerRequest, head: ReplyHead) -> ReplyMatch:
+        """Compare the request that a response names with the one that was sent."""
 
     def verdict(self, head: ReplyHead) -> Verdict:
         """Return the outcome that a response reports."""
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -4,6 +4,8 @@
 
 # Seconds that a caller is told to wait before it retries, if no estimate is available.
 DEFAULT_RETRY_AFTER = 0.3
+# Statuses that promise the caller that its request has not run and never will.
+UNRUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class Failure(Exception):
--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -81,6 +81,7 @@
     :ivar due_at: deadline of the final response, in seconds of the timer service.
     :ivar framing: how the last target's response delimits its body; ``None`` before
         there is one.
+    :ivar status: of the response to the caller; ``None`` before there is one.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.calls = RequestCalls()
         self.first_event_at: float | None = None
         self.framing: BodyFraming | None = None
+        self.status: int | None = None
         self._has_begun_run = False
         self._on_run = on_execution_started
         timeout = route.timeout
@@ -323,6 +325,9 @@
 
     def _fail(self, work: PendingRequest, failure: Failure) -> None:
         self._metrics.count("failed", failure.code)
+        is_aborted = work.responder.has_begun or isinstance(failure, StreamBroken)
+        if not is_aborted:
+            work.status = failure.status
         self._log_outcome(
             LogEvent.REQUEST_FAILED,
             work,
@@ -332,7 +337,7 @@
             took=round(self._timers.now() - work.request.arrived_at, 3),
             left=round(work.time_left(self._timers.now()), 3),
         )
-        if work.responder.has_begun or isinstance(failure, StreamBroken):
+        if is_aborted:
             work.responder.abort()
         else:
             answer_failure(work.responder, failure)
@@ -352,6 +357,7 @@
             calls=work.calls.sent,
             grants=work.calls.grants,
             framing=work.framing.value if work.framing else None,
+            status=work.status,
             **outcome,
         )
 
@@ -364,6 +370,7 @@
             version=self._tables.version,
             in_force=round(self._timers.now() - self._tables.adopted_at, 3),
             store_age=round(self.store_age(), 3),
+            status=failure.status,
             code=failure.code,
             detail=failure.detail,
         )
@@ -386,6 +393,7 @@
     responder.answer(failure.status, tuple(headers), f"{failure}\n".encode())
 
 
-def forward_reply(responder: Responder, reply: HttpReply) -> None:
+def forward_reply(work: PendingRequest, reply: HttpReply) -> None:
     """Send a target's complete response to the caller."""
-    responder.answer(reply.head.status, end_to_end(reply.head.headers), reply.body)
+    work.status = reply.head.status
+    work.responder.answer(work.status, end_to_end(reply.head.headers), reply.body)
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -224,7 +224,7 @@
                 # The engine may have ended within its reply.
                 call.record_cut_off()
             self._target_client.record_failure(
-                work.request, prefill_engine, prompt.err_value, call.sent_at
+                work.request, prefill_engine, prompt.err_value, call=call
             )
             raise prompt.err_value
         return _Prefilled(prompt.ok_value, prefill_engine)
@@ -342,7 +342,7 @@
             call.close()
             if not isinstance(failure, StreamBroken):
                 self._target_client.record_failure(
-                    work.request, call.estimate, failure, call.sent_at
+                    work.request, call.estimate, failure, call=call
                 )
             raise
         finally:
@@ -357,7 +357,7 @@
         self._target_client.failed(work.request, call, status)
         if relay.has_begun or (status >= 500 and work.attempts.may_repeat()):
             raise StreamBroken(f"status {status}")
-        forward_reply(work.responder, reply)
+        forward_reply(work, reply)
 
 
 class _Relay:
@@ -397,4 +397,5 @@
         self._work.first_event_at = self._timers.now()
         self._work.run_began(self._work.first_event_at)
         responder = self._work.responder
+        self._work.status = call.head.status
         responder.begin(call.head.status, end_to_end(call.head.headers))
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -201,6 +201,11 @@
         logging.WARNING,
         "An attempt failed; the request is retried if permitted.",
     )
+    RESPONSE_DISCARDED = (
+        "E1426",
+        logging.WARNING,
+        "A response that names another request came over a target's connection.",
+    )
     REQUEST_FAILED = (
         "E1402",
         logging.WARNING,
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -88,7 +88,7 @@
             if isinstance(last, HttpReply) and not self._is_repeatable(work, last):
                 break
         if isinstance(last, HttpReply):
-            forward_reply(work.responder, last)
+            forward_reply(work, last)
             return
         raise last or NoTarget(f"no target of {work.service} takes work", 0.5)
 
@@ -156,7 +156,7 @@
             reply = await call.read_all()
         except Failure as failure:
             call.close()
-            self._target_client.record_failure(request, estimate, failure, call.sent_at)
+            self._target_client.record_failure(request, estimate, failure, call=call)
             raise
         finally:
             call.close()
--- a/pimentolink/platform/dialect.py
+++ b/pimentolink/platform/dialect.py
@@ -12,6 +12,7 @@
     CallerRequest,
     PrefilledPrompt,
     PromptPart,
+    ReplyMatch,
     SendOptions,
     Verdict,
 )
@@ -255,14 +256,16 @@
             system_headers.append((LAST_EVENT, options.last_event))
         return request.http._replace(headers=(*forwarded_headers, *system_headers))
 
-    def is_reply_to(self, request: CallerRequest, head: ReplyHead) -> bool:
-        """Return whether a reply belongs to a request."""
+    def match_reply(self, request: CallerRequest, head: ReplyHead) -> ReplyMatch:
+        """Compare the request that a reply names with the one that was sent."""
         reply_request_id = head.header(REQUEST_ID.lower())
         if reply_request_id is None:
             # Only replies that the engine itself gives without running the request may
             # lack the id; such replies are not signed.
-            return head.header(SIGNATURE.lower()) is None
-        return reply_request_id.decode("latin-1") == request.request_id
+            is_signed = head.header(SIGNATURE.lower()) is not None
+            return ReplyMatch.OTHER if is_signed else ReplyMatch.UNNAMED
+        is_own = reply_request_id.decode("latin-1") == request.request_id
+        return ReplyMatch.OWN if is_own else ReplyMatch.OTHER
 
     def verdict(self, head: ReplyHead) -> Verdict:
         """Classify the outcome of a request by the head of its reply."""
--- a/pimentolink/targetcall.py
+++ b/pimentolink/targetcall.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, NamedTuple
 
+from pimentolink.dialect import ReplyMatch
 from pimentolink.errors import ResponseTruncated
 from pimentolink.eventstream import Event, EventSplitter
 from pimentolink.httptypes import BodyFraming, HttpReply, ReplyHead
@@ -14,11 +15,25 @@
 MAX_RESPONSE_BYTES = 8_000_000
 
 
+class ConnectionUse(NamedTuple):
+    """
+    How a connection had been used when a request was written to it.
+
+    :ivar exchanges: exchanges that it had carried before.
+    :ivar age: seconds since it was opened.
+    """
+
+    exchanges: int
+    age: float
+
+
 class TargetCall:
     """
     One exchange with a target, up to the last byte of the response.
 
+    :ivar use: how its connection had been used before.
     :ivar head: of the response; ``None`` before it has arrived.
+    :ivar match: which request the response names; ``None`` before its head.
     :ivar framing: how the response delimits its body; ``None`` before its head.
     """
 
@@ -44,6 +59,9 @@
         """
         self.estimate = estimate
         self.sent_at = sent_at
+        self.use = ConnectionUse(
+            connection.exchange_count, sent_at - connection.opened_at
+        )
         self._on_cut_off = on_cut_off
         self._is_reachable = is_reachable
         self._is_complete = False
@@ -52,6 +70,7 @@
         self._is_closed = False
         self._events = EventSplitter()
         self.head: ReplyHead | None = None
+        self.match: ReplyMatch | None = None
         self.framing: BodyFraming | None = None
 
     async def read_events(self) -> list[Event] | None:
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -7,7 +7,13 @@
 
 from twisted.internet.defer import Deferred
 
-from pimentolink.dialect import CallerRequest, Dialect, SendOptions, Verdict
+from pimentolink.dialect import (
+    CallerRequest,
+    Dialect,
+    ReplyMatch,
+    SendOptions,
+    Verdict,
+)
 from pimentolink.errors import (
     DEFAULT_RETRY_AFTER,
     CannotBeInTime,
@@ -281,17 +287,33 @@
         )
         try:
             call.head = await connection.send(
-                message, lambda head: self._dialect.is_reply_to(request, head)
+                message, lambda head: self._accept_reply(request, call, head)
             )
             call.framing = body_framing(message.method, call.head)
             await self._check(call, call.head)
         except BaseException as error:
             call.close()
             if isinstance(error, Failure):
-                self.record_failure(request, estimate, error, call.sent_at)
+                self.record_failure(request, estimate, error, call=call)
             raise
         return call
 
+    def _accept_reply(
+        self, request: CallerRequest, call: TargetCall, head: ReplyHead
+    ) -> bool:
+        """Return whether a response belongs to a call; log one that does not."""
+        call.match = self._dialect.match_reply(request, head)
+        if call.match is not ReplyMatch.OTHER:
+            return True
+        self._log.write(
+            LogEvent.RESPONSE_DISCARDED,
+            request=request.request_id,
+            target=call.estimate.target.target_id,
+            status=head.status,
+            **_connection_fields(call),
+        )
+        return False
+
     async def _check(self, call: TargetCall, head: ReplyHead) -> None:
         """Raise a failure if the head says that the target did not run the request."""
         verdict = self._dialect.verdict(head)
@@ -313,13 +335,18 @@
         estimate: TargetEstimate,
         failure: Failure,
         sent_at: float | None = None,
+        call: TargetCall | None = None,
     ) -> None:
         """
         Record a failed attempt against its target.
 
-        :param sent_at: seconds of the timer service; ``None`` if nothing was sent.
+        :param sent_at: seconds of the timer service; ``None`` if nothing was sent, or
+            if ``call`` is given.
+        :param call: the exchange that failed; ``None`` if it has ended or never began.
         """
         target = estimate.target
+        if call is not None:
+            sent_at = call.sent_at
         now = self._timers.now()
         self._metrics.count("attempts_failed", failure.code)
         self._log.write(
@@ -331,6 +358,7 @@
             fingerprint=request.fingerprint,
             after=None if sent_at is None else round(now - sent_at, 4),
             others=estimate.in_flight,
+            **({} if call is None else _response_fields(call)),
         )
         if isinstance(failure, OtherInstance):
             # Another instance has the address, so this target no longer exists.
@@ -348,5 +376,22 @@
     def failed(self, request: CallerRequest, call: TargetCall, status: int) -> None:
         """Record a failure that the target reported by the status of its response."""
         self.record_failure(
-            request, call.estimate, TargetFailed(f"status {status}"), call.sent_at
+            request, call.estimate, TargetFailed(f"status {status}"), call=call
         )
+
+
+def _response_fields(call: TargetCall) -> dict[str, object]:
+    """Return the log fields of a call's response and of its connection."""
+    return {
+        "status": None if call.head is None else call.head.status,
+        "names": None if call.match is None else call.match.value,
+        **_connection_fields(call),
+    }
+
+
+def _connection_fields(call: TargetCall) -> dict[str, object]:
+    """Return the log fields that tell how a call's connection had been used."""
+    return {
+        "exchanges": call.use.exchanges,
+        "connection_age": round(call.use.age, 4),
+    }
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -91,6 +91,7 @@
         self.is_open = False
         self.is_reusable = False
         self.is_lost = False
+        self.exchange_count = 0
         self.opened_at = timers.now()
         self.idle_limit = settings.idle
         self.idle_since = timers.now()
@@ -113,6 +114,7 @@
         :raises ReplyInvalid: if the response is not valid HTTP.
         """
         self.is_reusable = False
+        self.exchange_count += 1
         self._has_ended = False
         self._request = request
         self._accepts = accepts
--- a/tests/requesthandlers.py
+++ b/tests/requesthandlers.py
@@ -177,7 +177,7 @@
     async def send(self, request, estimate, message, is_once=False):
         return EngineCall(self, estimate, Outcome.ANSWERED, is_prefill=False)
 
-    def record_failure(self, request, estimate, failure, sent_at=None):
+    def record_failure(self, request, estimate, failure, sent_at=None, call=None):
         estimate.outcome(is_good=False)
         if isinstance(failure, NotListening):
             estimate.record_refused_connection(self.timers.now())
