Add failing tests of refusals that are not true

What callers saw: a 408, 429 or 503, which promise that the request has not run and never will, of a request that a target had run.

Cause: not fixed yet. Own runs of a gateway as a process, with targets that write any bytes, show two ways: a status that promises, of a target that ran the request and stated nothing, is passed on; and a rejection without an id that comes late over a connection used again is taken for that of the next request, which then runs twice, or is refused if nothing is left to repeat it.

--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -240,6 +240,7 @@
     request_id: str
     kind: str
     status: int | None
+    body: bytes
     arrivals: list[Arrival]
     log: list
 
@@ -343,7 +344,9 @@
         lines = [
             line for line in self.log.lines if line[1].get("request") == request_id
         ]
-        return Response(request_id, kind, responder.status, arrivals, lines)
+        return Response(
+            request_id, kind, responder.status, responder.body, arrivals, lines
+        )
 
 
 def _routes():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -131,6 +131,18 @@
         counts = [world.runs(n)["runs"].get(name, 0) for n in ("plain-1", "plain-2")]
         assert sorted(counts) == [0, 1]
 
+    def test_status_that_promises_is_not_passed_on_from_a_target_that_ran_it(
+        self, world
+    ):
+        for status in (408, 429, 503):
+            for name in ("plain-1", "plain-2"):
+                world.fault(name, status=status)
+            reply, request_id = world.request("/once/x")
+            assert reply.status == 502
+            world.wait_for_event(
+                "request_failed", 2.0, request=request_id, code="rejection_unproven"
+            )
+
     def test_call_that_runs_once_goes_on_where_it_was_rejected_unrun(self, world):
         earn_retry_credit(world)
         world.fault("plain-1", reject=True)
