Do not pass on a promise that a target has not made

What callers saw: a call that may run once had run, and its caller got 503, 429 or 408, which promise that it has not run and never will. An idempotent one got 429 and 408 at once, though another target could have served it.

Cause: the status of a target's response was passed on, whoever sent it and why. Only a statement of the target says that it did not run a request; a target that gives up midway, a server in front of it or a proxy use the same statuses without it (class: a statement taken from someone who did not make it). The promise of the status is the gateway's, made to its caller.

Change: a response with a status that promises, and without the statement, is a failure of the attempt after which the request may have run (`rejection_unproven`). A call that may run once gets 502, others go to another target within the retry budget. Its connection is kept.

Why it holds: all responses to requests pass TargetClient._check, and each failure but its two statements is one of a request that may have run.

--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -233,6 +233,12 @@
     ran = True
 
 
+class RejectionUnproven(TargetFailed):
+    """Only the status of a response says that the request was not run."""
+
+    code = "rejection_unproven"
+
+
 class TargetRejected(Failure):
     """The target rejected the request as invalid."""
 
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -16,6 +16,7 @@
 )
 from pimentolink.errors import (
     DEFAULT_RETRY_AFTER,
+    UNRUN_STATUSES,
     CannotBeInTime,
     ConnectionBroken,
     ConnectReset,
@@ -24,6 +25,7 @@
     NotListening,
     OtherInstance,
     RejectedUnrun,
+    RejectionUnproven,
     ReplyInvalid,
     TargetFailed,
 )
@@ -315,7 +317,14 @@
         return False
 
     async def _check(self, call: TargetCall, head: ReplyHead) -> None:
-        """Raise a failure if the head says that the target did not run the request."""
+        """
+        Raise a failure if the head says that the target did not run the request.
+
+        :raises RejectedUnrun: if the target states it.
+        :raises OtherInstance: if another target states it.
+        :raises RejectionUnproven: if only the status does, which a caller must not be
+            sent: servers in between, and targets that give up, use these statuses too.
+        """
         verdict = self._dialect.verdict(head)
         if verdict is Verdict.NOT_RUN:
             await call.read_all(confirms_end=False)
@@ -323,6 +332,9 @@
         if verdict is Verdict.OTHER_INSTANCE:
             await call.read_all(confirms_end=False)
             raise OtherInstance(f"another target has {call.estimate.target.address}")
+        if head.status in UNRUN_STATUSES:
+            await call.read_all(confirms_end=False)
+            raise RejectionUnproven(f"status {head.status}")
 
     def succeeded(self, request: CallerRequest, estimate: TargetEstimate) -> None:
         """Record a complete response for its target and its request."""
