Do not take a late response without an id for the next request's

What callers saw: a request that may run once ran at two targets; or, with no target left, was refused with a promise that it had not run, though its only target ran it.

Cause: on a connection used again, a response without a request id was accepted for the request that waited, whatever it belonged to: a late second answer or an idle server's farewell in a segment of its own, read after the next request was written. A rejection by it (Not-Executed, or 421) disowned that request. The same holds for a late copy that names the request itself, sent to its engine again after a rejection (class: a true statement about another request).

Change: a response that names no request counts only on a connection that has carried nothing else. Otherwise the attempt fails, and the request may have run. A request is not sent over the connection that it used last. Late responses that name another request are discarded as before. The series' targets no longer write after they have broken a response off: the part and what followed were read as one response.

Why it holds: what a target says is attributed by the id, or by a connection on which there is nothing else that it could be about.

--- a/pimentolink/targetcall.py
+++ b/pimentolink/targetcall.py
@@ -34,6 +34,7 @@
     :ivar use: how its connection had been used before.
     :ivar head: of the response; ``None`` before it has arrived.
     :ivar match: which request the response names; ``None`` before its head.
+    :ivar has_discarded: whether a response to another request came before it.
     :ivar framing: how the response delimits its body; ``None`` before its head.
     """
 
@@ -71,6 +72,7 @@
         self._events = EventSplitter()
         self.head: ReplyHead | None = None
         self.match: ReplyMatch | None = None
+        self.has_discarded = False
         self.framing: BodyFraming | None = None
 
     async def read_events(self) -> list[Event] | None:
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -259,21 +259,37 @@
             )
         await self._watcher.admit(request)
         message = self._dialect.target_request(request, options)
-        return await self.send(request, estimate, message, is_once)
+        return await self._send(request, estimate, message, request.request_id, is_once)
 
     async def send(
+        self, request: CallerRequest, estimate: TargetEstimate, message: HttpRequest
+    ) -> TargetCall:
+        """
+        Send a request of the gateway itself, whose response names no request.
+
+        :param request: the caller's request that it concerns.
+        :raises Failure: as :meth:`begin` does.
+        """
+        return await self._send(request, estimate, message)
+
+    async def _send(
         self,
         request: CallerRequest,
         estimate: TargetEstimate,
         message: HttpRequest,
+        request_id: str = "",
         is_once: bool = False,
     ) -> TargetCall:
-        """Send a request that the dialect encoded; see :meth:`begin`."""
+        """
+        Send a request that the dialect encoded.
+
+        :param request_id: the id that its response must name; empty for none.
+        """
         pool = self.pool(estimate)
         estimate.in_flight += 1
         try:
             idle = self._settings.idle_once if is_once else None
-            connection = await pool.acquire(idle)
+            connection = await pool.acquire(idle, request_id)
         except BaseException as error:
             estimate.in_flight -= 1
             if isinstance(error, Failure):
@@ -289,8 +305,12 @@
         )
         try:
             call.head = await connection.send(
-                message, lambda head: self._accept_reply(request, call, head)
+                message,
+                lambda head: self._accept_reply(request, call, head),
+                request_id,
             )
+            if request_id:
+                _check_attribution(call)
             call.framing = body_framing(message.method, call.head)
             await self._check(call, call.head)
         except BaseException as error:
@@ -307,6 +327,7 @@
         call.match = self._dialect.match_reply(request, head)
         if call.match is not ReplyMatch.OTHER:
             return True
+        call.has_discarded = True
         self._log.write(
             LogEvent.RESPONSE_DISCARDED,
             request=request.request_id,
@@ -392,6 +413,20 @@
         )
 
 
+def _check_attribution(call: TargetCall) -> None:
+    """
+    Check that a response belongs to its request.
+
+    A response that names no request may be a late one to an earlier request of its
+    connection, unless there was none.
+
+    :raises ReplyInvalid: if it may belong to another request.
+    """
+    may_be_late = call.use.exchanges > 0 or call.has_discarded
+    if call.match is ReplyMatch.UNNAMED and may_be_late:
+        raise ReplyInvalid("a response without an id, on a connection used before")
+
+
 def _response_fields(call: TargetCall) -> dict[str, object]:
     """Return the log fields of a call's response and of its connection."""
     return {
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -92,6 +92,7 @@
         self.is_reusable = False
         self.is_lost = False
         self.exchange_count = 0
+        self.last_request_id = ""
         self.opened_at = timers.now()
         self.idle_limit = settings.idle
         self.idle_since = timers.now()
@@ -102,12 +103,15 @@
         self.is_open = True
         set_keep_alive(self.transport, self._settings)
 
-    def send(self, request: HttpRequest, accepts: ReplyMatcher) -> Deferred[ReplyHead]:
+    def send(
+        self, request: HttpRequest, accepts: ReplyMatcher, request_id: str = ""
+    ) -> Deferred[ReplyHead]:
         """
         Send a request.
 
         :param request: the complete request.
         :param accepts: returns whether a response belongs to this request.
+        :param request_id: the id that the response must name; empty for none.
         :returns: the head of the response.
         :raises ConnectionBroken: if the connection breaks; the target may have
             received the request.
@@ -115,6 +119,7 @@
         """
         self.is_reusable = False
         self.exchange_count += 1
+        self.last_request_id = request_id
         self._has_ended = False
         self._request = request
         self._accepts = accepts
@@ -334,23 +339,30 @@
         self.max_connections = settings.most
         self.count = 0
 
-    async def acquire(self, max_idle: float | None = None) -> TargetConnection:
+    async def acquire(
+        self, max_idle: float | None = None, request_id: str = ""
+    ) -> TargetConnection:
         """
         Return an idle connection, or open one.
 
         :param max_idle: seconds that the connection may have been idle, for a request
             that must not be repeated: the target may be about to close an older one.
+        :param request_id: id of the request. A connection whose last exchange was for
+            the same request is not used, since a late copy of its response would pass
+            for the response to this one.
         :raises NotConnected: if no connection can be opened; nothing was sent.
         :raises ConnectionsExhausted: if the maximum number of connections is open.
         """
-        connection = self._pop_idle(max_idle)
+        connection = self._pop_idle(max_idle, request_id)
         if connection is not None:
             return connection
         if self.count >= self.max_connections:
             raise ConnectionsExhausted(f"{self.count} connections are open")
         return await self.open()
 
-    def _pop_idle(self, max_idle: float | None) -> TargetConnection | None:
+    def _pop_idle(
+        self, max_idle: float | None, request_id: str
+    ) -> TargetConnection | None:
         """
         Take the most recently used idle connection.
 
@@ -358,16 +370,20 @@
         others, so that fewer connections are opened under low load. It is used all the
         same if no other connection may be opened.
         """
-        while self._idle:
-            connection = self._idle[-1]
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
             idle = self._timers.now() - connection.idle_since
-            if connection.is_open and idle < connection.idle_limit:
-                is_too_old = max_idle is not None and idle >= max_idle
-                if is_too_old and self.count < self.max_connections:
-                    return None
-                return self._idle.pop()
-            self._idle.pop()
-            connection.abort()
+            if not connection.is_open or idle >= connection.idle_limit:
+                del self._idle[index]
+                connection.abort()
+                continue
+            if request_id and connection.last_request_id == request_id:
+                continue
+            is_too_old = max_idle is not None and idle >= max_idle
+            if is_too_old and self.count < self.max_connections:
+                return None
+            del self._idle[index]
+            return connection
         return None
 
     async def open(self) -> TargetConnection:
--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -160,7 +160,8 @@
         if act.stray and act.stray.moment is Moment.AFTER_REQUEST and previous:
             pieces.append(_encode_stray(act.stray, previous))
         response = _encode(act, request_id, is_stream)
-        following = self._next_stray()
+        # A target that breaks its response off writes nothing more.
+        following = self._next_stray() if act.sent is None else None
         if following and following.moment is Moment.WITH_PREVIOUS:
             response += _encode_stray(following, request_id)
         pieces.append(response[: act.sent])
--- a/tests/test_targethttp.py
+++ b/tests/test_targethttp.py
@@ -156,10 +156,10 @@
     return connection
 
 
-def acquire(pool, max_idle=None):
+def acquire(pool, max_idle=None, request_id=""):
     """Acquire a connection; return ``None`` while one is being opened."""
     outcome = []
-    pending = Deferred.fromCoroutine(pool.acquire(max_idle))
+    pending = Deferred.fromCoroutine(pool.acquire(max_idle, request_id))
     pending.addBoth(outcome.append)
     return outcome[0] if outcome else None
 
@@ -191,6 +191,14 @@
         timers.advance(1.5)
         assert acquire(pool, max_idle=1.0) is connection
 
+    def test_connection_is_kept_from_the_request_that_it_carried_last(self, timers):
+        pool = make_pool(timers)
+        older, newer = (used_connection(pool, timers) for _ in range(2))
+        newer.last_request_id = "a"
+        assert acquire(pool, request_id="a") is older
+        assert acquire(pool, request_id="a") is None
+        assert acquire(pool, request_id="b") is newer
+
     def test_bound_without_an_idle_connection_is_told(self, timers):
         pool = make_pool(timers, most=1)
         used_connection(pool, timers)
