Give no failure after which a request may have run a status that says it has not

What callers saw: nothing is known of these two; a caller that read its response too slowly, or a store that did not respond, had failures with 408 and 503, which promise that nothing has run, beside `ran` true in the body.

Cause: the status and `ran` of a failure were set independently of each other. The 408 served two failures: a request that never arrived whole, which has not run, and a response that is not read (class: a promise beside the fact it rests on).

Evidence: a listed test failed, for CallerTooSlow and KeyValueUnavailable.

Change: a request that does not arrive whole is `request_too_slow` at entries too, with `ran` false; the other two have 504.

Measured: the listed test passes, unchanged.

Why it holds: the test goes over all failure types.

--- a/pimentolink/callersite.py
+++ b/pimentolink/callersite.py
@@ -68,7 +68,7 @@
             # The response was sent when the request was refused.
             self._transport().abortConnection()
             return
-        failure = errors.CallerTooSlow("the request did not come whole in time")
+        failure = errors.RequestTooSlow("the request did not come whole in time")
         self._refuse(b"408 Request Timeout", failure)
         self._transport().loseConnection()
 
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -308,10 +308,10 @@
 
 
 class CallerTooSlow(Failure):
-    """The caller sent its request, or read its response, too slowly."""
+    """The caller read its response too slowly."""
 
     code = "caller_too_slow"
-    status = 408
+    status = 504
     ran = True
 
 
@@ -371,7 +371,7 @@
     """The key-value service did not respond; a write may have taken effect."""
 
     code = "key_value_unavailable"
-    status = 503
+    status = 504
     ran = True
 
 
