Do not take a target's status for its statement at sidecars either

A call under an idempotency key whose service ran it and answered 503 or 429 got that status, again for each repetition; a completion whose engine answered 503 or 429 was refused with `ran` false in the body.

Cause: as at gateways: statuses that promise were believed and passed on, whoever sent them. Targets behind sidecars have no way to state that they did not run a request.

Evidence: eight new tests in test_targets.py failed before; the four that keep the status of calls that may be repeated passed.

Change: these statuses are `rejection_unproven`, after which the request may have run: such a call's outcome is unknown, a completion is tried elsewhere as before, with backoff and budget, and without counting as a failure of the engine. A repeatable call's status is passed on: it is the service's own response, and nothing in it says that the system refused the call.

Measured: the twelve tests pass; test_dispatcher, test_claimedcalls, test_scenarios, test_random_failures and six more modules pass.

Why it holds: NotRun is now made only from what has not left the sidecar.

--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -25,6 +25,7 @@
     NoTarget,
     NotRun,
     OutcomeUnknown,
+    RejectionUnproven,
     TargetFailed,
 )
 from pimentolink.logs import Log, LogEvent
@@ -456,7 +457,8 @@
             report_interval = self._settings.links.load_interval
             target.suspend_until(self._timers.now() + report_interval)
             active.progress.tried_target_ids.remove(target.target_id)
-        if not isinstance(failure, TargetFailed | CrossedAnswer):
+        is_rejection = isinstance(failure, RejectionUnproven)
+        if is_rejection or not isinstance(failure, TargetFailed | CrossedAnswer):
             return
         if target.failed(self._timers.now(), self._settings.routing):
             self._log.write(LogEvent.TARGET_EJECTED, target=target.target_id)
@@ -464,7 +466,9 @@
     def _retry_later(self, active: _ActiveRequest, failure: Failure) -> None:
         progress = active.progress
         retry = self._settings.retry
-        is_first_retry = progress.attempts == 1 and failure.ran
+        # A target that rejects work has too much of it for a retry at once.
+        is_rejection = isinstance(failure, RejectionUnproven)
+        is_first_retry = progress.attempts == 1 and failure.ran and not is_rejection
         if progress.attempts >= retry.attempts and not self._is_changing(progress):
             self._fail_request(active, failure)
             return
--- a/pimentolink/outcomes.py
+++ b/pimentolink/outcomes.py
@@ -15,6 +15,7 @@
     NotRun,
     OutcomeUnknown,
     Overloaded,
+    RejectionUnproven,
     TargetFailed,
     TargetRejected,
 )
@@ -37,6 +38,7 @@
         NotRun,
         OutcomeUnknown,
         Overloaded,
+        RejectionUnproven,
         TargetFailed,
         TargetRejected,
     )
--- a/pimentolink/targets.py
+++ b/pimentolink/targets.py
@@ -16,9 +16,11 @@
 from twisted.web.iweb import IResponse
 
 from pimentolink.errors import (
+    UNRUN_STATUSES,
     CrossedAnswer,
     Failure,
     NotRun,
+    RejectionUnproven,
     TargetFailed,
     TargetRejected,
 )
@@ -246,6 +248,9 @@
         if echoed_id != self._call.attempt:
             self.fail(CrossedAnswer(f"for {echoed_id}"))
             return
+        if answer.status in UNRUN_STATUSES and not self._call.is_repeatable:
+            self.fail(RejectionUnproven(f"the target answered {answer.status}"))
+            return
         listener, self._listener = self._listener, None
         if listener is not None:
             listener.finished(answer, self._finish_reason)
@@ -376,8 +381,8 @@
 
 def _failure_from_status(status: int) -> Failure:
     detail = f"the engine answered {status}"
-    if status in (429, 503):
-        return NotRun(detail)
+    if status in UNRUN_STATUSES:
+        return RejectionUnproven(detail)
     if 400 <= status < 500:
         return TargetRejected(detail)
     return TargetFailed(detail)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -6,7 +6,7 @@
 import pytest
 from twisted.internet import reactor
 
-from pimentolink.errors import TargetFailed
+from pimentolink.errors import RejectionUnproven, TargetFailed
 from pimentolink.targets import HttpTarget, TargetCall
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
@@ -20,6 +20,7 @@
 
     def __init__(self):
         self.received = []
+        self.answer = None
         self.failure = None
         self.has_ended = threading.Event()
 
@@ -27,6 +28,7 @@
         self.received += tokens
 
     def finished(self, answer, finish_reason):
+        self.answer = answer
         self.has_ended.set()
 
     def failed(self, failure):
@@ -35,13 +37,19 @@
 
 
 def stream_from(response):
-    """Call a target that sends a response and closes its connection."""
+    """Request a stream of a target that sends a response and closes its connection."""
+    return respond(HttpTarget.start_stream, response)
+
+
+def respond(start, response, is_repeatable=True):
+    """Start a call to a target that sends a response and closes its connection."""
     with socket.create_server(("127.0.0.1", 0)) as server:
         address = f"127.0.0.1:{server.getsockname()[1]}"
         call = TargetCall("a", "POST", "/v1/completions", {}, b"{}", 0, [], True)
+        call = call._replace(is_repeatable=is_repeatable)
         listener = Listener()
         target = HttpTarget(reactor, address, TIMEOUT)
-        reactor.callFromThread(target.start_stream, call, listener)
+        reactor.callFromThread(start, target, call, listener)
         server.settimeout(TIMEOUT)
         connection, _ = server.accept()
         with connection:
@@ -66,3 +74,25 @@
         listener = stream_from(HEAD + EVENT + rest)
         assert listener.received == ["a"]
         assert isinstance(listener.failure, TargetFailed)
+
+
+@pytest.mark.usefixtures("loop")
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+class TestStatusThatPromises:
+    """A target's status was taken for its statement that it did not run the call."""
+
+    def response(self, status):
+        return b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+
+    def test_of_an_engine_does_not_say_that_it_did_not_run_the_request(self, status):
+        listener = stream_from(self.response(status))
+        assert isinstance(listener.failure, RejectionUnproven)
+
+    def test_is_no_answer_to_a_call_that_may_run_once(self, status):
+        response = self.response(status)
+        listener = respond(HttpTarget.start_plain, response, is_repeatable=False)
+        assert isinstance(listener.failure, RejectionUnproven)
+
+    def test_is_passed_on_where_the_call_may_be_repeated(self, status):
+        listener = respond(HttpTarget.start_plain, self.response(status))
+        assert listener.answer.status == status
