Soak gateways in front of targets whose refusals are not true

Cause: the soak checks that nothing that ran is refused, but its targets signed all that they ran, answered 500 at most and wrote only what was asked for, so that nothing could break the check.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	$(BIN)/python -m tests.soak --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_retries --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_configuration --seeds $(SEEDS) --first $(FIRST)
+	$(BIN)/python -m tests.soak_refusals --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_fullstop --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_claims --seeds $(SEEDS) --first $(FIRST)
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -17,6 +17,10 @@
 
 REQUEST_ID_HEADER = "Pimentolink-Request-Id"
 NOT_EXECUTED_HEADERS = {"Pimentolink-Not-Executed": "1"}
+LATE_REJECTION = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"Pimentolink-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
 # Seconds from the start of a fatal run until the process exits.
 CRASH_DELAY = 0.03
 
@@ -51,6 +55,9 @@
     connection is reset on arrival, and of streams that are reset after one event.
     ``truncate_share`` is the share of streams whose connection is closed within the
     second event; ``unframed_share`` that of responses with neither a length nor chunks.
+    ``promise_share`` is the share of requests that run and get a status that promises
+    that they have not; ``late_share`` that of requests on a connection used before
+    whose response comes after a rejection without an id, left from an earlier one.
     """
 
     def __init__(self, options: Any) -> None:
@@ -79,6 +86,8 @@
             "break_share": 0.0,
             "truncate_share": 0.0,
             "unframed_share": 0.0,
+            "promise_share": 0.0,
+            "late_share": 0.0,
         }
         self.random = Random(options.instance)
         self.routes = Routes()
@@ -158,6 +167,7 @@
         request.notifyFinish().addErrback(
             lambda _: self.disconnected.append(request_id)
         )
+        self._reject_late(request)
         expected = request.getHeader("Pimentolink-Expect-Instance")
         if expected not in (None, self.instance):
             self._misdirect(request, request_id)
@@ -176,6 +186,8 @@
             )
         elif request.getHeader("Pimentolink-Stage") == "prefill":
             self._prefill(request, request_id)
+        elif self._occurs("promise_share"):
+            self._break_promise(request, request_id)
         elif request.getHeader("Pimentolink-Prompt-Prefix"):
             self._decode(request, request_id)
         else:
@@ -185,6 +197,23 @@
         """Draw whether a fault affects the next request."""
         return bool(self.faults[fault]) and self.random.random() < self.faults[fault]
 
+    def _reject_late(self, request: Request) -> None:
+        """Draw whether a late rejection precedes the response, and write it."""
+        channel: Any = request.channel
+        is_used = hasattr(channel, "was_used")
+        channel.was_used = True
+        if is_used and self._occurs("late_share"):
+            channel.transport.write(LATE_REJECTION)
+
+    def _break_promise(self, request: Request, request_id: str) -> None:
+        """Run a request, and respond with a status that promises the contrary."""
+        self._record_run(request_id, raw_body(request).decode())
+        status = self.random.choice((408, 429, 503))
+        headers = {REQUEST_ID_HEADER: request_id}
+        reactor.callLater(
+            self.delay, answer, request, {"error": "gave up"}, status, headers
+        )
+
     def _misdirect(self, request: Request, request_id: str) -> None:
         """Reject a request for another instance or for the other role."""
         self._log("reject", request_id)
