Keep what is known of a response with its call

Change: whether a response may belong to another request, and the log fields of a response and its connection, are methods of TargetCall. No behaviour changes.

--- a/pimentolink/targetcall.py
+++ b/pimentolink/targetcall.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from pimentolink.dialect import ReplyMatch
-from pimentolink.errors import ResponseTruncated
+from pimentolink.errors import ReplyInvalid, ResponseTruncated
 from pimentolink.eventstream import Event, EventSplitter
 from pimentolink.httptypes import BodyFraming, HttpReply, ReplyHead
 from pimentolink.targetestimate import TargetEstimate
@@ -127,6 +127,34 @@
         self.close()
         return HttpReply(self.head, body)
 
+    def check_attribution(self) -> None:
+        """
+        Check that the response belongs to the request.
+
+        A response that names no request may be a late one to an earlier request of its
+        connection, unless there was none.
+
+        :raises ReplyInvalid: if it may belong to another request.
+        """
+        may_be_late = self.use.exchanges > 0 or self.has_discarded
+        if self.match is ReplyMatch.UNNAMED and may_be_late:
+            raise ReplyInvalid("a response without an id, on a connection used before")
+
+    def response_fields(self) -> dict[str, object]:
+        """Return the log fields of the response and of its connection."""
+        return {
+            "status": None if self.head is None else self.head.status,
+            "names": None if self.match is None else self.match.value,
+            **self.connection_fields(),
+        }
+
+    def connection_fields(self) -> dict[str, object]:
+        """Return the log fields that tell how the connection had been used."""
+        return {
+            "exchanges": self.use.exchanges,
+            "connection_age": round(self.use.age, 4),
+        }
+
     def record_cut_off(self) -> None:
         """Record that a part of the response is missing, though its body has ended."""
         self._on_cut_off()
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -310,7 +310,7 @@
                 request_id,
             )
             if request_id:
-                _check_attribution(call)
+                call.check_attribution()
             call.framing = body_framing(message.method, call.head)
             await self._check(call, call.head)
         except BaseException as error:
@@ -333,7 +333,7 @@
             request=request.request_id,
             target=call.estimate.target.target_id,
             status=head.status,
-            **_connection_fields(call),
+            **call.connection_fields(),
         )
         return False
 
@@ -391,7 +391,7 @@
             fingerprint=request.fingerprint,
             after=None if sent_at is None else round(now - sent_at, 4),
             others=estimate.in_flight,
-            **({} if call is None else _response_fields(call)),
+            **({} if call is None else call.response_fields()),
         )
         if isinstance(failure, OtherInstance):
             # Another instance has the address, so this target no longer exists.
@@ -411,34 +411,3 @@
         self.record_failure(
             request, call.estimate, TargetFailed(f"status {status}"), call=call
         )
-
-
-def _check_attribution(call: TargetCall) -> None:
-    """
-    Check that a response belongs to its request.
-
-    A response that names no request may be a late one to an earlier request of its
-    connection, unless there was none.
-
-    :raises ReplyInvalid: if it may belong to another request.
-    """
-    may_be_late = call.use.exchanges > 0 or call.has_discarded
-    if call.match is ReplyMatch.UNNAMED and may_be_late:
-        raise ReplyInvalid("a response without an id, on a connection used before")
-
-
-def _response_fields(call: TargetCall) -> dict[str, object]:
-    """Return the log fields of a call's response and of its connection."""
-    return {
-        "status": None if call.head is None else call.head.status,
-        "names": None if call.match is None else call.match.value,
-        **_connection_fields(call),
-    }
-
-
-def _connection_fields(call: TargetCall) -> dict[str, object]:
-    """Return the log fields that tell how a call's connection had been used."""
-    return {
-        "exchanges": call.use.exchanges,
-        "connection_age": round(call.use.age, 4),
-    }
