--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -202,7 +202,7 @@
         "An attempt failed; the request is retried if permitted.",
     )
     RESPONSE_DISCARDED = (
-        "E1426",
+        "E1427",
         logging.WARNING,
         "A response that names another request came over a target's connection.",
     )
