Send requests and raise rejections in one place each

Change: send takes the id that its response must name; _check chooses the failure and reads the response once; RejectionUnproven is a failure of its own, with the status and `ran` that it had, so that the dispatcher needs no exception for ejection. Responses, ejections and retries are as before.

--- a/pimentolink/dispatcher.py
+++ b/pimentolink/dispatcher.py
@@ -457,8 +457,7 @@
             report_interval = self._settings.links.load_interval
             target.suspend_until(self._timers.now() + report_interval)
             active.progress.tried_target_ids.remove(target.target_id)
-        is_rejection = isinstance(failure, RejectionUnproven)
-        if is_rejection or not isinstance(failure, TargetFailed | CrossedAnswer):
+        if not isinstance(failure, TargetFailed | CrossedAnswer):
             return
         if target.failed(self._timers.now(), self._settings.routing):
             self._log.write(LogEvent.TARGET_EJECTED, target=target.target_id)
--- a/pimentolink/errors.py
+++ b/pimentolink/errors.py
@@ -233,10 +233,12 @@
     ran = True
 
 
-class RejectionUnproven(TargetFailed):
+class RejectionUnproven(Failure):
     """Only the status of a response says that the request was not run."""
 
     code = "rejection_unproven"
+    status = 502
+    ran = True
 
 
 class TargetRejected(Failure):
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -259,20 +259,9 @@
             )
         await self._watcher.admit(request)
         message = self._dialect.target_request(request, options)
-        return await self._send(request, estimate, message, request.request_id, is_once)
+        return await self.send(request, estimate, message, request.request_id, is_once)
 
     async def send(
-        self, request: CallerRequest, estimate: TargetEstimate, message: HttpRequest
-    ) -> TargetCall:
-        """
-        Send a request of the gateway itself, whose response names no request.
-
-        :param request: the caller's request that it concerns.
-        :raises Failure: as :meth:`begin` does.
-        """
-        return await self._send(request, estimate, message)
-
-    async def _send(
         self,
         request: CallerRequest,
         estimate: TargetEstimate,
@@ -281,9 +270,11 @@
         is_once: bool = False,
     ) -> TargetCall:
         """
-        Send a request that the dialect encoded.
+        Send a request that the dialect encoded; see :meth:`begin`.
 
-        :param request_id: the id that its response must name; empty for none.
+        :param request: the caller's request that it concerns.
+        :param request_id: the id that its response must name; empty for a request of
+            the gateway itself, whose response names none.
         """
         pool = self.pool(estimate)
         estimate.in_flight += 1
@@ -347,15 +338,18 @@
             sent: servers in between, and targets that give up, use these statuses too.
         """
         verdict = self._dialect.verdict(head)
+        failure: Failure
         if verdict is Verdict.NOT_RUN:
-            await call.read_all(confirms_end=False)
-            raise RejectedUnrun(f"status {head.status}")
-        if verdict is Verdict.OTHER_INSTANCE:
-            await call.read_all(confirms_end=False)
-            raise OtherInstance(f"another target has {call.estimate.target.address}")
-        if head.status in UNRUN_STATUSES:
-            await call.read_all(confirms_end=False)
-            raise RejectionUnproven(f"status {head.status}")
+            failure = RejectedUnrun(f"status {head.status}")
+        elif verdict is Verdict.OTHER_INSTANCE:
+            address = call.estimate.target.address
+            failure = OtherInstance(f"another target has {address}")
+        elif head.status in UNRUN_STATUSES:
+            failure = RejectionUnproven(f"status {head.status}")
+        else:
+            return
+        await call.read_all(confirms_end=False)
+        raise failure
 
     def succeeded(self, request: CallerRequest, estimate: TargetEstimate) -> None:
         """Record a complete response for its target and its request."""
@@ -402,7 +396,9 @@
             estimate.record_refused_connection(now)
         if isinstance(failure, ConnectionBroken | ReplyInvalid):
             self._watcher.connection_lost(estimate)
-        counts_for_ejection = not isinstance(failure, RejectedUnrun | TargetFailed)
+        counts_for_ejection = not isinstance(
+            failure, RejectedUnrun | RejectionUnproven | TargetFailed
+        )
         if counts_for_ejection and self._fleet.failed(estimate, now):
             self._log.write(LogEvent.TARGET_EJECTED, target=target.target_id)
 
