Share what tests and soaks of untrue refusals had written again

Cause: the new harness had its own end of a connection, parser of headers and builder of the plain handler beside those of the stream tests, three loops over the targets of the soak, and a hook named for stream ends that now does more. The tests took the statuses that promise from the code under test.

Change: the twins are shared; the statuses are those of the soak, written out there, so that a status dropped from the code fails a test; the hook is change_target_faults.

--- a/tests/rawtargets.py
+++ b/tests/rawtargets.py
@@ -6,16 +6,13 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone, ConnectionLost
-from twisted.python.failure import Failure as TwistedFailure
 
 from pimentolink.authentication import Authenticator
 from pimentolink.configurationage import ConfigurationAge
-from pimentolink.errors import UNRUN_STATUSES
 from pimentolink.forwarder import Forwarder
-from pimentolink.gatewaysettings import ConnectionSettings, PlacementSettings
+from pimentolink.gatewaysettings import ConnectionSettings
 from pimentolink.httptypes import HttpRequest
 from pimentolink.metrics import Metrics
-from pimentolink.plaincalls import PlainCallHandler
 from pimentolink.platform.dialect import PlatformDialect
 from pimentolink.retrylimiter import RetryLimiter
 from pimentolink.routes import (
@@ -29,7 +26,6 @@
 from pimentolink.targetestimate import EngineRole
 from pimentolink.timers import ManualTimers
 from tests.gatewaybuilders import (
-    SocketTransport,
     fleet,
     gateway_settings,
     make_event,
@@ -41,7 +37,10 @@
     IgnoringResponder,
     PermissiveWatcher,
     make_generation_handler,
+    make_plain_handler,
 )
+from tests.scriptedengines import EngineTransport, parse_headers
+from tests.soak import REFUSALS
 
 STEP = 0.001
 # Until all timers of a request and of its targets have expired.
@@ -106,30 +105,14 @@
     is_new_connection: bool
 
 
-class _Connection(SocketTransport):
-    """The gateway's end of a connection to a target."""
-
-    def __init__(self, targets, protocol):
-        super().__init__()
-        self.previous_id = None
-        self._targets = targets
-        self._protocol = protocol
-        self._is_lost = False
-
-    def write(self, data):
-        self._targets.receive(data, self)
-
-    def deliver(self, data):
-        if not self._is_lost:
-            self._protocol.dataReceived(data)
+class _Connection(EngineTransport):
+    """
+    The gateway's end of a connection to a target.
 
-    def lose(self, reason):
-        if not self._is_lost:
-            self._is_lost = True
-            self._protocol.connectionLost(TwistedFailure(reason))
+    :ivar previous_id: id of the last request that came over it; ``None`` for none.
+    """
 
-    def abortConnection(self):  # noqa: N802
-        self.lose(ConnectionLost())
+    previous_id = None
 
 
 class RawTargets:
@@ -146,13 +129,13 @@
 
     def connectTCP(self, host, port, factory, **options):  # noqa: N802
         protocol = factory.buildProtocol(None)
-        protocol.makeConnection(_Connection(self, protocol))
+        protocol.makeConnection(_Connection(self, protocol, port))
 
     def receive(self, data, connection):
         """Answer a request, whose bytes arrive at once."""
-        headers = _parse_headers(data)
-        request_id = headers[b"pimentolink-request-id"].decode()
-        is_stream = b"pimentolink-prompt-prefix" in headers
+        head = HttpRequest(b"", b"", parse_headers(data))
+        request_id = head.header(b"pimentolink-request-id").decode()
+        is_stream = head.header(b"pimentolink-prompt-prefix") is not None
         act = self._acts.pop(0) if self._acts else Act()
         previous, connection.previous_id = connection.previous_id, request_id
         self.arrivals.append(Arrival(request_id, act, previous is None))
@@ -181,12 +164,6 @@
         return self._acts[0].stray if self._acts else None
 
 
-def _parse_headers(data):
-    lines = data.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
-    pairs = (line.partition(b":") for line in lines)
-    return {name.lower(): value.strip() for name, _, value in pairs}
-
-
 def _encode(act, request_id, is_stream):
     name = request_id if act.named is Named.OWN else None
     body = make_event(1) if is_stream else request_id.encode()
@@ -253,7 +230,7 @@
     @property
     def is_falsely_refused(self):
         """Whether the caller is told that a request has not run which has."""
-        return self.status in UNRUN_STATUSES and bool(self.runs)
+        return self.status in REFUSALS and bool(self.runs)
 
 
 class GatewayRun:
@@ -284,10 +261,8 @@
         self._last_id = 0
 
     def _make_forwarder(self, gateway_fleet, budgets):
-        dialect, limiter = (
-            PlatformDialect(),
-            RetryLimiter(budgets, self.log, Metrics()),
-        )
+        dialect = PlatformDialect()
+        limiter = RetryLimiter(budgets, self.log, Metrics())
         client = TargetClient(
             self.targets,
             ConnectionSettings(),
@@ -298,15 +273,6 @@
             self.log,
             Metrics(),
         )
-        calls = PlainCallHandler(
-            client,
-            dialect,
-            gateway_fleet,
-            limiter,
-            PlacementSettings(),
-            "north",
-            self.timers,
-        )
         tables = RoutingTables()
         tables.offer(RoutingTable(1, _routes(), [], None, None), 0.0)
         return Forwarder(
@@ -314,7 +280,7 @@
             Authenticator(ConfigurationAge(5.0, self.timers, self.log)),
             dialect,
             make_generation_handler(client, gateway_fleet, limiter, self.timers),
-            calls,
+            make_plain_handler(client, gateway_fleet, limiter, self.timers),
             self.timers,
             Random(1),
             self.log,
@@ -322,7 +288,7 @@
         )
 
     def send(self, kind="once"):
-        """Send a request of a kind, and wait until nothing more can happen."""
+        """Send a request of a kind, and wait until it has ended."""
         self._last_id += 1
         request_id = f"r{self._last_id}"
         headers = [
--- a/tests/requesthandlers.py
+++ b/tests/requesthandlers.py
@@ -267,6 +267,18 @@
     )
 
 
+def make_plain_handler(target_client, gateway_fleet, retry_limiter, timers):
+    return PlainCallHandler(
+        target_client,
+        PlatformDialect(),
+        gateway_fleet,
+        retry_limiter,
+        PlacementSettings(),
+        "north",
+        timers,
+    )
+
+
 def make_request(name, arrived_at, is_generation=True):
     parts = prompt(name).parts if is_generation else ()
     return CallerRequest(
@@ -313,15 +325,7 @@
         self._generations = make_generation_handler(
             self.engines, self.fleet, limiter, self.timers
         )
-        self._calls = PlainCallHandler(
-            self.engines,
-            PlatformDialect(),
-            self.fleet,
-            limiter,
-            PlacementSettings(),
-            "north",
-            self.timers,
-        )
+        self._calls = make_plain_handler(self.engines, self.fleet, limiter, self.timers)
 
     def start(self, name, is_generation=True):
         """Begin to serve a request; the Deferred fires when it ends."""
--- a/tests/scriptedengines.py
+++ b/tests/scriptedengines.py
@@ -131,7 +131,7 @@
     return head + chunk + (b"0\r\n\r\n" if call.is_framed_to_its_end else b"")
 
 
-class _EngineTransport(SocketTransport):
+class EngineTransport(SocketTransport):
     """The gateway's end of a connection to an engine."""
 
     def __init__(self, engines, protocol, port):
@@ -203,11 +203,11 @@
             )
             return
         protocol = factory.buildProtocol(None)
-        protocol.makeConnection(_EngineTransport(self, protocol, port))
+        protocol.makeConnection(EngineTransport(self, protocol, port))
 
     def receive(self, data, transport):
         """Answer a request, whose bytes arrive at once."""
-        head = HttpRequest(b"", b"", _parse_headers(data))
+        head = HttpRequest(b"", b"", parse_headers(data))
         if head.header(b"pimentolink-stage") == b"prefill":
             self.prefill_count += 1
             reply = next(self._prefill_replies, PREFILLED)
@@ -239,7 +239,8 @@
         self._timers.call_later((len(pieces) + 1) * STEP, end)
 
 
-def _parse_headers(data):
+def parse_headers(data):
+    """Parse the headers of a request."""
     lines = data.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
     pairs = (line.partition(b":") for line in lines)
     return tuple((name, value.strip()) for name, _, value in pairs)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -358,7 +358,7 @@
         end = time.monotonic() + FAULTS_FOR
         while time.monotonic() < end:
             played.append(self.random.choice(kinds)())
-            self.change_stream_ends()
+            self.change_target_faults()
             time.sleep(self.random.uniform(0.1, 0.8))
             self.run_due()
             self.world.restart_ended_targets()
@@ -483,8 +483,20 @@
         self.world.start_again(name, service, phase)
         return f"{name} restarted"
 
-    def change_stream_ends(self) -> None:
-        """Do nothing: all streams end in chunks."""
+    def change_target_faults(self) -> None:
+        """Do nothing: all streams end in chunks, and all refusals are true."""
+
+    def set_target_faults(self, is_for_all: bool, **faults: object) -> None:
+        """
+        Change the faults of the listed targets.
+
+        :param is_for_all: whether plain targets are included, not engines alone.
+        """
+        for name, _, phase in self.world.entry_by_replica.values():
+            # One that crashes meanwhile keeps its other faults.
+            with suppress(OSError):
+                if phase or is_for_all:
+                    self.world.fault(name, **faults)
 
     def put_invalid_entry(self) -> str:
         """Write an invalid target entry, as a faulty client of the store would."""
@@ -518,17 +530,13 @@
         # A source of its own, so that a seed draws the same other faults without it.
         self.stream_random = random.Random(f"streams {seed}")
 
-    def change_stream_ends(self) -> None:
+    def change_target_faults(self) -> None:
         """Draw anew which streams have no chunks and which end within an event."""
-        faults = {
-            "unframed_share": self.stream_random.choice((0.0, 0.5, 1.0)),
-            "truncate_share": self.stream_random.choice((0.0, 0.1, 0.3)),
-        }
-        for name, _, phase in self.world.entry_by_replica.values():
-            # One that crashes meanwhile keeps its other ends.
-            with suppress(OSError):
-                if phase:
-                    self.world.fault(name, **faults)
+        self.set_target_faults(
+            is_for_all=False,
+            unframed_share=self.stream_random.choice((0.0, 0.5, 1.0)),
+            truncate_share=self.stream_random.choice((0.0, 0.1, 0.3)),
+        )
 
 
 def play(
@@ -549,7 +557,7 @@
         for caller in (*callers, fatal):
             caller.start()
         faults = faults_type(world, seed)
-        faults.change_stream_ends()
+        faults.change_target_faults()
         played = faults.play()
         for name in world.proxies:
             faults.set_mode(name, NO_FAULT)
--- a/tests/soak_refusals.py
+++ b/tests/soak_refusals.py
@@ -8,10 +8,9 @@
 
 import random
 import sys
-from contextlib import suppress
 from pathlib import Path
 
-from tests.soak import SoakWorld, StreamEndFaults, main, play
+from tests.soak import FatalCaller, SoakWorld, StreamEndFaults, main, play
 
 
 class RefusalFaults(StreamEndFaults):
@@ -22,26 +21,21 @@
         # A source of its own, so that a seed draws the same other faults without it.
         self.refusal_random = random.Random(f"refusals {seed}")
 
-    def change_stream_ends(self) -> None:
+    def change_target_faults(self) -> None:
         """Draw anew how streams end, and how often targets refuse what they ran."""
-        super().change_stream_ends()
-        faults = {
-            "promise_share": self.refusal_random.choice((0.0, 0.1, 0.3)),
-            "late_share": self.refusal_random.choice((0.0, 0.1, 0.3)),
-            "reject_share": self.refusal_random.choice((0.0, 0.1)),
-        }
-        for name, _, _ in self.world.entry_by_replica.values():
-            # One that crashes meanwhile keeps its other refusals.
-            with suppress(OSError):
-                self.world.fault(name, **faults)
-
-    def finish(self, fatal) -> list[str]:
+        super().change_target_faults()
+        self.set_target_faults(
+            is_for_all=True,
+            promise_share=self.refusal_random.choice((0.0, 0.1, 0.3)),
+            late_share=self.refusal_random.choice((0.0, 0.1, 0.3)),
+            reject_share=self.refusal_random.choice((0.0, 0.1)),
+        )
+
+    def finish(self, fatal: FatalCaller) -> list[str]:
         """End all refusals, so that every kind of request can be served again."""
-        for name, _, _ in self.world.entry_by_replica.values():
-            with suppress(OSError):
-                self.world.fault(
-                    name, promise_share=0.0, late_share=0.0, reject_share=0.0
-                )
+        self.set_target_faults(
+            is_for_all=True, promise_share=0.0, late_share=0.0, reject_share=0.0
+        )
         return super().finish(fatal)
 
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 from pimentolink import errors
-from pimentolink.errors import UNRUN_STATUSES
 from pimentolink.logs import LogEvent
 from tests.rawtargets import KINDS, Act, GatewayRun, Moment, Named, Stray
+from tests.soak import REFUSALS
 
 REJECTION = Act(503, disowns=True)
 
@@ -91,7 +91,7 @@
             run.send(kind)
             response = run.send(kind)
             assert len(response.runs) == 1
-            assert response.status not in UNRUN_STATUSES
+            assert response.status not in REFUSALS
 
     @pytest.mark.parametrize("kind", ["once", "stream"])
     def test_of_the_same_request_is_not_believed(self, kind):
@@ -167,6 +167,6 @@
         if isinstance(value, type)
         and issubclass(value, errors.Failure)
         and value.ran
-        and value.status in UNRUN_STATUSES
+        and value.status in REFUSALS
     ]
     assert false_promises == []
