--- a/pimentolink/dialect.py
+++ b/pimentolink/dialect.py
@@ -44,6 +44,8 @@
         stream.
     :ivar organisation: owner of the caller's API key; empty if no key is required.
     :ivar fingerprint: digest of the request's content; see :func:`fingerprint_of`.
+    :ivar traits: what other requests may have in common with it; see
+        :func:`pimentolink.traits.traits_of`.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     last_event: bytes | None = None
     organisation: str = ""
     fingerprint: str = ""
+    traits: tuple[str, ...] = ()
 
 
 def fingerprint_of(request: HttpRequest, host: str, organisation: str = "") -> str:
--- a/pimentolink/forwarder.py
+++ b/pimentolink/forwarder.py
@@ -37,6 +37,7 @@
 from pimentolink.requestcalls import RequestCalls
 from pimentolink.routes import Route, RoutingTable, RoutingTables
 from pimentolink.timers import Timers, with_timeout
+from pimentolink.traits import traits_of
 
 
 class Responder(Protocol):
@@ -261,6 +262,7 @@
             return authenticated
         request = _with_organisation(authenticated.ok_value, request, table)
         service = route.ok_value.pick_service(self._random)
+        request = request._replace(traits=traits_of(service, request.parts))
         return Ok(
             PendingRequest(
                 request,
@@ -304,6 +306,7 @@
             LogEvent.WORK_CANCELLED,
             work,
             fingerprint=work.request.fingerprint,
+            traits=work.request.traits,
             has_begun=work.responder.has_begun,
             took=round(now - work.request.arrived_at, 3),
             left=round(work.time_left(now), 3),
@@ -332,6 +335,7 @@
             LogEvent.REQUEST_FAILED,
             work,
             fingerprint=work.request.fingerprint,
+            traits=work.request.traits,
             code=failure.code,
             detail=failure.detail,
             took=round(self._timers.now() - work.request.arrived_at, 3),
--- a/pimentolink/loganalysis.py
+++ b/pimentolink/loganalysis.py
@@ -101,6 +101,20 @@
     longest: float
 
 
+class BrokenTrait(NamedTuple):
+    """
+    A trait of which different requests broke off at several targets.
+
+    :ivar trait: its last 16 digits are the id of a part of the prompts.
+    :ivar targets: number of targets at which such a request broke off.
+    :ivar requests: number of these requests that differ in content.
+    """
+
+    trait: str
+    targets: int
+    requests: int
+
+
 class Analysis(NamedTuple):
     """
     Results of analyzing some logs.
@@ -108,6 +122,8 @@
     :ivar lines: number of lines read.
     :ivar unreadable: number of lines that could not be parsed.
     :ivar broken: requests that broke off at two or more targets, most targets first.
+    :ivar broken_traits: traits of two or more requests that broke off at two or more
+        targets, most targets first.
     """
 
     lines: int
@@ -117,6 +133,7 @@
     orders: list[RoleOrder]
     routes: list[RouteSummary]
     broken: list[BrokenRequest]
+    broken_traits: list[BrokenTrait]
 
 
 class _LogLine(NamedTuple):
@@ -156,6 +173,7 @@
         self._answered_by_route: Counter[str] = Counter()
         self._failures_by_route: dict[str, Counter[str]] = defaultdict(Counter)
         self._broken_by_fingerprint: dict[str, list[_BrokenAttempt]] = defaultdict(list)
+        self._broken_by_trait: dict[str, set[tuple[str, str]]] = defaultdict(set)
         self.orders: list[RoleOrder] = []
         self._handlers = {
             "target_listed": self._on_target_listed,
@@ -228,7 +246,10 @@
     def _on_attempt_failed(self, at: float, fields: dict[str, Any]) -> None:
         if fields["after"] is not None and fields["code"] in BREAK_CODES:
             attempt = _BrokenAttempt(str(fields["target"]), float(fields["after"]))
-            self._broken_by_fingerprint[str(fields["fingerprint"])].append(attempt)
+            fingerprint = str(fields["fingerprint"])
+            self._broken_by_fingerprint[fingerprint].append(attempt)
+            for trait in fields.get("traits", ()):
+                self._broken_by_trait[str(trait)].add((attempt.target, fingerprint))
 
     def broken(self) -> list[BrokenRequest]:
         requests = [
@@ -244,6 +265,18 @@
         several = [item for item in requests if item.targets > 1]
         return sorted(several, key=lambda item: (-item.targets, item.fingerprint))
 
+    def broken_traits(self) -> list[BrokenTrait]:
+        traits = [
+            BrokenTrait(
+                trait,
+                len({target for target, _ in broken}),
+                len({fingerprint for _, fingerprint in broken}),
+            )
+            for trait, broken in self._broken_by_trait.items()
+        ]
+        several = [item for item in traits if item.targets > 1 and item.requests > 1]
+        return sorted(several, key=lambda item: (-item.targets, item.trait))
+
     def windows(self) -> list[WindowSummary]:
         return [
             WindowSummary(
@@ -350,4 +383,5 @@
         summarizer.orders,
         summarizer.routes(),
         summarizer.broken(),
+        summarizer.broken_traits(),
     )
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -383,6 +383,7 @@
             code=failure.code,
             detail=failure.detail,
             fingerprint=request.fingerprint,
+            traits=request.traits,
             after=None if sent_at is None else round(now - sent_at, 4),
             others=estimate.in_flight,
             **({} if call is None else call.response_fields()),
--- a/tests/test_loganalysis.py
+++ b/tests/test_loganalysis.py
@@ -115,6 +115,20 @@
         assert analyze(lines, 2.0).broken == []
 
 
+class TestBrokenTraits:
+    def test_trait_of_requests_that_break_off_at_several_targets_is_told(self):
+        lines = [
+            attempt_failed(1, "a", "f1", traits=["p1", "p2"]),
+            attempt_failed(2, "b", "f2", traits=["p1", "p3"]),
+            attempt_failed(3, "b", "f3", traits=["p1", "p2"]),
+        ]
+        assert analyze(lines, 2.0).broken_traits == [("p1", 2, 3), ("p2", 2, 2)]
+
+    def test_traits_of_one_request_alone_are_not(self):
+        lines = [attempt_failed(1, name, "f1", traits=["p1"]) for name in "ab"]
+        assert analyze(lines, 2.0).broken_traits == []
+
+
 class TestOutcomes:
     def test_failures_are_told_by_route_and_code(self):
         found = analyze(
