--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -50,7 +50,8 @@
     after that many events; ``status`` is the status of responses to plain calls;
     ``wrong_id`` responds with another request's id; ``silent`` accepts requests and
     never responds; ``fatal`` ends the process when it starts to run a request with that
-    body, before the response is complete. ``reject_share``, ``reset_share`` and
+    body, before the response is complete; ``fatal_part`` does so for a request with
+    that part in its prompt. ``reject_share``, ``reset_share`` and
     ``break_share`` are the shares of requests that are rejected, of those whose
     connection is reset on arrival, and of streams that are reset after one event.
     ``truncate_share`` is the share of streams whose connection is closed within the
@@ -81,6 +82,7 @@
             "wrong_id": False,
             "silent": False,
             "fatal": options.fatal,
+            "fatal_part": options.fatal_part,
             "reject_share": 0.0,
             "reset_share": 0.0,
             "break_share": 0.0,
@@ -207,7 +209,7 @@
 
     def _break_promise(self, request: Request, request_id: str) -> None:
         """Run a request, and respond with a status that promises the contrary."""
-        self._record_run(request_id, raw_body(request).decode())
+        self._record_run(request, request_id, raw_body(request).decode())
         status = self.random.choice((408, 429, 503))
         headers = {REQUEST_ID_HEADER: request_id}
         reactor.callLater(
@@ -221,11 +223,9 @@
 
     def _prefill(self, request: Request, request_id: str) -> None:
         self.reads[request_id] += 1
-        self._log("read", request_id)
-        blocks = request.getHeader("Pimentolink-Prompt-Prefix") or ""
-        for block in blocks.split(","):
-            block_id, _, tokens = block.partition(":")
-            self.tokens_by_block[block_id] = int(tokens or 0)
+        tokens_by_block = _prompt_blocks(request)
+        self._log("read", request_id, parts=[*tokens_by_block])
+        self.tokens_by_block |= tokens_by_block
         handle = uuid4().hex[:12]
         self.handles.add(handle)
         reply = {"kvHandle": handle, "tokens": 1, "version": 1}
@@ -237,7 +237,7 @@
         body = raw_body(request).decode()
         self._sign(request, request_id)
         is_unframed = self._omits_framing(request)
-        if self._record_run(request_id, body):
+        if self._record_run(request, request_id, body):
             if is_unframed:
                 request.write(b'{"name":')
             return
@@ -259,7 +259,7 @@
         if source is None and self.phase != "decode":
             self._misdirect(request, request_id)
             return
-        is_crashing = self._record_run(request_id, raw_body(request).decode())
+        is_crashing = self._record_run(request, request_id, raw_body(request).decode())
         self._sign(request, request_id)
         request.setHeader("Content-Type", "text/event-stream")
         is_unframed = self._omits_framing(request)
@@ -290,11 +290,13 @@
         request.setHeader(REQUEST_ID_HEADER, request_id)
         request.setHeader("Pimentolink-Response-Signature", f"signed-{request_id}")
 
-    def _record_run(self, request_id: str, body: str) -> bool:
+    def _record_run(self, request: Request, request_id: str, body: str) -> bool:
         """Record the start of a run; return whether it will end this process."""
         self.runs[request_id] += 1
-        self._log("run", request_id)
-        if not body or body != self.faults["fatal"]:
+        parts = _prompt_blocks(request)
+        self._log("run", request_id, parts=[*parts])
+        has_fatal_body = body != "" and body == self.faults["fatal"]
+        if not has_fatal_body and self.faults["fatal_part"] not in parts:
             return False
         self._log("crash", request_id)
         reactor.callLater(CRASH_DELAY, os._exit, 1)
@@ -325,8 +327,21 @@
         reactor.callLater(self.delay, self._write_event, stream, event_id + 1)
 
 
+def _prompt_blocks(request: Request) -> dict[str, int]:
+    """Parse the tokens of each part of a prompt, by its id."""
+    header = request.getHeader("Pimentolink-Prompt-Prefix")
+    entries = [entry.partition(":") for entry in header.split(",")] if header else []
+    return {block_id: int(tokens or 0) for block_id, _, tokens in entries}
+
+
 if __name__ == "__main__":
     settings = parse(
-        __doc__, instance="i-1", phase="decode", pieces=4, gap=0.01, fatal=""
+        __doc__,
+        instance="i-1",
+        phase="decode",
+        pieces=4,
+        gap=0.01,
+        fatal="",
+        fatal_part="",
     )
     listen(PlatformEngineStandIn(settings).routes, settings.listen)
