--- a/pimentolink/crashhistory.py
+++ b/pimentolink/crashhistory.py
@@ -11,6 +11,9 @@
 # Seconds for which a suspect is quarantined. Targets that crashed are back by then, so
 # that another crash does not take the last one down.
 SUSPECT_QUARANTINE = 4.0
+# Jitter of quarantines as a share of their length, so that gateways do not all begin
+# a trial at the same moment.
+QUARANTINE_JITTER = 0.5
 # Seconds of quarantine once a trial of the request itself has crashed a target; doubled
 # with each further one.
 FAILED_TRIAL_QUARANTINE = 60.0
--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -23,6 +23,7 @@
 from pimentolink.suspects import BrokenExchanges, SuspectTracker
 from pimentolink.targetestimate import Target, TargetEstimate
 from pimentolink.timers import Timers, pause
+from pimentolink.traits import is_trait
 
 # Seconds between the announcement of a trial and its start, in which announcements of
 # other gateways arrive.
@@ -32,6 +33,10 @@
 # trials come first, then the newest.
 MAX_UNSETTLED_MESSAGES = 16
 
+# Seconds for which a target has to outlive a complete response, before that shows the
+# traits of the request to be harmless.
+RESPONSE_GRACE = 0.5
+
 IsListening = Callable[[TargetEstimate], Coroutine[Any, Any, bool]]
 
 
@@ -82,14 +87,17 @@
         self._raise_if_refused(request)
         now = self._timers.now()
         fingerprint, request_id = request.fingerprint, request.request_id
-        if self._suspects.begin_trial(fingerprint, request_id, now):
+        tested = self._suspects.begin_trial(
+            fingerprint, request_id, now, request.traits
+        )
+        if tested:
             self._publisher.broadcast(SuspectTried(fingerprint))
-            crashes = len(self._suspects.crashes(fingerprint, now))
             self._log.write(
                 LogEvent.SUSPECT_TRIED,
                 request=request_id,
                 fingerprint=fingerprint,
-                crashes=crashes,
+                tested=tested,
+                crashes=max(len(self._suspects.crashes(name, now)) for name in tested),
             )
             await pause(self._timers, TRIAL_NOTICE)
             self._raise_if_refused(request)
@@ -97,7 +105,9 @@
 
     def _raise_if_refused(self, request: CallerRequest) -> None:
         now = self._timers.now()
-        refused = self._suspects.refusal(request.fingerprint, request.request_id, now)
+        refused = self._suspects.refusal(
+            request.fingerprint, request.request_id, now, request.traits
+        )
         if refused is not None:
             raise refused
 
@@ -106,6 +116,7 @@
         request: CallerRequest,
         estimate: TargetEstimate,
         opened_at: float = 0.0,
+        began_at: float | None = None,
     ) -> None:
         """
         Record that a request's exchange with a target was cut off.
@@ -113,6 +124,7 @@
         :param estimate: of the incarnation that was listed when it was chosen.
         :param opened_at: when the connection began to be opened, in seconds of the
             timer service; 0 if that incarnation is known to have accepted it.
+        :param began_at: when the request was sent; ``None`` if it is not known.
         """
         incarnation = self._find_incarnation(estimate, opened_at)
         if incarnation is None:
@@ -122,17 +134,25 @@
                 estimate.target,
                 opened_at,
                 self._timers.now(),
+                request.traits,
+                began_at,
             )
             return
         estimate = incarnation
         if estimate.target.is_leaving or estimate.missing_since is not None:
             # A target that announced its shutdown cuts off what is left when it exits.
             return
-        fingerprint, key = request.fingerprint, estimate.target.key
-        if self._suspects.exchange_broken(
-            fingerprint, request.request_id, key, self._timers.now()
-        ):
-            self._publish_crash(key, [fingerprint])
+        key = estimate.target.key
+        recorded = self._suspects.exchange_broken(
+            request.fingerprint,
+            request.request_id,
+            key,
+            self._timers.now(),
+            request.traits,
+            began_at,
+        )
+        if recorded:
+            self._publish_crash(key, recorded)
 
     def _find_incarnation(
         self, estimate: TargetEstimate, opened_at: float
@@ -228,12 +248,15 @@
         recorded = self._suspects.target_ended(target.key, self._timers.now())
         if not recorded:
             return
+        requests = [name for name in recorded if not is_trait(name)]
+        traits = [name for name in recorded if is_trait(name)]
         self._log.write(
             LogEvent.TARGET_CRASHED,
             target=target.target_id,
             sign=sign,
-            requests=len(recorded),
-            fingerprints=recorded[:MAX_CRASH_FINGERPRINTS],
+            requests=len(requests),
+            fingerprints=requests[:MAX_CRASH_FINGERPRINTS],
+            traits=traits[:MAX_CRASH_FINGERPRINTS],
         )
         self._publish_crash(target.key, recorded)
 
@@ -244,13 +267,23 @@
                 for fingerprint in recorded
                 if self._suspects.is_blamed(fingerprint, target) is is_trial
             ]
-            for message in crash_messages(target, fingerprints, is_trial):
+            depths = self._suspects.depths(target, fingerprints)
+            for message in crash_messages(target, fingerprints, is_trial, depths):
                 self._publisher.broadcast(message)
         self._log_suspects(recorded, "own")
         self.on_crash_recorded(True)
 
-    def request_succeeded(self, request: CallerRequest) -> None:
-        """Clear a request that got its complete response."""
+    def request_succeeded(
+        self, request: CallerRequest, estimate: TargetEstimate
+    ) -> None:
+        """
+        Clear a request that got its complete response, and later its traits.
+
+        :param estimate: of the target that responded.
+        """
+        self.request_ended(request)
+        if self._suspects.traits.accused_among(request.traits, self._timers.now()):
+            Deferred.fromCoroutine(self._clear_traits(request, estimate))
         fingerprint = request.fingerprint
         crashes = self._suspects.answered(
             fingerprint, request.request_id, self._timers.now()
@@ -262,6 +295,38 @@
         self._log_cleared(cleared, "answered")
         self.on_cleared(cleared)
 
+    def request_ended(self, request: CallerRequest) -> None:
+        """End the trial of traits that a request was, however it ended."""
+        if self._suspects.end_own_test(request.request_id):
+            self._publisher.broadcast(SuspectTried(request.fingerprint, is_over=True))
+
+    async def _clear_traits(
+        self, request: CallerRequest, estimate: TargetEstimate
+    ) -> None:
+        """
+        Clear the traits of a request, unless its target ends right after its response.
+
+        A short response may be complete before its target crashes.
+        """
+        await pause(self._timers, RESPONSE_GRACE)
+        target, now = estimate.target, self._timers.now()
+        suspects = self._suspects.traits.suspects_among(request.traits, now)
+        if suspects and self.is_listening is not None:
+            if not await self.is_listening(estimate):
+                self.target_ended(target, "nothing listens")
+            now = self._timers.now()
+        if self._suspects.incarnations.has_ended(target):
+            recorded = self._suspects.record_crash(target.key, request.traits, now)
+            if recorded:
+                self._publish_crash(target.key, recorded)
+            return
+        for trait, crashes in self._suspects.answered_with(request.traits, now).items():
+            cleared = SuspectCleared(trait, crashes[:MAX_CRASHES])
+            self._publisher.broadcast(cleared)
+            if len(crashes) >= MIN_SUSPECT_CRASHES:
+                self._log_cleared(cleared, "answered")
+                self.on_cleared(cleared)
+
     def receive(self, message: SuspectMessage, source: str) -> None:
         """
         Apply a message from another gateway.
@@ -270,7 +335,10 @@
         """
         now = self._timers.now()
         if isinstance(message, SuspectTried):
-            self._suspects.peer_trial_begun(message.fingerprint, now)
+            if message.is_over:
+                self._suspects.peer_trial_ended(message.fingerprint)
+            else:
+                self._suspects.peer_trial_begun(message.fingerprint, now)
             return
         if isinstance(message, SuspectCleared):
             if self._suspects.clear(message.fingerprint, message.targets, now):
@@ -287,7 +355,11 @@
         else:
             self._suspects.incarnations.record_end(message.target, now)
             recorded = self._suspects.record_crash(
-                message.target, message.fingerprints, now, message.is_tried
+                message.target,
+                message.fingerprints,
+                now,
+                message.is_tried,
+                message.depths,
             )
         if recorded:
             self._log_suspects(recorded, source)
--- a/pimentolink/generation.py
+++ b/pimentolink/generation.py
@@ -91,7 +91,12 @@
     async def serve(self, work: PendingRequest) -> None:
         """Serve a request."""
         self._retry_limiter.earn(work)
-        relay = _Relay(work, self._timers)
+        try:
+            await self._serve(work, _Relay(work, self._timers))
+        finally:
+            self._target_client.ended(work.request)
+
+    async def _serve(self, work: PendingRequest, relay: _Relay) -> None:
         last: Failure | None = None
         while True:
             if relay.attempt_count and not self._may_retry(work):
--- a/pimentolink/incarnations.py
+++ b/pimentolink/incarnations.py
@@ -20,14 +20,17 @@
     """
     An exchange that an incarnation cut off whose entry has not been read yet.
 
+    :ivar fingerprint: of the request, or one of its traits.
     :ivar opened_at: when its connection began to be opened.
     :ivar is_trial: whether it was a trial of the request.
+    :ivar began_at: when the request was sent; ``None`` if it is not known.
     """
 
     fingerprint: str
     opened_at: float
     broken_at: float
     is_trial: bool
+    began_at: float | None = None
 
 
 class IncarnationTracker:
@@ -63,6 +66,10 @@
         known_at = self._end_known_at_by_target.get(target.key) if target.born else None
         return known_at is not None and 0 < opened_at - known_at <= MAX_LIST_DELAY
 
+    def has_ended(self, target: Target) -> bool:
+        """Tell whether an incarnation is known to have ended."""
+        return target.key in self._end_known_at_by_target
+
     def keep(self, target: Target, exchange: UnlistedExchange) -> None:
         """
         Keep an exchange until the entry of its incarnation is read.
--- a/pimentolink/peermessages.py
+++ b/pimentolink/peermessages.py
@@ -25,14 +25,17 @@
 MAX_CRASH_FINGERPRINTS = 32
 # Maximum number of crashed targets in one :class:`SuspectCleared`.
 MAX_CRASHES = 64
+# Largest number of crashes, one after the other, that is told apart.
+MAX_DEPTH = 64
 
 # Bounds on values received from other gateways. Without them, a faulty gateway could
 # make a target look idle, busy or changing its role permanently.
 _Natural = Annotated[int, msgspec.Meta(ge=0)]
 _QueuedWork = Annotated[float, msgspec.Meta(ge=0, le=MAX_QUEUED_WORK)]
 _TransmissionDelay = Annotated[int, msgspec.Meta(ge=0, le=MAX_TRANSMISSION_DELAY_MS)]
-# Digest of a request; all repetitions of the request have the same one.
-Fingerprint = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{32}$")]
+# Digest of a request, equal for all its repetitions, or a trait of several requests.
+Fingerprint = Annotated[str, msgspec.Meta(pattern="^p?[0-9a-f]{32}$")]
+_Depth = Annotated[int, msgspec.Meta(ge=1, le=MAX_DEPTH)]
 _RoleChangeTime = Annotated[float, msgspec.Meta(ge=0, le=MAX_ROLE_CHANGE_TIME)]
 
 
@@ -140,9 +143,12 @@
     A target ended without announcing a shutdown.
 
     :ivar target: see :func:`target_key`.
-    :ivar fingerprints: identify the requests that were in flight there.
+    :ivar fingerprints: identify the requests that were in flight there, and their
+        traits.
     :ivar is_tried: whether each of them was a suspect that was on trial there, see
         :class:`SuspectTried`.
+    :ivar depths: for each of them, how many crashes followed one another up to this
+        one; 1 for those beyond the end of the list.
     """
 
     target: _Natural
@@ -150,18 +156,21 @@
         list[Fingerprint], msgspec.Meta(max_length=MAX_CRASH_FINGERPRINTS)
     ]
     is_tried: bool = False
+    depths: Annotated[
+        list[_Depth], msgspec.Meta(max_length=MAX_CRASH_FINGERPRINTS)
+    ] = []
 
 
 def crash_messages(
-    target: int, fingerprints: list[str], is_tried: bool
+    target: int, fingerprints: list[str], is_tried: bool, depths: list[int]
 ) -> list[TargetCrashed]:
     """Split the report of a crash into messages that fit into a datagram."""
-    return [
-        TargetCrashed(
-            target, fingerprints[begin : begin + MAX_CRASH_FINGERPRINTS], is_tried
-        )
-        for begin in range(0, len(fingerprints), MAX_CRASH_FINGERPRINTS)
-    ]
+    messages = []
+    for begin in range(0, len(fingerprints), MAX_CRASH_FINGERPRINTS):
+        chunk = slice(begin, begin + MAX_CRASH_FINGERPRINTS)
+        told = depths[chunk] if max(depths[chunk]) > 1 else []
+        messages.append(TargetCrashed(target, fingerprints[chunk], is_tried, told))
+    return messages
 
 
 class ExchangesBroken(msgspec.Struct, tag="x", array_like=True):
@@ -187,22 +196,24 @@
 
 class SuspectTried(msgspec.Struct, tag="t", array_like=True):
     """
-    The sender begins the trial of a suspect; no other suspect is tried meanwhile.
+    The sender begins or ends the trial of a suspect; no other is tried meanwhile.
 
     A suspect is a request that was in flight at the crashes of at least two targets. In
     a trial, it is sent on its own to one target, to find out whether it crashes it.
 
     :ivar fingerprint: identifies the suspect.
+    :ivar is_over: whether the trial has ended instead, without a crash so far.
     """
 
     fingerprint: Fingerprint
+    is_over: bool = False
 
 
 class SuspectCleared(msgspec.Struct, tag="k", array_like=True):
     """
     A request is no longer suspected of crashes during which it was in flight.
 
-    :ivar fingerprint: identifies the request.
+    :ivar fingerprint: identifies the request, or is a trait of requests.
     :ivar targets: the targets that crashed; see :func:`target_key`.
     """
 
--- a/pimentolink/plaincalls.py
+++ b/pimentolink/plaincalls.py
@@ -70,6 +70,12 @@
     async def serve(self, work: PendingRequest) -> None:
         """Serve a request."""
         self._retry_limiter.earn(work)
+        try:
+            await self._serve(work)
+        finally:
+            self._target_client.ended(work.request)
+
+    async def _serve(self, work: PendingRequest) -> None:
         last: Failure | HttpReply | None = None
         while True:
             estimate = self._choose(work)
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import chain, repeat
 from random import Random
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from pimentolink.crashhistory import (
     MIN_SUSPECT_CRASHES,
+    QUARANTINE_JITTER,
     SUSPECT_QUARANTINE,
     CrashHistory,
     quarantine_time,
@@ -16,10 +18,9 @@
 from pimentolink.errors import Quarantined
 from pimentolink.incarnations import IncarnationTracker, UnlistedExchange
 from pimentolink.targetestimate import Target
+from pimentolink.traitcrashes import TraitCrash, TraitTracker, evict_oldest
+from pimentolink.traits import is_trait
 
-# Jitter of quarantines as a share of their length, so that gateways do not all begin
-# a trial at the same moment.
-QUARANTINE_JITTER = 0.5
 # Seconds after which a trial counts as over without an outcome; long enough for a
 # prefill and the first event.
 TRIAL_TIME = 3.0
@@ -47,12 +48,15 @@
     """
     A crash, with requests against which other gateways cannot read it in the store yet.
 
+    :ivar fingerprints: of requests and of their traits.
     :ivar is_trial: whether the target crashed during a trial of each of them.
+    :ivar depths: of the crash for each of them; see :class:`TraitCrash`.
     """
 
     target: int
     fingerprints: list[str]
     is_trial: bool
+    depths: list[int]
 
 
 class BrokenExchanges(NamedTuple):
@@ -70,10 +74,16 @@
 
 
 class _BrokenExchange(NamedTuple):
-    """When an exchange with a target was cut off, and whether it was a trial."""
+    """
+    An exchange with a target that was cut off.
+
+    :ivar is_trial: whether it was a trial of what it is kept for.
+    :ivar began_at: when it was sent; ``None`` if it is not known.
+    """
 
     at: float
     is_trial: bool
+    began_at: float | None = None
 
 
 class _Trial(NamedTuple):
@@ -81,11 +91,13 @@
     The sending of a suspect on its own, to find out whether it crashes its target.
 
     :ivar request_id: of the request that is sent; empty if another gateway sends it.
+    :ivar tested: the traits that are suspects; empty if the request itself is.
     """
 
     fingerprint: str
     request_id: str
     ends_at: float
+    tested: frozenset[str] = frozenset()
 
 
 class SuspectTracker:
@@ -106,8 +118,11 @@
     begun by gateways that had not yet heard of each other's, neither is blamed.
 
     A request is identified by its fingerprint, an incarnation of a target by its key.
+    Wherever a fingerprint is taken, that of a trait may be given, which stands for all
+    requests with it; a crash counts against the traits of a request as well.
 
     :ivar incarnations: which incarnations of targets are known to have ended.
+    :ivar traits: the crashes that count against traits.
     """
 
     def __init__(self, random: Random) -> None:
@@ -130,25 +145,39 @@
         self._blamed_by_target: OrderedDict[int, str] = OrderedDict()
         self._trial_by_target: OrderedDict[int, str] = OrderedDict()
         self._ambiguous_crashes: OrderedDict[int, None] = OrderedDict()
-        self._sent_trials: OrderedDict[str, None] = OrderedDict()
+        self._sent_trials: OrderedDict[str, frozenset[str]] = OrderedDict()
         self._trial: _Trial | None = None
+        self.traits = TraitTracker(random, self._blamed_by_target.__contains__)
 
     def exchange_broken(
-        self, fingerprint: str, request_id: str, target: int, now: float
-    ) -> bool:
+        self,
+        fingerprint: str,
+        request_id: str,
+        target: int,
+        now: float,
+        traits: Sequence[str] = (),
+        began_at: float | None = None,
+    ) -> list[str]:
         """
         Record that a request's exchange with a target was cut off.
 
         :param request_id: id of the request, new each time that a caller repeats it.
-        :returns: whether the target is known to have crashed and the crash counts
-            against the request from now on.
+        :param traits: of the request.
+        :param began_at: when it was sent; ``None`` if it is not known.
+        :returns: the fingerprint of the request, and its traits, if the target is known
+            to have crashed and the crash counts against them from now on.
         """
-        is_trial = self._end_broken_trial(fingerprint, request_id, now)
+        tested = self._end_broken_trial(fingerprint, request_id, now)
+        broken = {
+            name: _BrokenExchange(now, _is_tested(name, tested), began_at)
+            for name in (fingerprint, *traits)
+        }
         ended_at = self._ended_at_by_target.get(target)
         if ended_at is not None and now - ended_at <= BROKEN_EXCHANGE_TTL:
-            return bool(self.record_crash(target, [fingerprint], now, is_trial))
-        self._add_broken(fingerprint, target, _BrokenExchange(now, is_trial))
-        return False
+            return self._record_broken(target, broken, now)
+        for name, exchange in broken.items():
+            self._add_broken(name, target, exchange)
+        return []
 
     def unlisted_exchange_broken(
         self,
@@ -157,16 +186,22 @@
         target: Target,
         opened_at: float,
         now: float,
+        traits: Sequence[str] = (),
+        began_at: float | None = None,
     ) -> None:
         """
         Record that an incarnation not listed yet cut off a request's exchange.
 
         :param target: an earlier incarnation, which was known to have ended.
         :param opened_at: when the connection began to be opened.
+        :param traits: of the request.
+        :param began_at: when it was sent; ``None`` if it is not known.
         """
-        is_trial = self._end_broken_trial(fingerprint, request_id, now)
-        exchange = UnlistedExchange(fingerprint, opened_at, now, is_trial)
-        self.incarnations.keep(target, exchange)
+        tested = self._end_broken_trial(fingerprint, request_id, now)
+        for name in (fingerprint, *traits):
+            is_trial = _is_tested(name, tested)
+            exchange = UnlistedExchange(name, opened_at, now, is_trial, began_at)
+            self.incarnations.keep(target, exchange)
 
     def target_listed(self, target: Target, now: float) -> bool:
         """
@@ -179,23 +214,35 @@
         """
         found = self.incarnations.take(target, now)
         for exchange in found:
-            broken = _BrokenExchange(exchange.broken_at, exchange.is_trial)
+            broken = _BrokenExchange(
+                exchange.broken_at, exchange.is_trial, exchange.began_at
+            )
             self._add_broken(exchange.fingerprint, target.key, broken)
         return bool(found)
 
-    def _end_broken_trial(self, fingerprint: str, request_id: str, now: float) -> bool:
-        """End the trial that a request's exchange was; tell whether it was one."""
-        is_trial = self._is_tried_as(request_id) or request_id in self._sent_trials
-        if is_trial:
-            self._sent_trials.pop(request_id, None)
-            self._end_trial(fingerprint)
-            # It may take seconds until the target is known to have crashed.
-            history = self._suspect_by_fingerprint.get(fingerprint)
-            if history is not None:
-                history.quarantined_until = max(
-                    history.quarantined_until, now + SUSPECT_QUARANTINE
-                )
-        return is_trial
+    def _end_broken_trial(
+        self, fingerprint: str, request_id: str, now: float
+    ) -> frozenset[str] | None:
+        """
+        End the trial that a request's exchange was.
+
+        :returns: the traits that it tested, none for a trial of the request itself;
+            ``None`` if it was no trial.
+        """
+        tested = self._sent_trials.pop(request_id, None)
+        if self._trial is not None and self._is_tried_as(request_id):
+            tested = self._trial.tested
+        if tested is None:
+            return None
+        self._end_trial(fingerprint)
+        # It may take seconds until the target is known to have crashed.
+        self.traits.test_broken(tested, now)
+        history = self._suspect_by_fingerprint.get(fingerprint)
+        if history is not None:
+            history.quarantined_until = max(
+                history.quarantined_until, now + SUSPECT_QUARANTINE
+            )
+        return tested
 
     def _add_broken(
         self, fingerprint: str, target: int, exchange: _BrokenExchange
@@ -204,11 +251,11 @@
         broken = self._broken_by_target.setdefault(target, OrderedDict())
         broken[fingerprint] = exchange
         broken.move_to_end(fingerprint)
-        _evict_oldest(broken, MAX_BROKEN_PER_TARGET)
+        evict_oldest(broken, MAX_BROKEN_PER_TARGET)
         while exchange.at - next(iter(broken.values())).at > BROKEN_EXCHANGE_TTL:
             broken.popitem(last=False)
         self._broken_by_target.move_to_end(target)
-        _evict_oldest(self._broken_by_target, MAX_TARGETS)
+        evict_oldest(self._broken_by_target, MAX_TARGETS)
 
     def unsettled(self, now: float) -> list[BrokenExchanges]:
         """List the exchanges cut off lately at targets not known to have ended."""
@@ -255,23 +302,44 @@
         """
         self.incarnations.record_end(target, now)
         self._ended_at_by_target[target] = now
-        _evict_oldest(self._ended_at_by_target, MAX_TARGETS)
+        evict_oldest(self._ended_at_by_target, MAX_TARGETS)
         broken = self._broken_by_target.pop(target, OrderedDict())
-        for fingerprint, exchange in broken.items():
-            if now - exchange.at <= BROKEN_EXCHANGE_TTL:
-                self._record_crash(fingerprint, target, now, exchange.is_trial)
+        recent = {
+            fingerprint: exchange
+            for fingerprint, exchange in broken.items()
+            if now - exchange.at <= BROKEN_EXCHANGE_TTL
+        }
+        self._record_broken(target, recent, now)
         return [
             fingerprint
             for fingerprint in broken
             if target in self.crashes(fingerprint, now)
         ]
 
+    def _record_broken(
+        self, target: int, broken: Mapping[str, _BrokenExchange], now: float
+    ) -> list[str]:
+        """Count a crash against what was in flight at a target of this gateway."""
+        found = []
+        for name, exchange in broken.items():
+            if is_trait(name):
+                depth = self.traits.depth(name, exchange.began_at)
+                crash = TraitCrash(depth, exchange.at)
+                is_new = self.traits.record(name, target, crash, now)
+            else:
+                is_new = self._record_crash(name, target, now, exchange.is_trial)
+            if is_new:
+                found.append(name)
+        tried = [name for name, exchange in broken.items() if exchange.is_trial]
+        return [*dict.fromkeys(found + self._record_failed_test(target, tried, now))]
+
     def record_crash(
         self,
         target: int,
-        fingerprints: Iterable[str],
+        fingerprints: Sequence[str],
         now: float,
         is_trial: bool = False,
+        depths: Sequence[int] = (),
     ) -> list[str]:
         """
         Count a crash against requests, whichever gateway saw it.
@@ -281,13 +349,28 @@
 
         :param is_trial: whether the target crashed during their trial, which blames
             them.
+        :param depths: of the crash for each of them, 1 if not given; see
+            :class:`TraitCrash`.
         :returns: fingerprints of those against which it did not count before.
         """
-        return [
-            fingerprint
-            for fingerprint in fingerprints
-            if self._record_crash(fingerprint, target, now, is_trial)
-        ]
+        found = []
+        for name, depth in zip(fingerprints, chain(depths, repeat(1)), strict=False):
+            if is_trait(name):
+                crash = TraitCrash(depth, now)
+                is_new = self.traits.record(name, target, crash, now)
+            else:
+                is_new = self._record_crash(name, target, now, is_trial)
+            if is_new:
+                found.append(name)
+        tried = fingerprints if is_trial else ()
+        return [*dict.fromkeys(found + self._record_failed_test(target, tried, now))]
+
+    def _record_failed_test(
+        self, target: int, tried: Iterable[str], now: float
+    ) -> list[str]:
+        """Blame the traits among what was tried at a target that crashed."""
+        tested = frozenset(name for name in tried if is_trait(name))
+        return self.traits.record_failed_test(target, tested, now) if tested else []
 
     def _record_crash(
         self, fingerprint: str, target: int, now: float, is_trial: bool
@@ -315,10 +398,10 @@
     def _attribute_crash(self, fingerprint: str, target: int, now: float) -> None:
         """Blame a request for a crash during its trial, if no other was tried then."""
         first = self._trial_by_target.setdefault(target, fingerprint)
-        _evict_oldest(self._trial_by_target, MAX_TARGETS)
+        evict_oldest(self._trial_by_target, MAX_TARGETS)
         if first != fingerprint:
             self._ambiguous_crashes[target] = None
-            _evict_oldest(self._ambiguous_crashes, MAX_TARGETS)
+            evict_oldest(self._ambiguous_crashes, MAX_TARGETS)
             self._withdraw_blame(first, now)
         self._blame(fingerprint)
 
@@ -342,7 +425,7 @@
         if history is not None and self._count_failed_trials(history):
             for target in history.recorded_at_by_target:
                 self._blamed_by_target[target] = fingerprint
-            _evict_oldest(self._blamed_by_target, MAX_TARGETS)
+            evict_oldest(self._blamed_by_target, MAX_TARGETS)
 
     def _count_failed_trials(self, history: CrashHistory) -> int:
         """Count the failed trials of a request during which no other was tried."""
@@ -383,10 +466,10 @@
         self._remove(fingerprint)
         if len(history.recorded_at_by_target) < MIN_SUSPECT_CRASHES:
             self._single_crash_by_fingerprint[fingerprint] = history
-            _evict_oldest(self._single_crash_by_fingerprint, MAX_SINGLE_CRASH_REQUESTS)
+            evict_oldest(self._single_crash_by_fingerprint, MAX_SINGLE_CRASH_REQUESTS)
         else:
             self._suspect_by_fingerprint[fingerprint] = history
-            _evict_oldest(self._suspect_by_fingerprint, MAX_SUSPECTS)
+            evict_oldest(self._suspect_by_fingerprint, MAX_SUSPECTS)
 
     def _remove(self, fingerprint: str) -> None:
         self._single_crash_by_fingerprint.pop(fingerprint, None)
@@ -405,6 +488,8 @@
 
     def crashes(self, fingerprint: str, now: float) -> list[int]:
         """List the targets whose crash counts against a request."""
+        if is_trait(fingerprint):
+            return self.traits.crashes(fingerprint, now)
         history = self._unexpired(fingerprint, now)
         return self._counted(fingerprint, history) if history is not None else []
 
@@ -417,6 +502,8 @@
 
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Tell whether enough crashes count against a request to quarantine it."""
+        if is_trait(fingerprint):
+            return self.traits.is_suspect(fingerprint, now)
         return len(self.crashes(fingerprint, now)) >= MIN_SUSPECT_CRASHES
 
     def remaining_quarantine(self, fingerprint: str, now: float) -> float:
@@ -425,48 +512,96 @@
 
         :returns: seconds.
         """
+        if is_trait(fingerprint):
+            return self.traits.remaining_quarantine([fingerprint], now)
         history = self._suspect_by_fingerprint.get(fingerprint)
         return max(0.0, history.quarantined_until - now) if history is not None else 0.0
 
     def refusal(
-        self, fingerprint: str, request_id: str, now: float
+        self,
+        fingerprint: str,
+        request_id: str,
+        now: float,
+        traits: Sequence[str] = (),
     ) -> Quarantined | None:
         """
         Tell why a request may not be sent now.
 
         :param request_id: id of the request, new each time that a caller repeats it.
+        :param traits: of the request.
         :returns: ``None`` if it may be sent.
         """
-        crashes = len(self.crashes(fingerprint, now))
-        if crashes < MIN_SUSPECT_CRASHES or self._is_tried_as(request_id):
+        suspects = self.traits.suspects_among(traits, now)
+        wait = self.traits.remaining_quarantine(traits, now)
+        if self.is_suspect(fingerprint, now):
+            suspects.append(fingerprint)
+            wait = max(wait, self.remaining_quarantine(fingerprint, now))
+        if not suspects or self._is_tried_as(request_id):
             return None
-        wait = self.remaining_quarantine(fingerprint, now)
         if self._trial is not None:
             wait = max(wait, self._trial.ends_at - now)
         if wait <= 0:
             return None
+        crashes = max(len(self.crashes(name, now)) for name in suspects)
+        what = "it" if suspects[0] == fingerprint else f"one with {suspects[0]}"
         return Quarantined(
-            f"{crashes} targets crashed while it was under way there", wait
+            f"{crashes} targets crashed while {what} was under way there", wait
         )
 
     def _is_tried_as(self, request_id: str) -> bool:
         return self._trial is not None and self._trial.request_id == request_id
 
-    def begin_trial(self, fingerprint: str, request_id: str, now: float) -> bool:
+    def begin_trial(
+        self,
+        fingerprint: str,
+        request_id: str,
+        now: float,
+        traits: Sequence[str] = (),
+    ) -> list[str]:
         """
-        Begin a trial if a request, which may be sent, is a suspect.
+        Begin a trial if a request, which may be sent, or a trait of it is a suspect.
 
-        :returns: whether a trial began, during which no other suspect should be sent.
+        A trial tests either the request or its traits: if both are suspects, the crash
+        of a target would not tell which of them caused it.
+
+        :param traits: of the request.
+        :returns: what the trial tests, during which no other suspect should be sent;
+            empty if none began.
         """
-        if not self.is_suspect(fingerprint, now) or self._is_tried_as(request_id):
-            return False
-        self._trial = _Trial(fingerprint, request_id, now + TRIAL_TIME)
-        return True
+        tested = self.traits.to_test(traits, now)
+        is_suspect = bool(tested) or self.is_suspect(fingerprint, now)
+        if not is_suspect or self._is_tried_as(request_id):
+            return []
+        self._trial = _Trial(fingerprint, request_id, now + TRIAL_TIME, tested)
+        return sorted(tested) or [fingerprint]
 
     def trial_sent(self, request_id: str) -> None:
         """Record that an own trial was sent, so that no other can supersede it."""
-        self._sent_trials[request_id] = None
-        _evict_oldest(self._sent_trials, MAX_SENT_TRIALS)
+        is_own = self._trial is not None and self._is_tried_as(request_id)
+        tested = self._trial.tested if self._trial and is_own else frozenset()
+        self._sent_trials[request_id] = tested
+        evict_oldest(self._sent_trials, MAX_SENT_TRIALS)
+
+    def end_own_test(self, request_id: str) -> bool:
+        """
+        End the trial that a request was, if it tested traits.
+
+        Many requests wait for such a trial, whereas for one of a single request only
+        its own repetitions do.
+
+        :returns: whether it was one.
+        """
+        if self._trial is None or not self._is_tried_as(request_id):
+            return False
+        has_traits = bool(self._trial.tested)
+        if has_traits:
+            self._end_trial(self._trial.fingerprint)
+        return has_traits
+
+    def peer_trial_ended(self, fingerprint: str) -> None:
+        """Record that the trial of another gateway is over."""
+        if self._trial is not None and not self._trial.request_id:
+            self._end_trial(fingerprint)
 
     def peer_trial_begun(self, fingerprint: str, now: float) -> None:
         """
@@ -490,19 +625,33 @@
         """
         self._answered_at[fingerprint] = now
         self._answered_at.move_to_end(fingerprint)
-        _evict_oldest(self._answered_at, MAX_SUCCESSES)
+        evict_oldest(self._answered_at, MAX_SUCCESSES)
         crashes = self.crashes(fingerprint, now)
         if self._is_tried_as(request_id):
             self._end_trial(fingerprint)
         self._clear(fingerprint, crashes, now)
         return crashes
 
+    def answered_with(self, traits: Iterable[str], now: float) -> dict[str, list[int]]:
+        """
+        Record that a request with these traits got its complete response.
+
+        :returns: the targets whose crash counted against each trait until now.
+        """
+        cleared = {}
+        for trait in self.traits.accused_among(traits, now):
+            cleared[trait] = self.traits.crashes(trait, now)
+            self.traits.clear(trait, cleared[trait], now)
+        return cleared
+
     def clear(self, fingerprint: str, targets: Iterable[int], now: float) -> bool:
         """
         Stop counting certain crashes against a request, also if they are reported late.
 
         :returns: whether any of them counted against it.
         """
+        if is_trait(fingerprint):
+            return self.traits.clear(fingerprint, targets, now)
         self._end_trial(fingerprint)
         return self._clear(fingerprint, targets, now)
 
@@ -516,7 +665,7 @@
             self._remove_from_others(fingerprint, attributed)
         for target in targets:
             self._cleared[fingerprint, target] = None
-        _evict_oldest(self._cleared, MAX_CLEARED)
+        evict_oldest(self._cleared, MAX_CLEARED)
         history = self._unexpired(fingerprint, now)
         return history is not None and self._remove_crashes(
             fingerprint, history, targets
@@ -536,12 +685,17 @@
 
     def mark_stored(self, fingerprint: str, target: int, is_trial: bool) -> None:
         """Record that other gateways can read a request's crash in the store."""
+        if is_trait(fingerprint):
+            self.traits.mark_stored(fingerprint, target, is_trial)
+            return
         history = self._get(fingerprint)
         if history is not None and is_trial == (target in history.failed_trials):
             history.stored.add(target)
 
     def is_blamed(self, fingerprint: str, target: int) -> bool:
         """Tell whether a target crashed during a trial of a request there."""
+        if is_trait(fingerprint):
+            return self.traits.is_blamed(fingerprint, target)
         history = self._get(fingerprint)
         return history is not None and target in history.failed_trials
 
@@ -564,13 +718,29 @@
                 for target in set(counted) - history.stored:
                     crash = (target, target in history.failed_trials)
                     listed.setdefault(crash, []).append(fingerprint)
+        for trait, target in self.traits.unstored(min_crashes, now):
+            crash = (target, self.traits.is_blamed(trait, target))
+            listed.setdefault(crash, []).append(trait)
         return [
-            UnstoredCrash(target, fingerprints, is_trial)
+            UnstoredCrash(
+                target, fingerprints, is_trial, self.depths(target, fingerprints)
+            )
             for (target, is_trial), fingerprints in listed.items()
         ]
 
+    def depths(self, target: int, fingerprints: Iterable[str]) -> list[int]:
+        """Return the depth of a crash for each trait, and 1 for requests."""
+        return [
+            self.traits.depth_of(name, target) if is_trait(name) else 1
+            for name in fingerprints
+        ]
+
+
+def _is_tested(name: str, tested: frozenset[str] | None) -> bool:
+    """
+    Tell whether a trial was one of a request or of a trait.
 
-def _evict_oldest(table: OrderedDict[Any, Any], capacity: int) -> None:
-    """Remove the oldest entries of a table beyond its capacity."""
-    while len(table) > capacity:
-        table.popitem(last=False)
+    :param tested: the traits that it tested, none for a trial of the request itself;
+        ``None`` if there was no trial.
+    """
+    return tested is not None and (name in tested if tested else not is_trait(name))
--- a/pimentolink/targetclient.py
+++ b/pimentolink/targetclient.py
@@ -69,20 +69,30 @@
         """
 
     def cut_off(
-        self, request: CallerRequest, estimate: TargetEstimate, opened_at: float
+        self,
+        request: CallerRequest,
+        estimate: TargetEstimate,
+        opened_at: float,
+        began_at: float,
     ) -> None:
         """
         Handle an exchange that ended before the response was complete.
 
         :param opened_at: when its connection began to be opened, in seconds of the
             timer service.
+        :param began_at: when the request was sent.
         """
 
     def connection_lost(self, estimate: TargetEstimate) -> None:
         """Handle a connection that broke, or carried an invalid response."""
 
-    def request_succeeded(self, request: CallerRequest) -> None:
-        """Handle a request that got its complete response."""
+    def request_succeeded(
+        self, request: CallerRequest, estimate: TargetEstimate
+    ) -> None:
+        """Handle a request that got its complete response from a target."""
+
+    def request_ended(self, request: CallerRequest) -> None:
+        """Handle a request that is no longer sent to targets, however it ended."""
 
 
 class TargetClient:
@@ -237,6 +247,10 @@
         """
         await self._watcher.admit(request)
 
+    def ended(self, request: CallerRequest) -> None:
+        """Record that a request is no longer sent to targets, however it ended."""
+        self._watcher.request_ended(request)
+
     async def begin(
         self,
         request: CallerRequest,
@@ -286,12 +300,15 @@
             if isinstance(error, Failure):
                 self.record_failure(request, estimate, error)
             raise
+        sent_at = self._timers.now()
         call = TargetCall(
             estimate,
             pool,
             connection,
-            self._timers.now(),
-            lambda: self._watcher.cut_off(request, estimate, connection.opened_at),
+            sent_at,
+            lambda: self._watcher.cut_off(
+                request, estimate, connection.opened_at, sent_at
+            ),
             lambda: self.is_reachable(estimate),
         )
         try:
@@ -354,7 +371,7 @@
     def succeeded(self, request: CallerRequest, estimate: TargetEstimate) -> None:
         """Record a complete response for its target and its request."""
         estimate.outcome(is_good=True)
-        self._watcher.request_succeeded(request)
+        self._watcher.request_succeeded(request, estimate)
 
     def record_failure(
         self,
--- /dev/null
+++ b/pimentolink/traitcrashes.py
@@ -0,0 +1,363 @@
+"""Crashes of targets that count against what several requests have in common."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+from typing import Any, NamedTuple
+
+from pimentolink.crashhistory import CRASH_TTL, QUARANTINE_JITTER, SUSPECT_QUARANTINE
+from pimentolink.peermessages import MAX_DEPTH
+
+# Crashes in a row from which on a trait is a suspect: a request that broke off twice
+# because it was sent on to a second target is not enough.
+MIN_TRAIT_CRASHES = 3
+# Of these, crashes for which no single request is blamed.
+MIN_UNEXPLAINED = 2
+# Seconds for which a suspect is held before it is tested. Responses under way that may
+# clear it are complete by then.
+TRAIT_QUARANTINE = 1.0
+# Seconds of quarantine once a trial has crashed a target; doubled with each further
+# one. Long, as a trait comes with ever new requests, and each trial takes a target.
+FAILED_TRAIT_QUARANTINE = 300.0
+# Capacity of each table, beyond which the oldest entries are evicted: traits with fewer
+# crashes than suspects, suspects, crashes cleared of a trait, crashes during trials.
+MAX_ACCUSED_TRAITS = 4096
+MAX_SUSPECT_TRAITS = 1024
+MAX_CLEARED = 4096
+MAX_FAILED_TRIALS = 1024
+
+
+class TraitCrash(NamedTuple):
+    """
+    A crash that counts against a trait.
+
+    :ivar depth: position of the crash in a row in which each exchange began once the
+        crash before it had happened. Exchanges under way at the same time are one
+        observation, however many targets are lost at once.
+    :ivar at: when this gateway saw the exchange break off, or learned of the crash.
+    """
+
+    depth: int
+    at: float
+
+
+class TraitHistory:
+    """
+    The crashes that count against one trait.
+
+    :ivar crashes_by_target: by the key of the target that crashed.
+    :ivar tested_by_target: the traits that were tested together, one of which is to
+        blame, by the key of each target that crashed during such a trial.
+    :ivar stored: targets whose crash other gateways can read from the store.
+    :ivar suspect_until: until when a request with the trait is not sent.
+    :ivar blamed_until: the same for a request with all traits of a failed trial.
+    """
+
+    def __init__(self) -> None:
+        """Start without crashes."""
+        self.crashes_by_target: dict[int, TraitCrash] = {}
+        self.tested_by_target: dict[int, frozenset[str]] = {}
+        self.stored: set[int] = set()
+        self.suspect_until = 0.0
+        self.blamed_until = 0.0
+
+    def expire(self, now: float) -> None:
+        """Remove crashes older than their time to live."""
+        begin = now - CRASH_TTL
+        old = [key for key, crash in self.crashes_by_target.items() if crash.at < begin]
+        for key in old:
+            self.remove(key)
+
+    def remove(self, target: int) -> None:
+        """Remove the crash of a target."""
+        self.crashes_by_target.pop(target, None)
+        self.tested_by_target.pop(target, None)
+        self.stored.discard(target)
+
+    def crashes_in_a_row(self) -> int:
+        """Count the crashes that came one after the other."""
+        depths = [crash.depth for crash in self.crashes_by_target.values()]
+        return min(max(depths, default=0), len(depths))
+
+
+class TraitTracker:
+    """
+    Tracks which traits of requests were in flight at targets that crashed.
+
+    Load pattern: requests that are all different have one trait in common, such as a
+    part of their prompts, that crashes each target that begins to run them. Harmless
+    requests share each of their other traits. A complete response clears the traits of
+    its request of all crashes before it, so that those which many requests have are
+    cleared all the time, and what crashes targets never is. A trait with several
+    crashes in a row and no complete response since is a suspect, and is tested by
+    sending one of its requests on its own.
+
+    A test tells of all suspect traits of its request at once: a response clears them,
+    and after a crash one of them is to blame. Requests with all of these are then held
+    for long. One that lacks some of them may be tested soon, which tells them apart.
+    """
+
+    def __init__(self, random: Random, is_explained: Callable[[int], bool]) -> None:
+        """
+        Start without suspects.
+
+        :param random: seeded source for the jitter of quarantines.
+        :param is_explained: tells whether a single request is blamed for a crash.
+        """
+        self._random = random
+        self._is_explained = is_explained
+        self._accused_by_trait: OrderedDict[str, TraitHistory] = OrderedDict()
+        self._suspect_by_trait: OrderedDict[str, TraitHistory] = OrderedDict()
+        self._cleared: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._tested_by_target: OrderedDict[int, frozenset[str]] = OrderedDict()
+
+    def depth(self, trait: str, began_at: float | None) -> int:
+        """
+        Compute the depth of a crash, see :class:`TraitCrash`.
+
+        :param began_at: when the exchange that broke off was sent; ``None`` if it is
+            not known.
+        """
+        history = self._get(trait)
+        if history is None or began_at is None:
+            return 1
+        earlier = [
+            crash.depth
+            for crash in history.crashes_by_target.values()
+            if crash.at <= began_at
+        ]
+        return min(MAX_DEPTH, 1 + max(earlier, default=0))
+
+    def record(self, trait: str, target: int, crash: TraitCrash, now: float) -> bool:
+        """
+        Count a crash against a trait, whichever gateway saw it.
+
+        :returns: whether it did not count before.
+        """
+        if (trait, target) in self._cleared:
+            return False
+        history = self._unexpired(trait, now) or TraitHistory()
+        known = history.crashes_by_target.get(target)
+        if known is not None and known.depth >= crash.depth:
+            return False
+        if known is not None:
+            crash = crash._replace(at=min(known.at, crash.at))
+        history.crashes_by_target[target] = crash
+        history.stored.discard(target)
+        self._put(trait, history)
+        if self._is_suspect(history):
+            self._hold(history, now)
+        return known is None
+
+    def record_failed_test(
+        self, target: int, tested: frozenset[str], now: float
+    ) -> list[str]:
+        """
+        Blame the traits that were tested at a target that crashed.
+
+        If it crashed during two tests, one of the traits of both is to blame.
+
+        :returns: the traits that were not blamed for it before.
+        """
+        before = self._tested_by_target.get(target, tested)
+        blamed = before & tested
+        self._tested_by_target[target] = blamed
+        evict_oldest(self._tested_by_target, MAX_FAILED_TRIALS)
+        found = []
+        for trait in sorted(before | tested):
+            history = self._unexpired(trait, now)
+            if history is None or target not in history.crashes_by_target:
+                continue
+            if trait not in blamed:
+                history.tested_by_target.pop(target, None)
+                continue
+            if target not in history.tested_by_target:
+                found.append(trait)
+                history.stored.discard(target)
+            history.tested_by_target[target] = blamed
+            self._hold(history, now)
+        return found
+
+    def _hold(self, history: TraitHistory, now: float) -> None:
+        jitter = self._random.uniform(1.0, 1.0 + QUARANTINE_JITTER)
+        history.suspect_until = now + TRAIT_QUARANTINE * jitter
+        if failed := len(history.tested_by_target):
+            wait = FAILED_TRAIT_QUARANTINE * 2 ** (failed - 1)
+            history.blamed_until = now + wait * jitter
+
+    def crashes(self, trait: str, now: float) -> list[int]:
+        """List the targets whose crash counts against a trait."""
+        history = self._unexpired(trait, now)
+        return [] if history is None else [*history.crashes_by_target]
+
+    def is_suspect(self, trait: str, now: float) -> bool:
+        """Tell whether requests with a trait are held."""
+        history = self._unexpired(trait, now)
+        return history is not None and self._is_suspect(history)
+
+    def _is_suspect(self, history: TraitHistory) -> bool:
+        if history.crashes_in_a_row() < MIN_TRAIT_CRASHES:
+            return False
+        unexplained = sum(
+            not self._is_explained(target) for target in history.crashes_by_target
+        )
+        return unexplained >= MIN_UNEXPLAINED
+
+    def is_blamed(self, trait: str, target: int) -> bool:
+        """Tell whether a target crashed during a test of a trait there."""
+        history = self._get(trait)
+        return history is not None and target in history.tested_by_target
+
+    def suspects_among(self, traits: Iterable[str], now: float) -> list[str]:
+        """List those of some traits that are suspects."""
+        return [trait for trait in traits if self.is_suspect(trait, now)]
+
+    def remaining_quarantine(self, traits: Sequence[str], now: float) -> float:
+        """
+        Compute how long a request is still held.
+
+        :param traits: all traits of the request.
+        :returns: seconds.
+        """
+        until = 0.0
+        for trait in self.suspects_among(traits, now):
+            history = self._suspect_by_trait[trait]
+            until = max(until, history.suspect_until)
+            failed = history.tested_by_target.values()
+            if any(tested.issubset(traits) for tested in failed):
+                until = max(until, history.blamed_until)
+        return max(0.0, until - now)
+
+    def to_test(self, traits: Iterable[str], now: float) -> frozenset[str]:
+        """
+        Choose the traits that a request would test.
+
+        These are its suspects but for those that explain only some of the crashes that
+        another one explains: a trait that often comes with the cause is suspect too.
+        """
+        targets_by_trait = {
+            trait: {*self.crashes(trait, now)}
+            for trait in self.suspects_among(traits, now)
+        }
+        return frozenset(
+            trait
+            for trait, targets in targets_by_trait.items()
+            if not any(targets < others for others in targets_by_trait.values())
+        )
+
+    def test_broken(self, tested: Iterable[str], now: float) -> None:
+        """Hold the traits of a test that broke off until the cause is known."""
+        for trait in tested:
+            history = self._get(trait)
+            if history is not None:
+                history.suspect_until = max(
+                    history.suspect_until, now + SUSPECT_QUARANTINE
+                )
+
+    def accused_among(self, traits: Iterable[str], now: float) -> list[str]:
+        """List those of some traits against which a crash counts."""
+        return [trait for trait in traits if self.crashes(trait, now)]
+
+    def clear(self, trait: str, targets: Iterable[int], now: float) -> bool:
+        """
+        Stop counting certain crashes against a trait, also if they are reported late.
+
+        :returns: whether any of them counted against it.
+        """
+        targets = [*targets]
+        for target in targets:
+            self._cleared[trait, target] = None
+        evict_oldest(self._cleared, MAX_CLEARED)
+        history = self._unexpired(trait, now)
+        if history is None:
+            return False
+        removed = history.crashes_by_target.keys() & {*targets}
+        for target in removed:
+            self._exonerate(trait, target)
+            history.remove(target)
+        self._put(trait, history)
+        return bool(removed)
+
+    def _exonerate(self, trait: str, target: int) -> None:
+        """Leave a trait out of those of which one is to blame for a crash."""
+        tested = self._tested_by_target.get(target)
+        if tested is None or trait not in tested:
+            return
+        remaining = tested - {trait}
+        self._tested_by_target[target] = remaining
+        for other in remaining:
+            history = self._get(other)
+            if history is not None and target in history.tested_by_target:
+                history.tested_by_target[target] = remaining
+
+    def mark_stored(self, trait: str, target: int, is_trial: bool) -> None:
+        """Record that other gateways can read a trait's crash in the store."""
+        history = self._get(trait)
+        if history is not None and is_trial == (target in history.tested_by_target):
+            history.stored.add(target)
+
+    def unstored(self, min_crashes: int, now: float) -> list[tuple[str, int]]:
+        """
+        List the crashes that other gateways cannot read in the store yet.
+
+        :param min_crashes: crashes of a trait from which on they are listed.
+        :returns: traits, and the key of a target that crashed.
+        """
+        found = []
+        for table in (self._suspect_by_trait, self._accused_by_trait):
+            for trait, history in table.items():
+                history.expire(now)
+                if len(history.crashes_by_target) < min_crashes:
+                    continue
+                found += [
+                    (trait, target)
+                    for target in history.crashes_by_target.keys() - history.stored
+                ]
+        return found
+
+    def depth_of(self, trait: str, target: int) -> int:
+        """Return the depth of a crash that counts against a trait."""
+        history = self._get(trait)
+        crash = history and history.crashes_by_target.get(target)
+        return crash.depth if crash else 1
+
+    def _unexpired(self, trait: str, now: float) -> TraitHistory | None:
+        history = self._get(trait)
+        if history is not None:
+            history.expire(now)
+            if not history.crashes_by_target:
+                self._remove(trait)
+                return None
+        return history
+
+    def _get(self, trait: str) -> TraitHistory | None:
+        return self._suspect_by_trait.get(trait) or self._accused_by_trait.get(trait)
+
+    def _put(self, trait: str, history: TraitHistory) -> None:
+        """
+        Keep a trait's history as the newest.
+
+        Suspects have a table of their own, so that the many traits that were in flight
+        at a single crash do not evict them.
+        """
+        self._remove(trait)
+        if not history.crashes_by_target:
+            return
+        if history.crashes_in_a_row() >= MIN_TRAIT_CRASHES:
+            self._suspect_by_trait[trait] = history
+            evict_oldest(self._suspect_by_trait, MAX_SUSPECT_TRAITS)
+        else:
+            self._accused_by_trait[trait] = history
+            evict_oldest(self._accused_by_trait, MAX_ACCUSED_TRAITS)
+
+    def _remove(self, trait: str) -> None:
+        self._suspect_by_trait.pop(trait, None)
+        self._accused_by_trait.pop(trait, None)
+
+
+def evict_oldest(table: OrderedDict[Any, Any], capacity: int) -> None:
+    """Remove the oldest entries of a table beyond its capacity."""
+    while len(table) > capacity:
+        table.popitem(last=False)
--- a/tests/requesthandlers.py
+++ b/tests/requesthandlers.py
@@ -185,6 +185,9 @@
     def failed(self, request, call, status):
         call.estimate.outcome(is_good=False)
 
+    def ended(self, request):
+        pass
+
     def succeeded(self, request, estimate):
         estimate.outcome(is_good=True)
 
@@ -237,15 +240,18 @@
     async def admit(self, request):
         pass
 
-    def cut_off(self, request, estimate, opened_at):
+    def cut_off(self, request, estimate, opened_at, began_at):
         self.opened_at.append(opened_at)
 
     def connection_lost(self, estimate):
         pass
 
-    def request_succeeded(self, request):
+    def request_succeeded(self, request, estimate):
         self.success_count += 1
 
+    def request_ended(self, request):
+        pass
+
 
 def make_generation_handler(target_client, gateway_fleet, retry_limiter, timers):
     scheduler = PrefillScheduler(
--- a/tests/test_crashreports.py
+++ b/tests/test_crashreports.py
@@ -8,6 +8,7 @@
 from pimentolink.crashhistory import SUSPECT_QUARANTINE
 from pimentolink.crashreports import (
     MAX_UNSETTLED_MESSAGES,
+    RESPONSE_GRACE,
     TRIAL_NOTICE,
     CrashReports,
 )
@@ -24,15 +25,24 @@
 )
 from pimentolink.suspects import BROKEN_EXCHANGE_TTL, SuspectTracker
 from pimentolink.timers import ManualTimers
+from pimentolink.traitcrashes import FAILED_TRAIT_QUARANTINE, TRAIT_QUARANTINE
 from tests.gatewaybuilders import fleet, target
 
-FATAL = "f" * 32
+FATAL, OTHER = "f" * 32, "0" * 32
+TRAIT = "p" + "e" * 32
 
 
-def make_request(fingerprint=FATAL, request_id="a"):
+def make_request(fingerprint=FATAL, request_id="a", traits=()):
     http = HttpRequest(b"POST", b"/p/", ())
     return CallerRequest(
-        request_id, http, "h.example", "/p/", 0.0, None, fingerprint=fingerprint
+        request_id,
+        http,
+        "h.example",
+        "/p/",
+        0.0,
+        None,
+        fingerprint=fingerprint,
+        traits=tuple(traits),
     )
 
 
@@ -175,17 +185,125 @@
 
     def test_answer_of_a_suspect_is_told(self, world):
         self.make_suspect(world)
-        world.reports.request_succeeded(make_request())
+        world.reports.request_succeeded(make_request(), world.estimate("t1"))
         keys = [world.estimate(name).target.key for name in ("t1", "t3")]
         assert world.messages == [SuspectCleared(FATAL, keys)]
 
     def test_answer_after_one_crash_is_not_worth_telling(self, world):
         world.break_connection("t1", make_request())
         world.messages.clear()
-        world.reports.request_succeeded(make_request())
+        world.reports.request_succeeded(make_request(), world.estimate("t1"))
         assert world.messages == []
 
 
+class TestTraits:
+    """Requests that are all different crash targets by a trait that they share."""
+
+    def requests(self, *traits):
+        """Make requests that are all different, with some traits."""
+        return [
+            make_request(f"{number:032x}", f"r{number}", traits) for number in range(9)
+        ]
+
+    def break_in_a_row(self, world, *traits):
+        for name, request in zip(
+            ("t1", "t3", "t4"), self.requests(*traits), strict=False
+        ):
+            world.timers.advance(1.0)
+            world.reports.cut_off(
+                request, world.estimate(name), began_at=world.timers.now()
+            )
+            world.reports.connection_lost(world.estimate(name))
+
+    @pytest.fixture
+    def world(self):
+        return World(*(target(name) for name in ("t1", "t3", "t4", "t5")))
+
+    def key(self, world, name):
+        return world.estimate(name).target.key
+
+    def test_are_told_with_how_many_crashes_came_before(self, world):
+        self.break_in_a_row(world, TRAIT)
+        assert world.messages == [
+            TargetCrashed(self.key(world, "t1"), [f"{0:032x}", TRAIT]),
+            TargetCrashed(self.key(world, "t3"), [f"{1:032x}", TRAIT], False, [1, 2]),
+            TargetCrashed(self.key(world, "t4"), [f"{2:032x}", TRAIT], False, [1, 3]),
+        ]
+        other = World(target("t5"))
+        for message in world.messages:
+            other.reports.receive(message, "peer")
+        with pytest.raises(Quarantined, match=f"3 targets .* with {TRAIT}"):
+            other.admit(self.requests(TRAIT)[5])
+
+    def test_crash_during_a_trial_blames_them_and_not_the_request(self, world):
+        self.break_in_a_row(world, TRAIT)
+        world.timers.advance(2 * TRAIT_QUARANTINE)
+        tried = self.requests(TRAIT)[5]
+        world.admit(tried)
+        world.messages.clear()
+        world.break_connection("t5", tried)
+        assert world.messages == [
+            TargetCrashed(self.key(world, "t5"), [TRAIT], True),
+            TargetCrashed(self.key(world, "t5"), [tried.fingerprint]),
+        ]
+        with pytest.raises(Quarantined) as refused:
+            world.admit(self.requests(TRAIT)[6])
+        assert refused.value.retry_after >= FAILED_TRAIT_QUARANTINE
+
+    def test_are_cleared_once_a_target_outlives_its_response(self, world):
+        self.break_in_a_row(world, TRAIT)
+        world.messages.clear()
+        world.listening.add("t5")
+        world.reports.request_succeeded(self.requests(TRAIT)[5], world.estimate("t5"))
+        assert world.suspects.is_suspect(TRAIT, world.timers.now())
+        world.timers.advance(RESPONSE_GRACE)
+        keys = [self.key(world, name) for name in ("t1", "t3", "t4")]
+        assert world.messages == [SuspectCleared(TRAIT, keys)]
+        world.admit(self.requests(TRAIT)[6])
+
+    def test_are_not_cleared_by_a_response_just_before_a_crash(self, world):
+        """A short response is complete before its target crashes."""
+        self.break_in_a_row(world, TRAIT)
+        world.messages.clear()
+        world.reports.request_succeeded(self.requests(TRAIT)[5], world.estimate("t5"))
+        world.timers.advance(RESPONSE_GRACE)
+        key = self.key(world, "t5")
+        assert [message.target for message in world.messages] == [key]
+        assert key in world.suspects.crashes(TRAIT, world.timers.now())
+
+    def test_trial_that_reached_no_target_is_over(self, world):
+        self.break_in_a_row(world, TRAIT)
+        world.timers.advance(2 * TRAIT_QUARANTINE)
+        tried, waiting = self.requests(TRAIT)[5:7]
+        world.admit(tried)
+        with pytest.raises(Quarantined):
+            world.admit(waiting)
+        world.messages.clear()
+        world.reports.request_ended(tried)
+        assert world.messages == [SuspectTried(tried.fingerprint, is_over=True)]
+        world.admit(waiting)
+
+    def test_trial_of_another_gateway_is_waited_for_until_it_is_over(self, world):
+        self.break_in_a_row(world, TRAIT)
+        world.timers.advance(2 * TRAIT_QUARANTINE)
+        world.reports.receive(SuspectTried(OTHER), "peer")
+        with pytest.raises(Quarantined):
+            world.admit(self.requests(TRAIT)[5])
+        world.reports.receive(SuspectTried(OTHER, is_over=True), "peer")
+        world.admit(self.requests(TRAIT)[5])
+
+    def test_exchange_with_an_unlisted_incarnation_counts_against_them(self, world):
+        request = self.requests(TRAIT)[0]
+        ended = world.estimate("t1").target
+        world.suspects.unlisted_exchange_broken(
+            request.fingerprint, "r", ended, 1.0, 1.1, request.traits, 1.0
+        )
+        again = ended._replace(born=ended.born + 5)
+        assert world.suspects.target_listed(again, 1.2)
+        world.suspects.target_ended(again.key, 1.3)
+        assert world.suspects.crashes(TRAIT, 1.3) == [again.key]
+
+
 class TestOthersNews:
     def test_crashes_that_two_gateways_saw_add_up(self, world):
         world.break_connection("t1", make_request())
--- a/tests/test_crossedtries.py
+++ b/tests/test_crossedtries.py
@@ -139,7 +139,7 @@
             reports.cut_off(request, self.estimate)
             return BROKEN
         if step == "answer":
-            reports.request_succeeded(request)
+            reports.request_succeeded(request, self.estimate)
             return OVER
         reports.target_ended(self.estimate.target, "nothing listens")
         return world.phases[number]
--- a/tests/test_fatalparts.py
+++ b/tests/test_fatalparts.py
@@ -21,6 +21,7 @@
 
 import pytest
 
+from tools.fleet import wait_until
 from tools.platformworld import PlatformWorld
 
 FATAL_PART = "ee01"
@@ -152,6 +153,10 @@
     return ["bb05:300", middle, "bb06:300"]
 
 
+def every_second(number):
+    return [FATAL_PART + ":400"] if number % 2 else [HARMLESS[0]]
+
+
 @pytest.fixture
 def world(fleet):
     return FatalPartWorld(fleet)
@@ -171,3 +176,20 @@
         assert len(harmless) > 20
         served = sum(item.status == 200 for item in harmless)
         assert served >= MIN_SERVED * len(harmless)
+
+    def test_is_known_to_gateways_that_started_since(self, world):
+        world.play("/resume/x", every_third, seconds=12.0)
+        for name in GATEWAYS:
+            world.fleet.processes_by_name[name].kill()
+        for name in GATEWAYS:
+            world.fleet.start_again(name)
+        world.fleet.settle()
+        wait_until(lambda: all(world.is_ready(name) for name in GATEWAYS))
+        restarted_at = time.time()
+        world.play("/resume/x", every_second, seconds=6.0)
+        assert world.count_fatal_sent_after(restarted_at) <= MAX_SENT
+        harmless = [
+            item for item in world.sent if not item.is_fatal and item.at > restarted_at
+        ]
+        served = sum(item.status == 200 for item in harmless)
+        assert served >= MIN_SERVED * len(harmless)
--- a/tests/test_suspectstore.py
+++ b/tests/test_suspectstore.py
@@ -21,9 +21,11 @@
     SuspectStore,
 )
 from pimentolink.timers import ManualTimers
+from pimentolink.traitcrashes import FAILED_TRAIT_QUARANTINE
 from tests.jsonvalues import DOCUMENTS
 
 FATAL, OTHER = "f" * 32, "0" * 32
+TRAIT = "p" + "e" * 32
 
 
 class Gateway:
@@ -52,8 +54,9 @@
     def write(self, event, **fields):
         self.lines.append((event.number, fields))
 
-    def receive_crash(self, target, *names):
-        self.reports.receive(TargetCrashed(target, list(names)), "peer")
+    def receive_crash(self, target, *names, depth=1):
+        depths = [depth] * len(names)
+        self.reports.receive(TargetCrashed(target, list(names), False, depths), "peer")
 
     def detect_crash(self, target, *names):
         now = self.timers.now()
@@ -118,6 +121,20 @@
             >= FAILED_TRIAL_QUARANTINE
         )
 
+    def test_trait_to_blame_is_known_after_a_restart(self, world):
+        gateway = world.gateway("g1")
+        for target in (1, 2, 3, 4):
+            gateway.receive_crash(target, TRAIT, depth=target)
+        gateway.reports.receive(TargetCrashed(4, [TRAIT], True), "peer")
+        world.timers.advance(RELAYED_WRITE_DELAY + RELAYED_WRITE_JITTER)
+        later = world.gateway("g2")
+        later.read_documents()
+        now = world.timers.now()
+        assert later.crashes(TRAIT) == [1, 2, 3, 4]
+        assert later.suspects.is_suspect(TRAIT, now)
+        wait = later.suspects.remaining_quarantine(TRAIT, now)
+        assert wait >= FAILED_TRAIT_QUARANTINE
+
     def test_between_cells_the_first_crash_is_known(self, world):
         gateway = world.gateway("g1")
         gateway.store.has_several_cells = lambda: True
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -40,6 +40,7 @@
 from pimentolink.suspects import SuspectTracker
 from pimentolink.targetestimate import EngineRole, Target, TargetEstimate
 from pimentolink.timers import ManualTimers, Repeater, pause, with_timeout
+from pimentolink.traits import traits_of
 from tools.enginemodel import EngineFigures, ModelEngine
 
 LOADS = Path(__file__).parent.parent / "tests" / "loads"
@@ -497,7 +498,10 @@
         except Failure as failure:
             if not failure.ran or not self._replay.load.resumes:
                 raise
-        return await self._serve_once(request, request_id, kind, due_at)
+            return await self._serve_once(request, request_id, kind, due_at)
+        finally:
+            now = self._replay.timers.now()
+            self.crashes.request_ended(_make_caller_request(request, request_id, now))
 
     async def _serve_once(
         self, request: Request, request_id: str, kind: Kind, due_at: float
@@ -542,7 +546,7 @@
             request, request_id, decode_engine, engine.write(kind.output - 1)
         )
         self.crashes.request_succeeded(
-            _make_caller_request(request, request_id, first_token_at)
+            _make_caller_request(request, request_id, first_token_at), decode_engine
         )
         return first_token_at
 
@@ -608,7 +612,14 @@
     """Build the part of a caller's request that crash tracking needs."""
     http = HttpRequest(b"POST", b"/", ())
     return CallerRequest(
-        request_id, http, "", "/", now, None, fingerprint=request.fingerprint
+        request_id,
+        http,
+        "",
+        "/",
+        now,
+        None,
+        fingerprint=request.fingerprint,
+        traits=traits_of(SERVICE, request.parts),
     )
 
 
