--- a/pimentolink/eventstream.py
+++ b/pimentolink/eventstream.py
@@ -5,12 +5,22 @@
 import re
 from typing import NamedTuple
 
+from pimentolink.errors import ReplyInvalid
+
 # The end of a line and the empty line after it. A CR that may be the first half of a
 # CRLF is waited for, so that events do not depend on how the stream is split.
 # :source: WHATWG HTML, section 9.2.5, allows LF, CRLF and CR.
 _EVENT_END = re.compile(rb"\n\n|\r\r|\n\r\n|\n\r(?=[^\n])")
+# Bytes of the longest match, before which no event can end in what was searched before.
+_MAX_EVENT_END = 3
 _LINE_ENDS = b"\r\n"
+_ONLY_LINE_ENDS = re.compile(rb"[\r\n]*\Z")
 _ID_FIELD = b"id:"
+_DATA_FIELD = b"data"
+# Largest number of bytes, and of events, without an event that has an id or data.
+# Comments keep a stream alive, but one that has nothing else is no response.
+MAX_IDLE_BYTES = 1_000_000
+MAX_IDLE_EVENTS = 1_000
 
 
 class Event(NamedTuple):
@@ -38,7 +48,9 @@
 
     def __init__(self) -> None:
         """Create a splitter with an empty buffer."""
-        self._pending = b""
+        self._pending = bytearray()
+        self._idle_bytes = 0
+        self._idle_events = 0
         self.has_event = False
 
     def feed(self, data: bytes) -> list[Event]:
@@ -46,25 +58,39 @@
         Add the next bytes of the stream.
 
         :returns: the events that these bytes complete.
+        :raises ReplyInvalid: if too many bytes or events came without an event that has
+            an id or data.
         """
-        received = self._pending + data
+        searched = max(0, len(self._pending) - _MAX_EVENT_END)
+        self._pending += data
+        self._idle_bytes += len(data)
         events = []
         start = 0
-        for match in _EVENT_END.finditer(received):
-            piece = received[start : match.end()]
-            events.append(Event(piece, _event_id(piece)))
+        ends = [match.end() for match in _EVENT_END.finditer(self._pending, searched)]
+        for end in ends:
+            piece = bytes(self._pending[start:end])
+            event = Event(piece, _event_id(piece))
+            events.append(event)
             self.has_event = self.has_event or bool(piece.strip(_LINE_ENDS))
-            start = match.end()
-        self._pending = received[start:]
-        if self._pending and not self._pending.strip(_LINE_ENDS):
+            self._idle_events += 1
+            if event.event_id is not None or _DATA_FIELD in piece:
+                self._idle_bytes = len(self._pending) - end
+                self._idle_events = 0
+            elif self._idle_events > MAX_IDLE_EVENTS:
+                raise ReplyInvalid(f"{self._idle_events} events without data")
+            start = end
+        del self._pending[:start]
+        if self._idle_bytes > MAX_IDLE_BYTES:
+            raise ReplyInvalid(f"no event with data in {self._idle_bytes} bytes")
+        if self._pending and _ONLY_LINE_ENDS.match(self._pending):
             # Empty lines between events belong to none of them.
-            events.append(Event(self._pending, None))
-            self._pending = b""
+            events.append(Event(bytes(self._pending), None))
+            self._pending.clear()
         return events
 
     def rest(self) -> bytes:
         """Return the buffered bytes of an incomplete event."""
-        return self._pending
+        return bytes(self._pending)
 
 
 def _event_id(piece: bytes) -> bytes | None:
--- a/pimentolink/targethttp.py
+++ b/pimentolink/targethttp.py
@@ -37,6 +37,11 @@
 # Share of a target's announced idle timeout during which an idle connection is still
 # used; the rest covers network latency and an event loop that runs late.
 IDLE_TIMEOUT_SHARE = 0.8
+# Largest number of informational responses (100 to 199), and of responses to other
+# requests, before the response to a request.
+MAX_PRECEDING_RESPONSES = 16
+# Largest number of bytes in the bodies of responses to other requests.
+MAX_DISCARDED_BYTES = 1_000_000
 # Seconds for which the loss of an old connection is remembered rather than that of a
 # newer one.
 LOST_CONNECTION_TTL = 2.0
@@ -88,6 +93,8 @@
         self._reader: Deferred[bytes | None] | None = None
         self._failure: ConnectionBroken | ReplyInvalid | None = None
         self._has_ended = False
+        self._preceding_responses = 0
+        self._discarded_bytes = 0
         self.is_open = False
         self.is_reusable = False
         self.is_lost = False
@@ -121,6 +128,8 @@
         self.exchange_count += 1
         self.last_request_id = request_id
         self._has_ended = False
+        self._preceding_responses = 0
+        self._discarded_bytes = 0
         self._request = request
         self._accepts = accepts
         self._chunks.clear()
@@ -217,19 +226,39 @@
         self._feed_reader()
 
     def _handle_event(self, event: Any) -> None:
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._count_preceding()
+        elif isinstance(event, h11.Response):
             head = ReplyHead(event.status_code, tuple(event.headers.raw_items()))
             self._is_discarding = not self._accepts(head)
-            if not self._is_discarding:
+            if self._is_discarding:
+                self._count_preceding()
+            else:
                 self._handle_head(head)
         elif isinstance(event, h11.Data):
-            if not self._is_discarding:
+            if self._is_discarding:
+                self._count_discarded(len(event.data))
+            else:
                 self._chunks.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._handle_end()
         elif isinstance(event, h11.ConnectionClosed):
             self._parser = None
 
+    def _count_preceding(self) -> None:
+        """Count a response before the awaited one; close the connection at too many."""
+        self._preceding_responses += 1
+        if self._preceding_responses > MAX_PRECEDING_RESPONSES:
+            self._fail(ReplyInvalid(f"{self._preceding_responses} other responses"))
+            self.abort()
+
+    def _count_discarded(self, size: int) -> None:
+        """Count bytes of other responses; close the connection at too many."""
+        self._discarded_bytes += size
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._fail(ReplyInvalid(f"{self._discarded_bytes} bytes of others"))
+            self.abort()
+
     def _handle_head(self, head: ReplyHead) -> None:
         pending, self._head = self._head, None
         self._set_idle_limit(head)
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -21,6 +21,22 @@
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"Pimentolink-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )
+# What a target in trouble begins to write, and what it then repeats without end. The
+# first line of each beginning is followed by headers that name the request.
+ENDLESS_WRITES = {
+    "head": ("HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"),
+    "continue": ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    "body": ("HTTP/1.1 200 OK\r\n{}\r\n", "x" * 64),
+    "event": ("HTTP/1.1 200 OK\r\n{}\r\nid: 1\ndata: ", "x" * 64),
+    "comments": ("HTTP/1.1 200 OK\r\n{}\r\n", ": ping\n\n"),
+    "chunks": (
+        "HTTP/1.1 200 OK\r\n{}Transfer-Encoding: chunked\r\n\r\n",
+        "8\r\n: ping\n\n\r\n",
+    ),
+}
+# Bytes of each write without end, and seconds between them.
+ENDLESS_WRITE_SIZE = 65_536
+ENDLESS_WRITE_INTERVAL = 0.001
 # Seconds from the start of a fatal run until the process exits.
 CRASH_DELAY = 0.03
 
@@ -51,7 +67,8 @@
     ``wrong_id`` responds with another request's id; ``silent`` accepts requests and
     never responds; ``fatal`` ends the process when it starts to run a request with that
     body, before the response is complete; ``fatal_part`` does so for a request with
-    that part in its prompt. ``reject_share``, ``reset_share`` and
+    that part in its prompt; ``endless`` names what of :data:`ENDLESS_WRITES` is written
+    instead of a response. ``reject_share``, ``reset_share`` and
     ``break_share`` are the shares of requests that are rejected, of those whose
     connection is reset on arrival, and of streams that are reset after one event.
     ``truncate_share`` is the share of streams whose connection is closed within the
@@ -83,6 +100,7 @@
             "silent": False,
             "fatal": options.fatal,
             "fatal_part": options.fatal_part,
+            "endless": "",
             "reject_share": 0.0,
             "reset_share": 0.0,
             "break_share": 0.0,
@@ -175,6 +193,8 @@
             self._misdirect(request, request_id)
         elif self.faults["silent"]:
             self._log("ignore", request_id)
+        elif self.faults["endless"]:
+            self._write_without_end(request, request_id)
         elif self._occurs("reset_share"):
             self._log("reset", request_id)
             request.transport.abortConnection()  # type: ignore[union-attr]
@@ -195,6 +215,25 @@
         else:
             self._run_call(request, request_id)
 
+    def _write_without_end(self, request: Request, request_id: str) -> None:
+        """Write what is no response until the connection is closed."""
+        transport: Any = request.transport
+        begin, repeated = ENDLESS_WRITES[self.faults["endless"]]
+        headers = f"{REQUEST_ID_HEADER}: {request_id}\r\n"
+        headers += f"Pimentolink-Response-Signature: signed-{request_id}\r\n"
+        transport.write(begin.format(headers).encode())
+        data = repeated.encode() * (ENDLESS_WRITE_SIZE // len(repeated))
+
+        def write() -> None:
+            if not transport.connected:
+                self._log("cut_off", request_id, after=time.time() - began_at)
+                return
+            transport.write(data)
+            reactor.callLater(ENDLESS_WRITE_INTERVAL, write)
+
+        began_at = time.time()
+        write()
+
     def _occurs(self, fault: str) -> bool:
         """Draw whether a fault affects the next request."""
         return bool(self.faults[fault]) and self.random.random() < self.faults[fault]
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -1,10 +1,18 @@
 """Event streams in any segmentation."""
 
+import time
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pimentolink.eventstream import EventSplitter, is_after
+from pimentolink.errors import ReplyInvalid
+from pimentolink.eventstream import (
+    MAX_IDLE_BYTES,
+    MAX_IDLE_EVENTS,
+    EventSplitter,
+    is_after,
+)
 from tests.gatewaybuilders import make_event, split_at
 
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
@@ -33,6 +41,42 @@
     assert splitter.rest() == b""
 
 
+class TestEndlessStreams:
+    """
+    A target in trouble writes bytes that are no response until it is cut off.
+
+    Its stream held a whole core until the route's timeout, and responses to others came
+    up to 0.8 s late: all that was buffered was joined and searched again at each read.
+    """
+
+    @pytest.mark.parametrize("piece", [b"x" * 4096, b": ping\n\n" * 512, b"\n" * 4096])
+    def test_without_data_ends_in_a_failure(self, piece):
+        splitter = EventSplitter()
+        with pytest.raises(ReplyInvalid, match="with(out)? data"):
+            for _ in range(2 + MAX_IDLE_BYTES // len(piece)):
+                splitter.feed(piece)
+        assert len(splitter.rest()) <= MAX_IDLE_BYTES + len(piece)
+
+    def test_comments_between_events_are_no_reason_to_end(self):
+        splitter = EventSplitter()
+        comments = b": ping\n\n" * (MAX_IDLE_EVENTS - 1)
+        for number in range(4):
+            splitter.feed(comments)
+            splitter.feed(b"id: %d\n\n" % number)
+
+    def test_event_without_an_end_is_searched_once(self):
+        # Otherwise small pieces would take hundreds of times as long as large ones.
+        def time_pieces(size):
+            splitter = EventSplitter()
+            began_at = time.process_time()
+            for _ in range(900_000 // size):
+                splitter.feed(b"x" * size)
+            return time.process_time() - began_at
+
+        few = min(time_pieces(90_000) for _ in range(3))
+        assert min(time_pieces(900) for _ in range(3)) < 20 * few + 0.02
+
+
 class TestLineEnds:
     def test_each_event_is_complete_with_its_empty_line(self):
         splitter = EventSplitter()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests a gateway process against stand-ins of the users' platform."""
 
+import http.client
 import json
 import signal
 import threading
@@ -9,6 +10,7 @@
 import pytest
 
 from pimentolink.gatewaysettings import StoreSettings
+from standins.platform_engine import ENDLESS_WRITES
 from tools.fleet import call, wait_until
 from tools.platformworld import HOST, PlatformWorld
 
@@ -16,6 +18,8 @@
 ADOPTION_LIMIT = 2.0
 # Seconds after a start within which a gateway must serve, if the store answers reads.
 RECOVERY_LIMIT = 12.0
+# Seconds that the configured routes state.
+ROUTE_TIMEOUT, LATENCY_TARGET = 3.0, 0.8
 # Seconds after SIGTERM within which a gateway must have begun to stop.
 STOP_LIMIT = 4.0
 
@@ -113,6 +117,41 @@
         assert b'pimentolink_answered_total{kind="read"} 1.0' in call(url).body
 
 
+class TestEndlessResponses:
+    """
+    A target in trouble writes bytes that are no response until it is cut off.
+
+    Until the route's timeout it had a whole core of the gateway, and responses to
+    other requests came up to 0.8 s late.
+    """
+
+    @pytest.mark.parametrize(
+        "name, kind",
+        [("reader", "body"), *(("writer", kind) for kind in sorted(ENDLESS_WRITES))],
+    )
+    def test_are_cut_off_long_before_the_timeout(self, world, name, kind):
+        world.fault(name, endless=kind)
+        is_over = threading.Event()
+        durations = []
+
+        def ask_others():
+            while not is_over.is_set():
+                began_at = time.monotonic()
+                assert world.request("/read/x")[0].status == 200
+                durations.append(time.monotonic() - began_at)
+
+        with ThreadPoolExecutor(1) as executor:
+            asking = executor.submit(ask_others)
+            with pytest.raises((OSError, http.client.HTTPException, AssertionError)):
+                assert world.generate("/resume/x")[0].status == 200
+            is_over.set()
+            asking.result()
+        assert max(durations) < LATENCY_TARGET
+        cut_off = world.log_lines(name, event="cut_off")
+        assert cut_off
+        assert max(line["after"] for line in cut_off) < ROUTE_TIMEOUT / 2
+
+
 class TestFailures:
     def test_idempotent_call_is_repeated_elsewhere(self, world):
         earn_retry_credit(world)
--- a/tests/test_targethttp.py
+++ b/tests/test_targethttp.py
@@ -11,7 +11,12 @@
 from pimentolink.errors import ConnectionBroken, ConnectionsExhausted, ReplyInvalid
 from pimentolink.gatewaysettings import ConnectionSettings
 from pimentolink.httptypes import HttpRequest
-from pimentolink.targethttp import ConnectionPool, TargetConnection
+from pimentolink.targethttp import (
+    MAX_DISCARDED_BYTES,
+    MAX_PRECEDING_RESPONSES,
+    ConnectionPool,
+    TargetConnection,
+)
 from pimentolink.timers import ManualTimers
 from tests.gatewaybuilders import SocketTransport, split_at
 
@@ -206,3 +211,34 @@
         failure = acquire(pool)
         assert failure.check(ConnectionsExhausted)
         assert str(failure.value) == str(ConnectionsExhausted("1 connections are open"))
+
+
+class TestEndlessResponses:
+    """A target in trouble writes until it is cut off."""
+
+    @pytest.mark.parametrize(
+        "response",
+        [b"HTTP/1.1 100 Continue\r\n\r\n", encode_reply("length", [], b"old")],
+    )
+    def test_before_the_awaited_one_end_the_exchange(self, response):
+        exchange = Exchange()
+        exchange.receive(response * MAX_PRECEDING_RESPONSES)
+        assert exchange.outcome is None
+        exchange.receive(response)
+        assert isinstance(exchange.outcome, ReplyInvalid)
+        assert not exchange.connection.is_open
+
+    def test_to_another_request_end_the_exchange(self):
+        exchange = Exchange()
+        exchange.receive(HEAD % b"old" + b"\r\n")
+        for _ in range(MAX_DISCARDED_BYTES // 50_000):
+            exchange.receive(b"x" * 50_000)
+        assert exchange.outcome is None
+        exchange.receive(b"x")
+        assert isinstance(exchange.outcome, ReplyInvalid)
+
+    def test_some_that_precede_the_awaited_one_are_passed_over(self):
+        exchange = Exchange()
+        exchange.receive(b"HTTP/1.1 100 Continue\r\n\r\n" * MAX_PRECEDING_RESPONSES)
+        exchange.receive(encode_reply("length", [b"body"]))
+        assert exchange.outcome == b"body"
