--- a/tests/soak.py
+++ b/tests/soak.py
@@ -34,6 +34,8 @@
 # two requests with it.
 FATAL_BODY = "fatal"
 FATAL_INTERVAL = 0.4
+# A part of a prompt that crashes each engine that starts to run it.
+FATAL_PART = "ee01"
 # Crashes after which the request counts as fatal, seconds until all gateways that reach
 # the store know this, and how many more runs and prefills it may cause from then on.
 CRASHES_UNTIL_KNOWN = 3
@@ -179,24 +181,29 @@
         """Return the body of the next request."""
         return "x"
 
+    def parts(self) -> str:
+        """Return the parts of the next request's prompt."""
+        return PARTS
+
     def _exchange(self, kind: str, name: str) -> tuple[int, bool, bytes]:
         if self.connection is None:
             gateway = self.random.choice(self.world.gateways)
             host, _, port = self.world.fleet.address(gateway).rpartition(":")
             self.connection = socket.create_connection((host, int(port)), timeout=4.0)
+        body = self.body()
         lines = [
             f"POST /{kind}/x HTTP/1.1",
             f"Host: {HOST}",
             f"Pimentolink-Request-Id: {name}",
             "Pimentolink-Deadline-Ms: 3000",
-            f"Content-Length: {len(self.body())}",
+            f"Content-Length: {len(body)}",
         ]
         if kind in ("resume", "stream"):
             lines += [
-                f"Pimentolink-Prompt-Prefix: {PARTS}",
+                f"Pimentolink-Prompt-Prefix: {self.parts()}",
                 "Pimentolink-Token-Counts: 1200,50",
             ]
-        self.connection.sendall("\r\n".join([*lines, "", self.body()]).encode())
+        self.connection.sendall("\r\n".join([*lines, "", body]).encode())
         return self._read()
 
     def _read(self) -> tuple[int, bool, bytes]:
@@ -217,7 +224,13 @@
 
 
 class FatalCaller(Caller):
-    """Repeats a request that crashes engines, at a random gateway each time."""
+    """
+    Repeats a request that crashes engines, at a random gateway each time.
+
+    :cvar crashes_until_known: crashes after which gateways must know the request.
+    """
+
+    crashes_until_known = CRASHES_UNTIL_KNOWN
 
     def run(self) -> None:
         while not self.is_stopped.is_set():
@@ -230,15 +243,17 @@
 
 
 def fatal_request_problems(
-    client_requests: list[ClientRequest], target_events: list[TargetEvent]
+    client_requests: list[ClientRequest],
+    target_events: list[TargetEvent],
+    crashes_until_known: int = CRASHES_UNTIL_KNOWN,
 ) -> list[str]:
-    """Check that a fatal request is not sent to targets once it is known."""
+    """Check that fatal requests are not sent to targets once they are known."""
     names = {request.name for request in client_requests}
     sent = [event for event in target_events if event.name in names]
     crashes = sorted(event.at for event in sent if event.event == "crash")
-    if len(crashes) < CRASHES_UNTIL_KNOWN:
+    if len(crashes) < crashes_until_known:
         return []
-    known_at = crashes[CRASHES_UNTIL_KNOWN - 1] + SECONDS_UNTIL_KNOWN
+    known_at = crashes[crashes_until_known - 1] + SECONDS_UNTIL_KNOWN
     late = [item for item in sent if item.event != "crash" and item.at > known_at]
     if len(late) <= MAX_EVENTS_ONCE_KNOWN:
         return []
@@ -296,7 +311,8 @@
             "--gap=0.02",
             f"--pieces={EVENTS_PER_STREAM}",
         ]
-        arguments += [f"--fatal={FATAL_BODY}"] + ([f"--phase={phase}"] if phase else [])
+        arguments += [f"--fatal={FATAL_BODY}", f"--fatal-part={FATAL_PART}"]
+        arguments += [f"--phase={phase}"] if phase else []
         self.fleet.start(name, "standins.platform_engine", *arguments)
         self.fleet.settle()
         self.start_time_by_name[name] = self.born(name)
@@ -543,6 +559,8 @@
     seed: int,
     keep: Path | None = None,
     faults_type: type[Faults] = StreamEndFaults,
+    caller_type: type[Caller] = Caller,
+    fatal_type: type[FatalCaller] = FatalCaller,
 ) -> list[str]:
     """
     Run the soak with one seed; return the problems found.
@@ -552,8 +570,8 @@
     with Fleet() as fleet:
         world = SoakWorld(fleet)
         world.start()
-        callers = [Caller(world, seed * 100 + number) for number in range(CALLERS)]
-        fatal = FatalCaller(world, seed)
+        callers = [caller_type(world, seed * 100 + number) for number in range(CALLERS)]
+        fatal = fatal_type(world, seed)
         for caller in (*callers, fatal):
             caller.start()
         faults = faults_type(world, seed)
@@ -572,7 +590,9 @@
         ]
         target_events = world.target_events()
         found += problems(client_requests, target_events, world.drained_at)
-        found += fatal_request_problems(fatal.client_requests, target_events)
+        found += fatal_request_problems(
+            fatal.client_requests, target_events, fatal.crashes_until_known
+        )
         found += fleet.faults()
         statuses = sorted({request.status for request in client_requests})
         print(
