--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tools.replay import LOADS, POLICIES, read_load, replay
+from tools.replay import LOADS, POLICIES, Crowd, read_load, replay
 
 LOAD_NAMES = sorted(path.stem for path in LOADS.glob("*.json"))
 SEEDS = range(1, 9)
@@ -105,6 +105,29 @@
         assert 0 <= replay(load, policy).worth <= 1
 
 
+class TestCrowds:
+    """
+    Load pattern: for some seconds all new connections go to one gateway.
+
+    Some engines are lost meanwhile, so that the gateway has to learn of each by itself.
+    """
+
+    # Of the share of requests that are answered at the first attempt without a crowd.
+    LEAST_SHARE = 0.75
+
+    @pytest.mark.parametrize(
+        "name, begins", [("bursts", 8.0), ("crashes/herd-lost", 8.0)]
+    )
+    def test_one_gateway_answers_nearly_as_many(self, name, begins):
+        load, ends = read_load(name), begins + 6.0
+        fields = _fields(load) | {"crowds": [Crowd(begins, ends)]}
+        crowded = replay(type(load)(**fields), "current").at_once
+        usual = replay_load(name, "current").at_once
+        seconds = range(int(begins) + 3, int(ends))
+        found = sum(crowded[second] for second in seconds)
+        assert found >= self.LEAST_SHARE * sum(usual[second] for second in seconds)
+
+
 class TestFatalRequests:
     """Loads with requests that crash each engine that starts to decode them."""
 
@@ -113,6 +136,12 @@
         assert found.crashed <= 4
         assert gain("crashes/one-fatal-request", "nothing suspected") > 0.3
 
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_part_that_they_share_takes_few_engines(self, seed):
+        found = replay_load("crashes/fatal-part", "current", seed)
+        assert found.crashed <= 5
+        assert found.mistaken <= 1 / 100
+
     def test_ten_of_them_take_less_than_without_suspicion(self):
         found = replay_load("crashes/ten-fatal-requests", "current")
         assert found.crashed <= 30
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -18,7 +19,12 @@
 from pimentolink.crashreports import CrashReports
 from pimentolink.dialect import CallerRequest, PromptPart
 from pimentolink.egressqueue import EgressQueue
-from pimentolink.errors import DEFAULT_RETRY_AFTER, Failure, Quarantined
+from pimentolink.errors import (
+    DEFAULT_RETRY_AFTER,
+    Failure,
+    NotListening,
+    Quarantined,
+)
 from pimentolink.fleet import Fleet
 from pimentolink.gatewaydelay import GatewayDelay
 from pimentolink.gatewaysettings import EjectionSettings, PlacementSettings
@@ -133,6 +139,8 @@
     :ivar ends: seconds from the start.
     :ivar every: mean seconds between two attempts of the same request.
     :ivar returns: seconds after its crash until an engine restarts.
+    :ivar part: id of a part that crashes engines. Each attempt then is a request of its
+        own, below a first part that harmless requests have as well.
     """
 
     kind: str
@@ -141,6 +149,19 @@
     ends: float
     every: float
     returns: float
+    part: int = 0
+
+
+class Crowd(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """
+    A time in which all new connections go to one gateway.
+
+    :ivar begins: seconds from the start.
+    :ivar ends: seconds from the start.
+    """
+
+    begins: float
+    ends: float
 
 
 class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -156,6 +177,7 @@
     :ivar links: megabits a second of the gateways' links, assigned round robin; 0 is
         unlimited.
     :ivar news_lost: share of the messages between gateways that are lost.
+    :ivar crowds: times in which the first attempts of all callers go to one gateway.
     """
 
     why: str
@@ -171,6 +193,11 @@
     resumes: bool = False
     links: tuple[float, ...] = (0.0,)
     news_lost: float = 0.0
+    crowds: list[Crowd] = []
+
+    def is_crowded(self, at: float) -> bool:
+        """Tell whether all new connections go to one gateway."""
+        return any(crowd.begins <= at < crowd.ends for crowd in self.crowds)
 
 
 class Request(NamedTuple):
@@ -208,6 +235,8 @@
     :ivar crashed: engine crashes caused by requests.
     :ivar mistaken: share of requests that crash no engine but were quarantined at
         least once.
+    :ivar at_once: share of the requests that were answered at the first attempt, by
+        the second in which they came.
     """
 
     worth: float
@@ -218,6 +247,7 @@
     reread: int
     crashed: int
     mistaken: float
+    at_once: dict[int, float]
 
 
 def generate_requests(load: Load, seed: int) -> list[Request]:
@@ -232,7 +262,7 @@
             own = max(1, int(kind.own * random.lognormvariate(-0.125, 0.5)))
             number = len(requests) + 1
             parts = (
-                PromptPart((kind_number + 1) * 1_000_000 + topic, kind.shared),
+                PromptPart(_topic_part_id(load, name, topic), kind.shared),
                 PromptPart(10_000_000 + number, own),
             )
             size = scale.value(name, kind.shared + own, kind.output)
@@ -251,10 +281,18 @@
         kind = load.kinds[fatal.kind]
         for index in range(fatal.requests):
             number = -1 - 1000 * pattern - index
-            parts = (PromptPart(20_000_000 - number, kind.own),)
+            parts: tuple[PromptPart, ...] = (PromptPart(20_000_000 - number, kind.own),)
             fingerprint = f"{'f' * 16}{-number:016x}"
             at = fatal.begins + random.uniform(0.0, fatal.every)
             while at < fatal.ends:
+                if fatal.part:
+                    number -= 1
+                    fingerprint = f"{'f' * 16}{-number:016x}"
+                    parts = (
+                        PromptPart(_topic_part_id(load, fatal.kind, 0), kind.shared),
+                        PromptPart(fatal.part, kind.own // 2),
+                        PromptPart(20_000_000 - number, kind.own),
+                    )
                 requests.append(
                     Request(
                         fatal.kind,
@@ -270,6 +308,11 @@
     return requests
 
 
+def _topic_part_id(load: Load, kind: str, topic: int) -> int:
+    """Return the id of the first part of the prompts on a topic."""
+    return (list(load.kinds).index(kind) + 1) * 1_000_000 + topic
+
+
 def _rate_multiplier(load: Load, kind: str, at: float) -> float:
     multipliers = [
         burst.times
@@ -459,13 +502,17 @@
             await self.crashes.admit(caller_request)
 
     def _report_interruption(
-        self, request: Request, request_id: str, estimate: TargetEstimate
+        self,
+        request: Request,
+        request_id: str,
+        estimate: TargetEstimate,
+        began_at: float,
     ) -> None:
         """Report an interrupted request, and a crash if its engine has crashed."""
         caller_request = _make_caller_request(
             request, request_id, self._replay.timers.now()
         )
-        self.crashes.cut_off(caller_request, estimate)
+        self.crashes.cut_off(caller_request, estimate, began_at=began_at)
         engine = self._replay.engine(estimate)
         if engine.is_lost:
             self.crashes.target_ended(estimate.target, "nothing listens")
@@ -564,15 +611,20 @@
     async def _hand_over(
         self, request: Request, request_id: str, prefill_engine: TargetEstimate
     ) -> TargetEstimate:
-        now = self._replay.timers.now()
         near = prefill_engine.target.data_centre
-        decode_engine = self.placer.choose_decode_engine(SERVICE, near, now)
-        if decode_engine is None:
-            raise Failure("no engine writes")
-        fetching = self._replay.engine(decode_engine).fetch(request.parts)
-        await self._run_on_engine(request, request_id, decode_engine, fetching)
-        decode_engine.fetched(request.parts)
-        return decode_engine
+        while True:
+            now = self._replay.timers.now()
+            decode_engine = self.placer.choose_decode_engine(SERVICE, near, now)
+            if decode_engine is None:
+                raise Failure("no engine writes")
+            fetching = self._replay.engine(decode_engine).fetch(request.parts)
+            try:
+                await self._run_on_engine(request, request_id, decode_engine, fetching)
+            except NotListening:
+                # The KV cache is still there for the next engine.
+                continue
+            decode_engine.fetched(request.parts)
+            return decode_engine
 
     async def _run_on_engine(
         self,
@@ -582,12 +634,16 @@
         work: Awaitable[None],
     ) -> None:
         estimate.in_flight += 1
+        began_at = self._replay.timers.now()
         try:
             await work
         except Failure as failure:
-            self.fleet.failed(estimate, self._replay.timers.now())
+            now = self._replay.timers.now()
+            self.fleet.failed(estimate, now)
+            if isinstance(failure, NotListening):
+                estimate.record_refused_connection(now)
             if failure.ran:
-                self._report_interruption(request, request_id, estimate)
+                self._report_interruption(request, request_id, estimate, began_at)
             raise
         finally:
             estimate.in_flight -= 1
@@ -655,6 +711,7 @@
         self._wrongly_quarantined: set[int] = set()
         self._first_token_at: dict[int, float] = {}
         self._failures: dict[int, Failure] = {}
+        self._answered_at_once: set[int] = set()
 
     def engine(self, estimate: TargetEstimate) -> ModelEngine:
         """Return the engine that a gateway's estimate refers to."""
@@ -734,6 +791,8 @@
         for tries_left in (1, 0):
             time_left = due_at - self.timers.now()
             gateway = self._random.choice(self._gateways)
+            if tries_left and self.load.is_crowded(request.at):
+                gateway = self._gateways[0]
             serving = gateway.serve(request, kind, due_at)
             try:
                 first_token_at = await with_timeout(self.timers, time_left, serving)
@@ -750,6 +809,8 @@
                     await pause(self.timers, min(retry_delay, time_left / 3))
             else:
                 self._first_token_at[request.number] = first_token_at
+                if tries_left:
+                    self._answered_at_once.add(request.number)
                 return
 
     def _figures(self) -> Figures:
@@ -779,7 +840,17 @@
             reread=self._repeated_prefill_tokens(),
             crashed=self._crashed,
             mistaken=len(self._wrongly_quarantined) / len(self._requests),
+            at_once=self._share_at_once(),
+        )
+
+    def _share_at_once(self) -> dict[int, float]:
+        counts = Counter(int(request.at) for request in self._requests)
+        answered = Counter(
+            int(request.at)
+            for request in self._requests
+            if request.number in self._answered_at_once
         )
+        return {second: answered[second] / count for second, count in counts.items()}
 
     def _earned_value(self, request: Request, kind: Kind) -> float:
         first_token_at = self._first_token_at.get(request.number)
