--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	$(BIN)/python -m tests.soak_retries --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_configuration --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_refusals --seeds $(SEEDS) --first $(FIRST)
+	$(BIN)/python -m tests.soak_parts --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_fullstop --seeds $(SEEDS) --first $(FIRST)
 	$(BIN)/python -m tests.soak_claims --seeds $(SEEDS) --first $(FIRST)
 
