--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -267,6 +267,8 @@
                 for fingerprint in recorded
                 if self._suspects.is_blamed(fingerprint, target) is is_trial
             ]
+            if is_trial:
+                fingerprints = self._suspects.with_tested(target, fingerprints)
             depths = self._suspects.depths(target, fingerprints)
             for message in crash_messages(target, fingerprints, is_trial, depths):
                 self._publisher.broadcast(message)
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -721,12 +721,22 @@
         for trait, target in self.traits.unstored(min_crashes, now):
             crash = (target, self.traits.is_blamed(trait, target))
             listed.setdefault(crash, []).append(trait)
-        return [
-            UnstoredCrash(
-                target, fingerprints, is_trial, self.depths(target, fingerprints)
-            )
-            for (target, is_trial), fingerprints in listed.items()
-        ]
+        found = []
+        for (target, is_trial), names in listed.items():
+            fingerprints = self.with_tested(target, names) if is_trial else names
+            depths = self.depths(target, fingerprints)
+            found.append(UnstoredCrash(target, fingerprints, is_trial, depths))
+        return found
+
+    def with_tested(self, target: int, fingerprints: Sequence[str]) -> list[str]:
+        """
+        Complete what was tried at a target by all traits that were tested there.
+
+        Other gateways would take a part of a test for another test.
+        """
+        if not any(map(is_trait, fingerprints)):
+            return [*fingerprints]
+        return [*dict.fromkeys([*fingerprints, *self.traits.tested_at(target)])]
 
     def depths(self, target: int, fingerprints: Iterable[str]) -> list[int]:
         """Return the depth of a crash for each trait, and 1 for requests."""
--- a/pimentolink/traitcrashes.py
+++ b/pimentolink/traitcrashes.py
@@ -210,6 +210,10 @@
         history = self._get(trait)
         return history is not None and target in history.tested_by_target
 
+    def tested_at(self, target: int) -> list[str]:
+        """List the traits of which one is to blame for a crash during a test."""
+        return sorted(self._tested_by_target.get(target, ()))
+
     def suspects_among(self, traits: Iterable[str], now: float) -> list[str]:
         """List those of some traits that are suspects."""
         return [trait for trait in traits if self.is_suspect(trait, now)]
--- a/tests/test_suspectstore.py
+++ b/tests/test_suspectstore.py
@@ -25,7 +25,7 @@
 from tests.jsonvalues import DOCUMENTS
 
 FATAL, OTHER = "f" * 32, "0" * 32
-TRAIT = "p" + "e" * 32
+TRAIT, OTHER_TRAIT = "p" + "e" * 32, "p" + "d" * 32
 
 
 class Gateway:
@@ -135,6 +135,22 @@
         wait = later.suspects.remaining_quarantine(TRAIT, now)
         assert wait >= FAILED_TRAIT_QUARANTINE
 
+    def test_test_is_stored_as_a_whole(self, world):
+        """One trait of it would be blamed alone by those that read a part."""
+        gateway = world.gateway("g1")
+        tested = [TRAIT, OTHER_TRAIT]
+        for target in (1, 2, 3, 4):
+            gateway.receive_crash(target, *tested, depth=target)
+        gateway.reports.receive(TargetCrashed(4, tested, True), "peer")
+        world.timers.advance(RELAYED_WRITE_DELAY + RELAYED_WRITE_JITTER)
+        gateway.receive_crash(4, TRAIT, depth=5)
+        gateway.receive_crash(5, OTHER)
+        world.timers.advance(RELAYED_WRITE_DELAY + RELAYED_WRITE_JITTER)
+        later = world.gateway("g2")
+        later.read_documents()
+        for name in tested:
+            assert later.suspects.is_blamed(name, 4)
+
     def test_between_cells_the_first_crash_is_known(self, world):
         gateway = world.gateway("g1")
         gateway.store.has_several_cells = lambda: True
