--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -320,16 +320,17 @@
         self, target: int, broken: Mapping[str, _BrokenExchange], now: float
     ) -> list[str]:
         """Count a crash against what was in flight at a target of this gateway."""
-        found = []
-        for name, exchange in broken.items():
-            if is_trait(name):
-                depth = self.traits.depth(name, exchange.began_at)
-                crash = TraitCrash(depth, exchange.at)
-                is_new = self.traits.record(name, target, crash, now)
-            else:
-                is_new = self._record_crash(name, target, now, exchange.is_trial)
-            if is_new:
-                found.append(name)
+        found = [
+            name
+            for name, exchange in broken.items()
+            if self._record_one(
+                name,
+                target,
+                TraitCrash(self.traits.depth(name, exchange.began_at), exchange.at),
+                now,
+                exchange.is_trial,
+            )
+        ]
         tried = [name for name, exchange in broken.items() if exchange.is_trial]
         return [*dict.fromkeys(found + self._record_failed_test(target, tried, now))]
 
@@ -353,18 +354,22 @@
             :class:`TraitCrash`.
         :returns: fingerprints of those against which it did not count before.
         """
-        found = []
-        for name, depth in zip(fingerprints, chain(depths, repeat(1)), strict=False):
-            if is_trait(name):
-                crash = TraitCrash(depth, now)
-                is_new = self.traits.record(name, target, crash, now)
-            else:
-                is_new = self._record_crash(name, target, now, is_trial)
-            if is_new:
-                found.append(name)
+        found = [
+            name
+            for name, depth in zip(fingerprints, chain(depths, repeat(1)), strict=False)
+            if self._record_one(name, target, TraitCrash(depth, now), now, is_trial)
+        ]
         tried = fingerprints if is_trial else ()
         return [*dict.fromkeys(found + self._record_failed_test(target, tried, now))]
 
+    def _record_one(
+        self, name: str, target: int, crash: TraitCrash, now: float, is_trial: bool
+    ) -> bool:
+        """Count a crash against a request or a trait; tell whether it is new."""
+        if is_trait(name):
+            return self.traits.record(name, target, crash, now)
+        return self._record_crash(name, target, now, is_trial)
+
     def _record_failed_test(
         self, target: int, tried: Iterable[str], now: float
     ) -> list[str]:
@@ -577,8 +582,9 @@
 
     def trial_sent(self, request_id: str) -> None:
         """Record that an own trial was sent, so that no other can supersede it."""
-        is_own = self._trial is not None and self._is_tried_as(request_id)
-        tested = self._trial.tested if self._trial and is_own else frozenset()
+        tested: frozenset[str] = frozenset()
+        if self._trial is not None and self._is_tried_as(request_id):
+            tested = self._trial.tested
         self._sent_trials[request_id] = tested
         evict_oldest(self._sent_trials, MAX_SENT_TRIALS)
 
