--- a/review/common/world.py
+++ b/review/common/world.py
@@ -276,8 +276,10 @@
         )
         self.note(f"store: {key} {'removed' if value is None else 'written'}")
 
-    def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
-        """Write a configuration with these routes."""
+    def configure(
+        self, version: int, routes: list[dict[str, Any]], **others: Any
+    ) -> None:
+        """Write a configuration with these routes, and other fields as given."""
         defaults = {
             "host": HOST,
             "timeoutMs": 6000,
@@ -315,7 +317,8 @@
                     "headerTimeoutMs": 3000,
                     "idleTimeoutMs": 15000,
                 },
-            },
+            }
+            | others,
         )
 
     def tell(self, name: str, **wanted: Any) -> None:
