Review: an engine that leaves is still used if its entry was away before a restore

review/4/run.sh cuts an engine off the store until its entry is removed and back, restores the store from a newer copy, and lets the engine drain once all is stable. Both gateways go on sending to it.

--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -114,7 +114,7 @@
         if path == "/standin":
             wanted = json.loads(body)
             self.options.endless = wanted.get("endless", self.options.endless)
-            if self.state != wanted.get("state", self.state):
+            if "state" in wanted:
                 self.state = wanted["state"]
                 await asyncio.get_running_loop().run_in_executor(None, self.register)
             return await reply(writer, 200, {})
