--- a/review/common/world.py
+++ b/review/common/world.py
@@ -447,6 +447,7 @@
 
 def main(case: Any, folder: Path) -> None:
     """Run a case and exit with its outcome."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     world = World(folder)
     outcome = NOT_RUN
     try:
