--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -13,6 +13,7 @@
 import base64
 import http.client
 import json
+import os
 import time
 from pathlib import Path
 from typing import Any
@@ -136,7 +137,7 @@
             return await self.prefill(request_id, writer)
         if "pimentolink-prompt-prefix" in headers or "stream" in path:
             return await self.stream(request_id, headers, writer)
-        return await self.call(request_id, writer)
+        return await self.call(request_id, body, writer)
 
     def is_for_the_engine(self, path: str) -> bool:
         """Return whether a call concerns the engine itself, and no request."""
@@ -250,9 +251,15 @@
             self.log("closed by the caller", request=request_id)
             raise
 
-    async def call(self, request_id: str, writer: asyncio.StreamWriter) -> bool:
+    async def call(
+        self, request_id: str, body: bytes, writer: asyncio.StreamWriter
+    ) -> bool:
         """Run a plain call."""
         self.log("run", request=request_id)
+        if self.options.fatal and body == self.options.fatal.encode():
+            self.log("crash", request=request_id)
+            await asyncio.sleep(0.03)
+            os._exit(1)
         self.calls += 1
         if self.options.endless and self.calls % self.options.endless == 0:
             return await self.write_without_end(request_id, writer)
@@ -312,6 +319,7 @@
     parser.add_argument("--gap", type=float, default=0.1)
     parser.add_argument("--work", type=float, default=0.02)
     parser.add_argument("--endless", type=int, default=0)
+    parser.add_argument("--fatal", default="")
     parser.add_argument("--framing", choices=("chunked", "close"), default="chunked")
     asyncio.run(Engine(parser.parse_args()).serve())
 
