Review: sound requests are held for minutes once a part of prompts crashes engines

review/4/run.sh kills one of three engines while it writes for a sound request, 0.2 s before requests with a part that crashes engines begin to come. The parts that sound requests have in common then have one crash more than that part; it is not a suspect yet when a request with it is sent as a test, so that its crash blames the others, and they are held for 300 s.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,12 +1,12 @@
-"""A gateway goes on sending requests to an engine that leaves."""
+"""Requests without the part that crashes engines are held for minutes."""
 
 from __future__ import annotations
 
-import json
-import os
+import signal
 import sys
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
@@ -14,118 +14,147 @@
 from world import (  # noqa: E402
     BROKEN,
     HELD,
-    SILENCE,
     Consumer,
     World,
     has_trouble,
     main,
 )
 
-DRAIN_S = 2.0
+CONTACT_S = 3.0
+# The rule asks for as many sound requests before the disruption and after it.
+LEAST_REQUESTS = 20
+FATAL = "ee01"
 ROUTES = [
-    {"name": "lookup", "kind": "idempotent", "service": "plain", "timeoutMs": 1500}
+    {
+        "name": "closure",
+        "kind": "streaming",
+        "service": "llm",
+        "sticky": True,
+        "resumable": True,
+        "timeoutMs": 10000,
+    }
 ]
 GATEWAYS = ("edge-1", "edge-2")
-LEAVING, OTHER = "i-1", "i-2"
-# Seconds from the start of the traffic.
-CUT_AT, CUT_ENDS = 1.0, 6.0
-COPY_AT, DRILL_AT, DRILL_TAKES, REWRITTEN_AFTER = 7.0, 10.0, 0.5, 1.0
-LEAVES_AT, TRAFFIC_ENDS = 16.0, 24.0
-PER_SECOND = 20
-
-
-def cut_engine_from_store(world: World) -> None:
-    """Keep the reports of an engine from the store, which removes its entry."""
-    world.note(f"{LEAVING} is cut off from the store")
-    time.sleep(SILENCE)
-    world.put(f"servers/{LEAVING}", None)
-    time.sleep(CUT_ENDS - CUT_AT - SILENCE)
-    world.note(f"{LEAVING} reaches the store again")
-    world.tell(LEAVING, state="ready")
-
-
-def drill(world: World) -> None:
-    """Let the store come back from its copy; the engines write their entries again."""
-    store = world.addresses["store"]
-    world.note("drill: the store is away")
-    world.http(store, "PUT", "/faults", json.dumps({"down": "silent"}).encode())
-    time.sleep(DRILL_TAKES)
-    world.http(store, "PUT", "/restore")
-    world.http(store, "PUT", "/faults", json.dumps({"down": ""}).encode())
-    world.note("drill: the store is back from its copy")
-    time.sleep(REWRITTEN_AFTER)
-    for name in (LEAVING, OTHER):
-        world.tell(name, state="ready")
-    world.configure(1, ROUTES)
-
-
-def copy(world: World) -> None:
-    """Make the copy for the drill."""
-    world.http(world.addresses["store"], "PUT", "/copy")
-    world.note("the store is copied")
+READERS, WRITERS = ("i-r1", "i-r2"), ("i-w1", "i-w2", "i-w3")
+# Seconds from the start of the traffic until one engine is killed, until requests with
+# the part come, and until the end.
+KILLED_AT, FATAL_FROM, LASTS_S = 30.3, 30.5, 65.0
+# Seconds until a crashed engine is back, between two requests of either kind, and
+# until a consumer repeats one.
+BACK_S, SOUND_EVERY_S, FATAL_EVERY_S, REPEATED_AFTER_S = 2.0, 1.0, 1.0, 0.3
+# Number of the first request with the part.
+FIRST_FATAL = 1000
+
+
+def start_again(world: World, is_over: threading.Event) -> None:
+    """Start crashed engines again, as new boots under their ids."""
+    crashed_at: dict[str, float] = {}
+    while not is_over.wait(0.05):
+        for name in WRITERS:
+            if world.processes[name].poll() is None:
+                continue
+            since = crashed_at.setdefault(name, time.monotonic())
+            if time.monotonic() > since + BACK_S:
+                del crashed_at[name]
+                world.restart(name)
+
+
+class Asking(threading.Thread):
+    """A consumer's request, repeated once at another gateway if it fails."""
+
+    def __init__(self, world: World, number: int, is_fatal: bool) -> None:
+        """Prepare a request of its own body and last part."""
+        super().__init__(daemon=True)
+        self.world = world
+        self.number = number
+        self.middle = FATAL if is_fatal else "dd04"
+        self.first = self.attempt(0)
+
+    def attempt(self, count: int) -> Consumer:
+        """Return an attempt, at the gateways by turns."""
+        number = self.number
+        gateway = GATEWAYS[(number + count) % len(GATEWAYS)]
+        prompt = f"aa:800,bb05:300,{self.middle}:100,bb06:200,cc{number:06x}:60"
+        return Consumer(
+            self.world,
+            self.world.addresses[gateway],
+            f"/closure/x{number}",
+            budget=10.0,
+            body=f"request {number}".encode(),
+            prompt=prompt,
+        )
+
+    def run(self) -> None:
+        """Make the first attempt and, if it fails, another one."""
+        self.first.start()
+        self.first.join()
+        if not self.first.is_complete or self.first.status != 200:
+            time.sleep(REPEATED_AFTER_S)
+            self.attempt(1).run()
+
+
+def ask(world: World, began_at: float, is_fatal: bool) -> list[Asking]:
+    """Send requests of one kind at a fixed rate until the end."""
+    first_at, interval = (
+        (FATAL_FROM, FATAL_EVERY_S) if is_fatal else (0.0, SOUND_EVERY_S)
+    )
+    askings: list[Asking] = []
+    while (at := first_at + len(askings) * interval) < LASTS_S:
+        time.sleep(max(0.0, began_at + at - time.monotonic()))
+        number = len(askings) + (FIRST_FATAL if is_fatal else 0)
+        askings.append(Asking(world, number, is_fatal))
+        askings[-1].start()
+    for asking in askings:
+        asking.join()
+    return askings
 
 
-def steps_of(world: World, leave: threading.Event) -> None:
-    """Make the disruptions, and let the engine leave."""
-    began_at = time.monotonic()
-    # For trials with one of the two disruptions.
-    wanted = os.environ.get("ONLY", "cut drill") if has_trouble() else ""
-    for at, name, step in (
-        (CUT_AT, "cut", cut_engine_from_store),
-        (COPY_AT, "drill", copy),
-        (DRILL_AT, "drill", drill),
-    ):
-        time.sleep(max(0.0, began_at + at - time.monotonic()))
-        if name in wanted:
-            step(world)
-    time.sleep(max(0.0, began_at + LEAVES_AT - time.monotonic()))
-    world.tell(LEAVING, state="draining")
-    leave.set()
+def kill_busy_engine(world: World) -> None:
+    """Kill the engine that has begun a stream last."""
+    runs = [item for item in world.entries() if item["event"] == "run"]
+    world.signal(runs[-1]["engine"], signal.SIGKILL)
 
 
 def case(world: World) -> int:
-    """Send requests all the while; check where they run once the engine leaves."""
+    """Let a part of prompts crash engines; check that other requests are served."""
     world.store()
-    for name in (LEAVING, OTHER):
-        world.engine(name, "plain", slots=6, work=0.05)
+    for name in READERS:
+        world.engine(name, "llm", phase="prefill")
+    for name in WRITERS:
+        world.engine(name, "llm", phase="decode", part=FATAL, events=10, gap=0.05)
     world.configure(1, ROUTES)
     for name in GATEWAYS:
         world.gateway(name)
     world.wait_ready(*GATEWAYS)
     time.sleep(1.0)
-    leave = threading.Event()
-    disruptions = threading.Thread(target=steps_of, args=(world, leave), daemon=True)
-    disruptions.start()
-    began_at = time.monotonic()
-    left_at = 0.0
-    consumers: list[Consumer] = []
-    while time.monotonic() < began_at + TRAFFIC_ENDS:
-        if leave.is_set() and not left_at:
-            left_at = time.time()
-        number = len(consumers)
-        gateway = world.addresses[GATEWAYS[number % 2]]
-        consumer = Consumer(world, gateway, f"/lookup/x{number}", budget=1.5)
-        consumer.start()
-        consumers.append(consumer)
-        time.sleep(max(0.0, began_at + len(consumers) / PER_SECOND - time.monotonic()))
-    for consumer in consumers:
-        consumer.join()
-    disruptions.join()
-    late = [
-        entry
-        for entry in world.entries()
-        if entry["event"] == "request"
-        and entry["engine"] == LEAVING
-        and entry["at"] > left_at + DRAIN_S
+    is_over = threading.Event()
+    reviver = threading.Thread(target=start_again, args=(world, is_over), daemon=True)
+    reviver.start()
+    began_at, began_wall = time.monotonic(), time.time()
+    with ThreadPoolExecutor() as executor:
+        fatal = executor.submit(ask, world, began_at, True)
+        if has_trouble():
+            threading.Timer(KILLED_AT, kill_busy_engine, args=(world,)).start()
+        askings = ask(world, began_at, False)
+        fatal.result()
+    sound = [asking.first for asking in askings]
+    is_over.set()
+    reviver.join()
+    crashes = [item["at"] for item in world.entries() if item["event"] == "crash"]
+    last = crashes[:5][-1] - began_wall + began_at
+    before = [item for item in sound if item.sent_at < began_at + KILLED_AT - 10.0]
+    after = [item for item in sound if item.sent_at > last + 2 * CONTACT_S]
+    shares = [
+        sum(item.status == 200 for item in items) / max(1, len(items))
+        for items in (before, after)
     ]
-    for entry in late:
-        world.note(f"DRAIN: {entry['request']} reaches {LEAVING}", entry["at"])
-    served = sum(consumer.status == 200 for consumer in consumers)
     world.note(
-        f"{len(consumers)} requests, {served} served, {len(late)} reached {LEAVING} "
-        f"later than {DRAIN_S} s after its leaving was acknowledged"
+        f"{len(crashes)} crashes; sound requests served: {shares[0]:.2f} of "
+        f"{len(before)} before, {shares[1]:.2f} of {len(after)} after"
     )
-    return BROKEN if late else HELD
+    if min(len(before), len(after)) < LEAST_REQUESTS:
+        raise RuntimeError("too few requests for the rule")
+    return BROKEN if shares[1] < shares[0] / 2 else HELD
 
 
 if __name__ == "__main__":
--- a/review/common/engine.py
+++ b/review/common/engine.py
@@ -135,10 +135,24 @@
         )
         if headers.get("pimentolink-stage") == "prefill":
             return await self.prefill(request_id, writer)
+        if self.is_fatal(headers):
+            return await self.crash(request_id)
         if "pimentolink-prompt-prefix" in headers or "stream" in path:
             return await self.stream(request_id, headers, writer)
         return await self.call(request_id, body, writer)
 
+    def is_fatal(self, headers: dict[str, str]) -> bool:
+        """Return whether a prompt has the part that crashes this engine."""
+        parts = headers.get("pimentolink-prompt-prefix", "").split(",")
+        names = [part.strip().partition(":")[0] for part in parts[:-1]]
+        return bool(self.options.part) and self.options.part in names
+
+    async def crash(self, request_id: str) -> bool:
+        """Begin to run a request and end this process."""
+        self.log("crash", request=request_id)
+        await asyncio.sleep(0.03)
+        os._exit(1)
+
     def is_for_the_engine(self, path: str) -> bool:
         """Return whether a call concerns the engine itself, and no request."""
         return path in ("/report", "/healthz", "/order", "/kv-list") or path.startswith(
@@ -257,9 +271,7 @@
         """Run a plain call."""
         self.log("run", request=request_id)
         if self.options.fatal and body == self.options.fatal.encode():
-            self.log("crash", request=request_id)
-            await asyncio.sleep(0.03)
-            os._exit(1)
+            return await self.crash(request_id)
         self.calls += 1
         if self.options.endless and self.calls % self.options.endless == 0:
             return await self.write_without_end(request_id, writer)
@@ -320,6 +332,7 @@
     parser.add_argument("--work", type=float, default=0.02)
     parser.add_argument("--endless", type=int, default=0)
     parser.add_argument("--fatal", default="")
+    parser.add_argument("--part", default="")
     parser.add_argument("--framing", choices=("chunked", "close"), default="chunked")
     asyncio.run(Engine(parser.parse_args()).serve())
 
