--- a/review/4/case.py
+++ b/review/4/case.py
@@ -40,8 +40,8 @@
 # the part come, and until the end.
 KILLED_AT, FATAL_FROM, LASTS_S = 30.3, 30.5, 65.0
 # Seconds until a crashed engine is back, between two requests of either kind, and
-# until a consumer repeats one.
-BACK_S, SOUND_EVERY_S, FATAL_EVERY_S, REPEATED_AFTER_S = 2.0, 1.0, 1.0, 0.3
+# until one with the part comes again.
+BACK_S, SOUND_EVERY_S, FATAL_EVERY_S, REPEATED_AFTER_S = 2.0, 1.0, 2.0, 0.3
 # Number of the first request with the part.
 FIRST_FATAL = 1000
 
@@ -60,21 +60,22 @@
 
 
 class Asking(threading.Thread):
-    """A consumer's request, repeated once at another gateway if it fails."""
+    """A consumer's request; one with the part comes once more if it fails."""
 
     def __init__(self, world: World, number: int, is_fatal: bool) -> None:
         """Prepare a request of its own body and last part."""
         super().__init__(daemon=True)
         self.world = world
         self.number = number
-        self.middle = FATAL if is_fatal else "dd04"
+        self.is_fatal = is_fatal
         self.first = self.attempt(0)
 
     def attempt(self, count: int) -> Consumer:
         """Return an attempt, at the gateways by turns."""
         number = self.number
+        middle = FATAL if self.is_fatal else "dd04"
         gateway = GATEWAYS[(number + count) % len(GATEWAYS)]
-        prompt = f"aa:800,bb05:300,{self.middle}:100,bb06:200,cc{number:06x}:60"
+        prompt = f"aa:800,bb05:300,{middle}:100,bb06:200,cc{number:06x}:60"
         return Consumer(
             self.world,
             self.world.addresses[gateway],
@@ -85,10 +86,10 @@
         )
 
     def run(self) -> None:
-        """Make the first attempt and, if it fails, another one."""
+        """Make the first attempt and perhaps another one, at the other gateway."""
         self.first.start()
         self.first.join()
-        if not self.first.is_complete or self.first.status != 200:
+        if self.is_fatal and self.first.status != 200:
             time.sleep(REPEATED_AFTER_S)
             self.attempt(1).run()
 
