--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,7 +6,6 @@
 import sys
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
@@ -94,20 +93,18 @@
             self.attempt(1).run()
 
 
-def ask(world: World, began_at: float, is_fatal: bool) -> list[Asking]:
+def ask(world: World, began_at: float, is_fatal: bool, sent: list[Asking]) -> None:
     """Send requests of one kind at a fixed rate until the end."""
     first_at, interval = (
         (FATAL_FROM, FATAL_EVERY_S) if is_fatal else (0.0, SOUND_EVERY_S)
     )
-    askings: list[Asking] = []
-    while (at := first_at + len(askings) * interval) < LASTS_S:
+    while (at := first_at + len(sent) * interval) < LASTS_S:
         time.sleep(max(0.0, began_at + at - time.monotonic()))
-        number = len(askings) + (FIRST_FATAL if is_fatal else 0)
-        askings.append(Asking(world, number, is_fatal))
-        askings[-1].start()
-    for asking in askings:
+        number = len(sent) + (FIRST_FATAL if is_fatal else 0)
+        sent.append(Asking(world, number, is_fatal))
+        sent[-1].start()
+    for asking in sent:
         asking.join()
-    return askings
 
 
 def kill_busy_engine(world: World) -> None:
@@ -132,19 +129,28 @@
     reviver = threading.Thread(target=start_again, args=(world, is_over), daemon=True)
     reviver.start()
     began_at, began_wall = time.monotonic(), time.time()
-    with ThreadPoolExecutor() as executor:
-        fatal = executor.submit(ask, world, began_at, True)
-        if has_trouble():
-            threading.Timer(KILLED_AT, kill_busy_engine, args=(world,)).start()
-        askings = ask(world, began_at, False)
-        fatal.result()
-    sound = [asking.first for asking in askings]
+    sound: list[Asking] = []
+    threads = [
+        threading.Thread(
+            target=ask, args=(world, began_at, is_fatal, sent), daemon=True
+        )
+        for is_fatal, sent in ((True, []), (False, sound))
+    ]
+    if has_trouble():
+        killer = threading.Timer(KILLED_AT, kill_busy_engine, args=(world,))
+        killer.daemon = True
+        threads.append(killer)
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
     is_over.set()
     reviver.join()
     crashes = [item["at"] for item in world.entries() if item["event"] == "crash"]
     last = crashes[:5][-1] - began_wall + began_at
-    before = [item for item in sound if item.sent_at < began_at + KILLED_AT - 10.0]
-    after = [item for item in sound if item.sent_at > last + 2 * CONTACT_S]
+    first = [asking.first for asking in sound]
+    before = [item for item in first if item.sent_at < began_at + KILLED_AT - 10.0]
+    after = [item for item in first if item.sent_at > last + 2 * CONTACT_S]
     shares = [
         sum(item.status == 200 for item in items) / max(1, len(items))
         for items in (before, after)
