Traits: a failed test blames only what may have crashed its target

What callers saw: one engine was lost for another reason, then requests with a part that crashes engines came.

Cause: a test was sent for the parts that were suspects, and a crash during it blamed these alone. The request carries more than that. The lost engine counts against the common parts only, so that these are suspects first and the fatal part is not among what was tested. The same conclusion stood in two tests at one target (what both had was blamed), in a request that is fatal as a whole (its parts were blamed), and in a target that ended by itself during a test.

Change: a failed test keeps all traits of the request that was sent (failedtests). What may be to blame is what no response has cleared since, and requests that are suspects themselves. Only a request that has all of it is held for long. Traits that all had a response before are held for 4 to 6 s and tested again; the third failure holds them for long. E1428 tells the candidates and the wait, which no line did.

--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -272,7 +272,7 @@
             depths = self._suspects.depths(target, fingerprints)
             for message in crash_messages(target, fingerprints, is_trial, depths):
                 self._publisher.broadcast(message)
-        self._log_suspects(recorded, "own")
+        self._log_suspects(target, recorded, "own")
         self.on_crash_recorded(True)
 
     def request_succeeded(
@@ -284,7 +284,7 @@
         :param estimate: of the target that responded.
         """
         self.request_ended(request)
-        if self._suspects.traits.accused_among(request.traits, self._timers.now()):
+        if self._suspects.traits.is_answer_news(request.traits, self._timers.now()):
             Deferred.fromCoroutine(self._clear_traits(request, estimate))
         fingerprint = request.fingerprint
         crashes = self._suspects.answered(
@@ -364,11 +364,22 @@
                 message.depths,
             )
         if recorded:
-            self._log_suspects(recorded, source)
+            self._log_suspects(message.target, recorded, source)
             self.on_crash_recorded(False)
 
-    def _log_suspects(self, recorded: list[str], source: str) -> None:
+    def _log_suspects(self, target: int, recorded: list[str], source: str) -> None:
         now = self._timers.now()
+        traits = self._suspects.traits
+        if any(is_trait(name) and traits.is_blamed(name, target) for name in recorded):
+            candidates = sorted(traits.candidates(target, now))
+            self._log.write(
+                LogEvent.TRIAL_FAILED,
+                crash=target,
+                tested=traits.tested_at(target),
+                candidates=candidates,
+                wait=round(traits.remaining_quarantine(candidates, now), 1),
+                source=source,
+            )
         for fingerprint in recorded:
             if self._suspects.is_suspect(fingerprint, now):
                 self._log.write(
--- a/pimentolink/logs.py
+++ b/pimentolink/logs.py
@@ -281,6 +281,11 @@
         logging.WARNING,
         "A request that may crash targets is sent to one again after its delay.",
     )
+    TRIAL_FAILED = (
+        "E1428",
+        logging.WARNING,
+        "A target crashed during a trial; requests with all candidates are held.",
+    )
     SUSPECT_CLEARED = (
         "E1420",
         logging.INFO,
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -91,7 +91,8 @@
     The sending of a suspect on its own, to find out whether it crashes its target.
 
     :ivar request_id: of the request that is sent; empty if another gateway sends it.
-    :ivar tested: the traits that are suspects; empty if the request itself is.
+    :ivar tested: all traits of the request if one is a suspect; empty if the request
+        itself is tested.
     """
 
     fingerprint: str
@@ -147,7 +148,9 @@
         self._ambiguous_crashes: OrderedDict[int, None] = OrderedDict()
         self._sent_trials: OrderedDict[str, frozenset[str]] = OrderedDict()
         self._trial: _Trial | None = None
-        self.traits = TraitTracker(random, self._blamed_by_target.__contains__)
+        self.traits = TraitTracker(
+            random, self._blamed_by_target.__contains__, self._suspects_at
+        )
 
     def exchange_broken(
         self,
@@ -373,7 +376,7 @@
     def _record_failed_test(
         self, target: int, tried: Iterable[str], now: float
     ) -> list[str]:
-        """Blame the traits among what was tried at a target that crashed."""
+        """Record a crash during a test of the traits among what was tried."""
         tested = frozenset(name for name in tried if is_trait(name))
         return self.traits.record_failed_test(target, tested, now) if tested else []
 
@@ -505,6 +508,15 @@
             if not self._is_attributed_to_other(fingerprint, target)
         ]
 
+    def _suspects_at(self, target: int) -> dict[str, int]:
+        """Return the suspects that may be to blame for a crash, with their crashes."""
+        return {
+            fingerprint: len(history.recorded_at_by_target)
+            for fingerprint, history in self._suspect_by_fingerprint.items()
+            if target in history.recorded_at_by_target
+            and not self._is_attributed_to_other(fingerprint, target)
+        }
+
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Tell whether enough crashes count against a request to quarantine it."""
         if is_trait(fingerprint):
@@ -537,7 +549,7 @@
         :returns: ``None`` if it may be sent.
         """
         suspects = self.traits.suspects_among(traits, now)
-        wait = self.traits.remaining_quarantine(traits, now)
+        wait = self.traits.remaining_quarantine(traits, now, fingerprint)
         if self.is_suspect(fingerprint, now):
             suspects.append(fingerprint)
             wait = max(wait, self.remaining_quarantine(fingerprint, now))
@@ -573,10 +585,12 @@
         :returns: what the trial tests, during which no other suspect should be sent;
             empty if none began.
         """
-        tested = frozenset(self.traits.suspects_among(traits, now))
-        is_suspect = bool(tested) or self.is_suspect(fingerprint, now)
+        tests_traits = bool(self.traits.suspects_among(traits, now))
+        is_suspect = tests_traits or self.is_suspect(fingerprint, now)
         if not is_suspect or self._is_tried_as(request_id):
             return []
+        # One that is no suspect yet may be to blame as well.
+        tested = frozenset(traits if tests_traits else ())
         self._trial = _Trial(fingerprint, request_id, now + TRIAL_TIME, tested)
         return sorted(tested) or [fingerprint]
 
@@ -644,6 +658,8 @@
 
         :returns: the targets whose crash counted against each trait until now.
         """
+        traits = [*traits]
+        self.traits.record_answer(traits, now)
         cleared = {}
         for trait in self.traits.accused_among(traits, now):
             cleared[trait] = self.traits.crashes(trait, now)
--- a/pimentolink/traitcrashes.py
+++ b/pimentolink/traitcrashes.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from pimentolink.crashhistory import CRASH_TTL, QUARANTINE_JITTER, SUSPECT_QUARANTINE
+from pimentolink.failedtests import FailedTests, SuspectsAt
 from pimentolink.peermessages import MAX_DEPTH
 
 # Crashes in a row from which on a trait is a suspect: a request that broke off twice
@@ -18,15 +19,17 @@
 # Seconds for which a suspect is held before it is tested. Responses under way that may
 # clear it are complete by then.
 TRAIT_QUARANTINE = 1.0
-# Seconds of quarantine once a trial has crashed a target; doubled with each further
-# one. Long, as a trait comes with ever new requests, and each trial takes a target.
-FAILED_TRAIT_QUARANTINE = 300.0
+# Seconds for which a complete response makes it less likely that a trait is to blame.
+ANSWERED_TTL = CRASH_TTL
+# Seconds for which a further response with the same traits adds nothing.
+ANSWERED_REFRESH = 60.0
 # Capacity of each table, beyond which the oldest entries are evicted: traits with fewer
-# crashes than suspects, suspects, crashes cleared of a trait, crashes during trials.
+# crashes than suspects, suspects, crashes cleared of a trait, traits with a complete
+# response.
 MAX_ACCUSED_TRAITS = 4096
 MAX_SUSPECT_TRAITS = 1024
 MAX_CLEARED = 4096
-MAX_FAILED_TRIALS = 1024
+MAX_ANSWERED_TRAITS = 4096
 
 
 class TraitCrash(NamedTuple):
@@ -48,20 +51,15 @@
     The crashes that count against one trait.
 
     :ivar crashes_by_target: by the key of the target that crashed.
-    :ivar tested_by_target: the traits that were tested together, one of which is to
-        blame, by the key of each target that crashed during such a trial.
     :ivar stored: targets whose crash other gateways can read from the store.
     :ivar suspect_until: until when a request with the trait is not sent.
-    :ivar blamed_until: the same for a request with all traits of a failed trial.
     """
 
     def __init__(self) -> None:
         """Start without crashes."""
         self.crashes_by_target: dict[int, TraitCrash] = {}
-        self.tested_by_target: dict[int, frozenset[str]] = {}
         self.stored: set[int] = set()
         self.suspect_until = 0.0
-        self.blamed_until = 0.0
 
     def expire(self, now: float) -> None:
         """Remove crashes older than their time to live."""
@@ -73,7 +71,6 @@
     def remove(self, target: int) -> None:
         """Remove the crash of a target."""
         self.crashes_by_target.pop(target, None)
-        self.tested_by_target.pop(target, None)
         self.stored.discard(target)
 
     def crashes_in_a_row(self) -> int:
@@ -94,24 +91,38 @@
     crashes in a row and no complete response since is a suspect, and is tested by
     sending one of its requests on its own.
 
-    A test tells of all suspect traits of its request at once: a response clears them,
-    and after a crash one of them is to blame. Requests with all of these are then held
-    for long. One that lacks some of them may be tested soon, which tells them apart.
+    A test tells of all traits of the request that is sent, whether they are suspects
+    or not: the one to blame may have fewer known crashes than another. A response
+    clears them all. A crash shows that one of them is to blame, or the request itself,
+    unless the target ended for another reason. So only requests that have all of the
+    possible causes are then held for long. One that lacks some of them may be tested
+    soon, which tells them apart.
+
+    A response also tells against a trait's being the cause of a later crash. A failed
+    test that leaves only traits with such a response has to be confirmed by another.
     """
 
-    def __init__(self, random: Random, is_explained: Callable[[int], bool]) -> None:
+    def __init__(
+        self,
+        random: Random,
+        is_explained: Callable[[int], bool],
+        suspects_at: SuspectsAt = lambda target: {},
+    ) -> None:
         """
         Start without suspects.
 
         :param random: seeded source for the jitter of quarantines.
         :param is_explained: tells whether a single request is blamed for a crash.
+        :param suspects_at: returns the single requests that are suspected of a crash,
+            with the number of crashes that count against each.
         """
         self._random = random
         self._is_explained = is_explained
+        self._failed_tests = FailedTests(self, suspects_at)
         self._accused_by_trait: OrderedDict[str, TraitHistory] = OrderedDict()
         self._suspect_by_trait: OrderedDict[str, TraitHistory] = OrderedDict()
         self._cleared: OrderedDict[tuple[str, int], None] = OrderedDict()
-        self._tested_by_target: OrderedDict[int, frozenset[str]] = OrderedDict()
+        self._answered_at: OrderedDict[str, float] = OrderedDict()
 
     def depth(self, trait: str, began_at: float | None) -> int:
         """
@@ -147,45 +158,37 @@
         history.crashes_by_target[target] = crash
         history.stored.discard(target)
         self._put(trait, history)
+        self._failed_tests.evidence_changed()
         if self._is_suspect(history):
             self._hold(history, now)
         return known is None
 
     def record_failed_test(
-        self, target: int, tested: frozenset[str], now: float
+        self, target: int, tested: Iterable[str], now: float
     ) -> list[str]:
         """
-        Blame the traits that were tested at a target that crashed.
+        Record that a target crashed during a test.
 
-        If it crashed during two tests, one of the traits of both is to blame.
+        If it crashed during several, a trait of any of them may be to blame.
 
-        :returns: the traits that were not blamed for it before.
+        :param tested: traits of the request that was sent.
+        :returns: the traits that were not known to have been tested there.
         """
-        before = self._tested_by_target.get(target, tested)
-        blamed = before & tested
-        self._tested_by_target[target] = blamed
-        evict_oldest(self._tested_by_target, MAX_FAILED_TRIALS)
+        added = self._failed_tests.record(target, tested, now, self._jitter())
         found = []
-        for trait in sorted(before | tested):
+        for trait in sorted(added):
             history = self._unexpired(trait, now)
-            if history is None or target not in history.crashes_by_target:
-                continue
-            if trait not in blamed:
-                history.tested_by_target.pop(target, None)
-                continue
-            if target not in history.tested_by_target:
+            if history is not None and target in history.crashes_by_target:
                 found.append(trait)
                 history.stored.discard(target)
-            history.tested_by_target[target] = blamed
-            self._hold(history, now)
+                self._hold(history, now)
         return found
 
     def _hold(self, history: TraitHistory, now: float) -> None:
-        jitter = self._random.uniform(1.0, 1.0 + QUARANTINE_JITTER)
-        history.suspect_until = now + TRAIT_QUARANTINE * jitter
-        if failed := len(history.tested_by_target):
-            wait = FAILED_TRAIT_QUARANTINE * 2 ** (failed - 1)
-            history.blamed_until = now + wait * jitter
+        history.suspect_until = now + TRAIT_QUARANTINE * self._jitter()
+
+    def _jitter(self) -> float:
+        return self._random.uniform(1.0, 1.0 + QUARANTINE_JITTER)
 
     def crashes(self, trait: str, now: float) -> list[int]:
         """List the targets whose crash counts against a trait."""
@@ -208,30 +211,40 @@
     def is_blamed(self, trait: str, target: int) -> bool:
         """Tell whether a target crashed during a test of a trait there."""
         history = self._get(trait)
-        return history is not None and target in history.tested_by_target
+        return (
+            history is not None
+            and target in history.crashes_by_target
+            and trait in self._failed_tests.remaining(target)
+        )
 
     def tested_at(self, target: int) -> list[str]:
-        """List the traits of which one is to blame for a crash during a test."""
-        return sorted(self._tested_by_target.get(target, ()))
+        """List the traits that may be to blame for a crash during a test."""
+        return sorted(self._failed_tests.remaining(target))
+
+    def candidates(self, target: int, now: float) -> frozenset[str]:
+        """Return what may be to blame for a crash: traits, and single requests."""
+        return self._failed_tests.candidates(target, now)
 
     def suspects_among(self, traits: Iterable[str], now: float) -> list[str]:
         """List those of some traits that are suspects."""
         return [trait for trait in traits if self.is_suspect(trait, now)]
 
-    def remaining_quarantine(self, traits: Sequence[str], now: float) -> float:
+    def remaining_quarantine(
+        self, traits: Sequence[str], now: float, fingerprint: str = ""
+    ) -> float:
         """
         Compute how long a request is still held.
 
         :param traits: all traits of the request.
+        :param fingerprint: of the request.
         :returns: seconds.
         """
-        until = 0.0
-        for trait in self.suspects_among(traits, now):
-            history = self._suspect_by_trait[trait]
-            until = max(until, history.suspect_until)
-            failed = history.tested_by_target.values()
-            if any(tested.issubset(traits) for tested in failed):
-                until = max(until, history.blamed_until)
+        suspects = self.suspects_among(traits, now)
+        if not suspects:
+            return 0.0
+        names = frozenset((*traits, fingerprint))
+        until = max(self._suspect_by_trait[trait].suspect_until for trait in suspects)
+        until = max(until, self._failed_tests.blamed_until(names, suspects, now))
         return max(0.0, until - now)
 
     def test_broken(self, tested: Iterable[str], now: float) -> None:
@@ -257,32 +270,46 @@
         for target in targets:
             self._cleared[trait, target] = None
         evict_oldest(self._cleared, MAX_CLEARED)
+        self.record_answer([trait], now)
+        self._failed_tests.evidence_changed()
         history = self._unexpired(trait, now)
         if history is None:
             return False
         removed = history.crashes_by_target.keys() & {*targets}
         for target in removed:
-            self._exonerate(trait, target)
             history.remove(target)
         self._put(trait, history)
         return bool(removed)
 
-    def _exonerate(self, trait: str, target: int) -> None:
-        """Leave a trait out of those of which one is to blame for a crash."""
-        tested = self._tested_by_target.get(target)
-        if tested is None or trait not in tested:
-            return
-        remaining = tested - {trait}
-        self._tested_by_target[target] = remaining
-        for other in remaining:
-            history = self._get(other)
-            if history is not None and target in history.tested_by_target:
-                history.tested_by_target[target] = remaining
+    def record_answer(self, traits: Iterable[str], now: float) -> None:
+        """Record a complete response to a request with these traits."""
+        for trait in traits:
+            if not self.is_answered(trait, now):
+                self._failed_tests.evidence_changed()
+            self._answered_at[trait] = now
+            self._answered_at.move_to_end(trait)
+        evict_oldest(self._answered_at, MAX_ANSWERED_TRAITS)
+
+    def is_answered(self, trait: str, now: float) -> bool:
+        """Tell whether a request with a trait had a complete response lately."""
+        return now - self._answered_at.get(trait, -ANSWERED_TTL) < ANSWERED_TTL
+
+    def is_cleared(self, trait: str, target: int) -> bool:
+        """Tell whether a response showed that a trait did not crash a target."""
+        return (trait, target) in self._cleared
+
+    def is_answer_news(self, traits: Iterable[str], now: float) -> bool:
+        """Tell whether a response to a request with these traits would add anything."""
+        return any(
+            now - self._answered_at.get(trait, -ANSWERED_REFRESH) >= ANSWERED_REFRESH
+            or self.crashes(trait, now)
+            for trait in traits
+        )
 
     def mark_stored(self, trait: str, target: int, is_trial: bool) -> None:
         """Record that other gateways can read a trait's crash in the store."""
         history = self._get(trait)
-        if history is not None and is_trial == (target in history.tested_by_target):
+        if history is not None and is_trial == self.is_blamed(trait, target):
             history.stored.add(target)
 
     def unstored(self, min_crashes: int, now: float) -> list[tuple[str, int]]:
--- a/tests/test_crashreports.py
+++ b/tests/test_crashreports.py
@@ -14,6 +14,7 @@
 )
 from pimentolink.dialect import CallerRequest
 from pimentolink.errors import Quarantined
+from pimentolink.failedtests import FAILED_TRAIT_QUARANTINE
 from pimentolink.httptypes import HttpRequest
 from pimentolink.logs import LogEvent
 from pimentolink.peermessages import (
@@ -25,11 +26,12 @@
 )
 from pimentolink.suspects import BROKEN_EXCHANGE_TTL, SuspectTracker
 from pimentolink.timers import ManualTimers
-from pimentolink.traitcrashes import FAILED_TRAIT_QUARANTINE, TRAIT_QUARANTINE
+from pimentolink.traitcrashes import TRAIT_QUARANTINE
 from tests.gatewaybuilders import fleet, target
 
 FATAL, OTHER = "f" * 32, "0" * 32
 TRAIT = "p" + "e" * 32
+COMMON, OTHER_TRAIT = "p" + "a" * 32, "p" + "d" * 32
 
 
 def make_request(fingerprint=FATAL, request_id="a", traits=()):
@@ -209,11 +211,15 @@
         for name, request in zip(
             ("t1", "t3", "t4"), self.requests(*traits), strict=False
         ):
-            world.timers.advance(1.0)
-            world.reports.cut_off(
-                request, world.estimate(name), began_at=world.timers.now()
-            )
-            world.reports.connection_lost(world.estimate(name))
+            self.break_at(world, name, request)
+
+    def break_at(self, world, name, request):
+        """Break a request off that was sent when all earlier crashes were known."""
+        world.timers.advance(1.0)
+        world.reports.cut_off(
+            request, world.estimate(name), began_at=world.timers.now()
+        )
+        world.reports.connection_lost(world.estimate(name))
 
     @pytest.fixture
     def world(self):
@@ -250,6 +256,57 @@
             world.admit(self.requests(TRAIT)[6])
         assert refused.value.retry_after >= FAILED_TRAIT_QUARANTINE
 
+    def test_trial_tests_those_that_are_no_suspects_too(self, world):
+        """
+        Guards against holding harmless requests for another request's part.
+
+        The trait to blame may have fewer known crashes than those that harmless
+        requests have as well.
+        """
+        self.break_at(world, "t1", self.requests(COMMON, OTHER_TRAIT)[0])
+        for name, request in zip(
+            ("t3", "t4"), self.requests(COMMON, TRAIT)[1:3], strict=True
+        ):
+            self.break_at(world, name, request)
+        assert not world.suspects.is_suspect(TRAIT, world.timers.now())
+        world.timers.advance(2 * TRAIT_QUARANTINE)
+        tried = self.requests(COMMON, TRAIT)[5]
+        world.admit(tried)
+        world.break_connection("t5", tried)
+        told = [item for item in world.messages if getattr(item, "is_tried", False)]
+        assert told == [TargetCrashed(self.key(world, "t5"), [COMMON, TRAIT], True)]
+        world.timers.advance(2 * TRAIT_QUARANTINE)
+        world.admit(self.requests(COMMON, OTHER_TRAIT)[6])
+
+    def test_trial_of_a_suspect_request_may_show_the_request_to_be_fatal(self, world):
+        """Harmless requests with the same traits are tested soon after it."""
+        fatal = self.requests(TRAIT)[0]
+        for name in ("t1", "t3", "t4"):
+            self.break_at(world, name, fatal)
+        world.timers.advance(2 * SUSPECT_QUARANTINE)
+        world.admit(fatal)
+        world.break_connection("t5", fatal)
+        world.timers.advance(2 * TRAIT_QUARANTINE)
+        with pytest.raises(Quarantined) as refused:
+            world.admit(fatal)
+        assert refused.value.retry_after >= FAILED_TRAIT_QUARANTINE / 2
+        world.admit(self.requests(TRAIT)[6])
+
+    def test_response_before_the_crashes_tells_against_them(self, world):
+        """A target that ends during a test of harmless requests convicts nobody."""
+        world.listening.add("t5")
+        world.reports.request_succeeded(self.requests(TRAIT)[8], world.estimate("t5"))
+        world.timers.advance(RESPONSE_GRACE)
+        world.listening.clear()
+        self.break_in_a_row(world, TRAIT)
+        world.timers.advance(2 * TRAIT_QUARANTINE)
+        tried = self.requests(TRAIT)[5]
+        world.admit(tried)
+        world.break_connection("t5", tried)
+        with pytest.raises(Quarantined) as refused:
+            world.admit(self.requests(TRAIT)[6])
+        assert refused.value.retry_after <= 2 * SUSPECT_QUARANTINE
+
     def test_are_cleared_once_a_target_outlives_its_response(self, world):
         self.break_in_a_row(world, TRAIT)
         world.messages.clear()
--- a/tests/test_suspectstore.py
+++ b/tests/test_suspectstore.py
@@ -7,6 +7,7 @@
 
 from pimentolink.crashhistory import CRASH_TTL, FAILED_TRIAL_QUARANTINE
 from pimentolink.crashreports import CrashReports
+from pimentolink.failedtests import FAILED_TRAIT_QUARANTINE
 from pimentolink.keyspace import Change
 from pimentolink.memorykeyspace import MemoryKeyspace
 from pimentolink.peermessages import SuspectCleared, TargetCrashed
@@ -21,7 +22,6 @@
     SuspectStore,
 )
 from pimentolink.timers import ManualTimers
-from pimentolink.traitcrashes import FAILED_TRAIT_QUARANTINE
 from tests.jsonvalues import DOCUMENTS
 
 FATAL, OTHER = "f" * 32, "0" * 32
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -81,6 +81,8 @@
     :ivar late: value of a late answer, per unit of request size.
     :ivar token_bytes: bytes of a prompt per token.
     :ivar alike: number of distinct requests; 0 if all differ.
+    :ivar unique: tokens of a further part, before the last one, that no other request
+        has; 0 if there is none.
     """
 
     rate: float
@@ -94,6 +96,7 @@
     late: float
     token_bytes: float = 0.0
     alike: int = 0
+    unique: int = 0
 
 
 class Burst(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -141,6 +144,8 @@
     :ivar returns: seconds after its crash until an engine restarts.
     :ivar part: id of a part that crashes engines. Each attempt then is a request of its
         own, below a first part that harmless requests have as well.
+    :ivar unique: tokens of a part, before the last one, that no other attempt has; 0 if
+        there is none.
     """
 
     kind: str
@@ -150,6 +155,7 @@
     every: float
     returns: float
     part: int = 0
+    unique: int = 0
 
 
 class Crowd(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -222,6 +228,18 @@
     returns: float | None = None
 
 
+class CausedCrash(NamedTuple):
+    """
+    A crash of an engine that a request caused.
+
+    :ivar at: seconds from the start.
+    :ivar parts: of the request's prompt.
+    """
+
+    at: float
+    parts: tuple[PromptPart, ...]
+
+
 class Figures(NamedTuple):
     """
     The results of a replay.
@@ -232,7 +250,8 @@
     :ivar refused: share of requests that were refused in the end.
     :ivar failed: share of requests that went unanswered for another reason.
     :ivar reread: prompt tokens prefilled beyond what a single engine would need.
-    :ivar crashed: engine crashes caused by requests.
+    :ivar crashed: number of engine crashes caused by requests.
+    :ivar crashes: these crashes, in order.
     :ivar mistaken: share of requests that crash no engine but were quarantined at
         least once.
     :ivar at_once: share of the requests that were answered at the first attempt, by
@@ -246,6 +265,7 @@
     failed: float
     reread: int
     crashed: int
+    crashes: list[CausedCrash]
     mistaken: float
     at_once: dict[int, float]
 
@@ -263,6 +283,7 @@
             number = len(requests) + 1
             parts = (
                 PromptPart(_topic_part_id(load, name, topic), kind.shared),
+                *_unique_part(40_000_000 + number, kind.unique),
                 PromptPart(10_000_000 + number, own),
             )
             size = scale.value(name, kind.shared + own, kind.output)
@@ -291,6 +312,7 @@
                     parts = (
                         PromptPart(_topic_part_id(load, fatal.kind, 0), kind.shared),
                         PromptPart(fatal.part, kind.own // 2),
+                        *_unique_part(50_000_000 - number, fatal.unique),
                         PromptPart(20_000_000 - number, kind.own),
                     )
                 requests.append(
@@ -308,6 +330,10 @@
     return requests
 
 
+def _unique_part(part_id: int, tokens: int) -> tuple[PromptPart, ...]:
+    return (PromptPart(part_id, tokens),) if tokens else ()
+
+
 def _topic_part_id(load: Load, kind: str, topic: int) -> int:
     """Return the id of the first part of the prompts on a topic."""
     return (list(load.kinds).index(kind) + 1) * 1_000_000 + topic
@@ -586,7 +612,7 @@
         await self._admit(request, request_id)
         engine = self._replay.engine(decode_engine)
         if request.returns is not None:
-            self._replay.schedule_crash(engine, request.returns)
+            self._replay.schedule_crash(engine, request, request.returns)
         await self._run_on_engine(request, request_id, decode_engine, engine.write(1))
         first_token_at = self._replay.timers.now()
         await self._run_on_engine(
@@ -707,7 +733,7 @@
         self._requests = generate_requests(load, seed)
         self._random = Random(seed)
         self._fatal_requests = generate_fatal_requests(load, seed)
-        self._crashed = 0
+        self._crashes: list[CausedCrash] = []
         self._wrongly_quarantined: set[int] = set()
         self._first_token_at: dict[int, float] = {}
         self._failures: dict[int, Failure] = {}
@@ -741,12 +767,14 @@
             else:
                 engine.speed = fault.speed
 
-    def schedule_crash(self, engine: ModelEngine, returns: float) -> None:
+    def schedule_crash(
+        self, engine: ModelEngine, request: Request, returns: float
+    ) -> None:
         """Schedule the crash of an engine that has started a fatal answer."""
 
         def crash() -> None:
             if not engine.is_lost and engine.born == born:
-                self._crashed += 1
+                self._crashes.append(CausedCrash(self.timers.now(), request.parts))
                 self._crash(engine, returns)
 
         born = engine.born
@@ -838,7 +866,8 @@
             refused=len(refused) / len(self._requests),
             failed=(len(unserved) - len(refused)) / len(self._requests),
             reread=self._repeated_prefill_tokens(),
-            crashed=self._crashed,
+            crashed=len(self._crashes),
+            crashes=self._crashes,
             mistaken=len(self._wrongly_quarantined) / len(self._requests),
             at_once=self._share_at_once(),
         )
