Targets: an entry that returns takes its removal back

What callers saw: engines were cut off from the store for 5 s and came back as the same processes.

Cause: the removal of an entry was kept as the target's end, in incarnations and in endedtargets, and not taken back when the entry of the same start returned. For 15 s its crashes counted against nobody, resets of its connections counted as crashes, and after a restore its entries were dropped as outdated.

Evidence that the tests failed before: with its half of the change taken out, tests/test_incarnations.py (a crash after the return counts) and tests/test_membership.py (leaving of a target that had been away) fail.

Change: an entry that returns takes back what its removal has shown, and nothing that another sign has shown, since entries of targets that ended may be read late.

Why it holds: both tables ask only whether this start of the target has ended, and its own entry shows that it has not.

--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -237,6 +237,15 @@
         ]
         return messages[:MAX_UNSETTLED_MESSAGES]
 
+    def target_removed(self, target: Target, sign: str) -> None:
+        """
+        Report a crash if a target's entry was removed without an announced shutdown.
+
+        :param sign: how it was removed.
+        """
+        self._suspects.incarnations.record_removal(target.key, self._timers.now())
+        self.target_ended(target, sign)
+
     def target_ended(self, target: Target, sign: str) -> None:
         """
         Report a crash if a target ended without having announced it.
--- a/pimentolink/endedtargets.py
+++ b/pimentolink/endedtargets.py
@@ -46,6 +46,13 @@
         self._known_by_incarnation[(target.target_id, target.born)] = _Known(epoch, now)
         self._expire(now)
 
+    def mark_listed(self, target: Target) -> None:
+        """Record that a target is listed again, so that it had not ended."""
+        incarnation = (target.target_id, target.born)
+        known = self._known_by_incarnation.get(incarnation)
+        if known is not None and known.ended_at is not None:
+            del self._known_by_incarnation[incarnation]
+
     def is_outdated(self, target: Target, epoch: int, now: float) -> bool:
         """
         Tell whether an entry is older than what is known of its incarnation.
--- a/pimentolink/gateway.py
+++ b/pimentolink/gateway.py
@@ -245,7 +245,7 @@
         membership.on_changed = self._membership_changed
         self._peers.find_address = membership.find_address
         membership.on_target_removed = self._target_client.forget
-        membership.on_target_ended = self._quarantine.reports.target_ended
+        membership.on_target_ended = self._quarantine.reports.target_removed
         membership.on_target_listed = self._quarantine.reports.target_listed
         membership.on_suspects = self._quarantine.store.key_changed
         return membership
--- a/pimentolink/incarnations.py
+++ b/pimentolink/incarnations.py
@@ -45,6 +45,7 @@
     def __init__(self) -> None:
         """Start without targets."""
         self._end_known_at_by_target: OrderedDict[int, float] = OrderedDict()
+        self._removed: OrderedDict[int, None] = OrderedDict()
         self._unlisted_by_place: OrderedDict[
             tuple[str, str], deque[UnlistedExchange]
         ] = OrderedDict()
@@ -55,6 +56,31 @@
         while len(self._end_known_at_by_target) > MAX_ENDS:
             self._end_known_at_by_target.popitem(last=False)
 
+    def record_removal(self, target: int, now: float) -> None:
+        """
+        Record that the entry of an incarnation was removed from the list of targets.
+
+        It counts as ended until the entry is back: one that is only cut off from the
+        store is removed as well.
+        """
+        self.record_end(target, now)
+        self._removed[target] = None
+        while len(self._removed) > MAX_ENDS:
+            self._removed.popitem(last=False)
+
+    def record_listed(self, target: int) -> bool:
+        """
+        Record that an incarnation is listed.
+
+        :returns: whether its entry had been removed before, so that it has not ended.
+        """
+        if target not in self._removed:
+            # The entry of one that ended may be read late.
+            return False
+        del self._removed[target]
+        self._end_known_at_by_target.pop(target, None)
+        return True
+
     def has_ended_before(self, target: Target, opened_at: float) -> bool:
         """
         Tell whether an incarnation was known to have ended at a certain time.
--- a/pimentolink/membership.py
+++ b/pimentolink/membership.py
@@ -206,6 +206,7 @@
             )
             return
         estimate = self._fleet.put(target)
+        self._ended_targets.mark_listed(target)
         if target.is_leaving:
             self._ended_targets.mark_leaving(target, self._epoch)
         if target.born > previous_born:
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -210,11 +210,14 @@
         """
         Attribute kept exchanges to an incarnation whose entry was read.
 
-        The crash counts once the incarnation is known to have ended: it may also have
-        started after another one that was never listed.
+        One whose entry had been removed has not ended after all. The crash counts once
+        the incarnation is known to have ended: it may also have started after another
+        one that was never listed.
 
         :returns: whether there are any.
         """
+        if self.incarnations.record_listed(target.key):
+            self._ended_at_by_target.pop(target.key, None)
         found = self.incarnations.take(target, now)
         for exchange in found:
             broken = _BrokenExchange(
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -76,6 +76,15 @@
         self.reports.target_ended(previous.target, "started again")
         self.reports.target_listed(estimate)
 
+    def remove(self):
+        """See the entry of the target go, as :class:`Membership` applies it."""
+        estimate = self.fleet.remove("t")
+        estimate.missing_since = self.world.timers.now()
+        self.reports.target_removed(estimate.target, "no longer listed")
+
+    def list_again(self, item):
+        self.reports.target_listed(self.fleet.put(item))
+
     def hear(self):
         while self.wire:
             self.reports.receive(self.wire.pop(0), "peer")
@@ -334,3 +343,34 @@
         assert found == [expected, expected], order
         played += 1
     assert played > 1000
+
+
+class TestReturnedEntry:
+    """
+    A target that is cut off from the store is removed from the list, and back later.
+
+    It counted as ended for good. An exchange that began within 15 s was taken for one
+    with an incarnation not listed yet, so that its crash counted against nobody.
+    """
+
+    @pytest.fixture
+    def gateway(self, world):
+        gateway = world.gateways[0]
+        world.do(lambda: gateway.read(SECOND), gateway.remove)
+        world.timers.advance(1.0)
+        world.do(lambda: gateway.list_again(SECOND))
+        return gateway
+
+    def test_crash_after_the_return_counts(self, world, gateway):
+        world.do(gateway.send, world.crash, gateway.lose)
+        assert gateway.crashes() == keys(FIRST, SECOND)
+
+    def test_reset_connection_after_the_return_is_no_crash(self, world, gateway):
+        world.do(gateway.send, gateway.lose)
+        assert gateway.crashes() == keys(FIRST)
+
+    def test_late_entry_of_one_that_ended_does_not_revive_it(self, world):
+        gateway = world.gateways[0]
+        gateway.suspects.incarnations.record_end(SECOND.key, world.timers.now())
+        world.do(lambda: gateway.read(SECOND))
+        assert gateway.suspects.incarnations.has_ended(SECOND)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -345,6 +345,23 @@
         world.store.put("servers/a", entry(born=5, state="draining"))
         assert world.usable() == {"b"}
 
+    def test_leaving_of_a_target_that_had_been_away_is_not_dropped(self, world):
+        """
+        Guards against work for a target that drains.
+
+        Its entry had been removed and was back, but it still counted as ended.
+        """
+        for name in ("a", "b"):
+            world.store.put(f"servers/{name}", entry(born=5))
+        world.timers.advance(0.3)
+        world.store.remove("servers/a")
+        world.timers.advance(0.3)
+        world.store.put("servers/a", entry(born=5))
+        assert world.usable() == {"a", "b"}
+        self.restore(world, world.store.copy())
+        world.store.put("servers/a", entry(born=5, state="draining"))
+        assert world.usable() == {"b"}
+
     def test_target_that_was_removed_stays_gone(self, world):
         world.store.put("servers/a", entry(born=5))
         world.store.put("servers/b", entry(born=5))
