--- a/pimentolink/crashhistory.py
+++ b/pimentolink/crashhistory.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+from typing import Any
+
 # Seconds for which a crash counts against the requests that were in flight; as long
 # as the longest lease of the key-value store.
 CRASH_TTL = 600.0
@@ -60,3 +63,9 @@
         """Remove the crash of a target."""
         del self.recorded_at_by_target[target]
         self.failed_trials.discard(target)
+
+
+def evict_oldest(table: OrderedDict[Any, Any], capacity: int) -> None:
+    """Remove the oldest entries of a table beyond its capacity."""
+    while len(table) > capacity:
+        table.popitem(last=False)
--- a/pimentolink/crashreports.py
+++ b/pimentolink/crashreports.py
@@ -239,9 +239,9 @@
 
     def target_removed(self, target: Target, sign: str) -> None:
         """
-        Report a crash if a target's entry was removed without an announced shutdown.
+        Report a crash if a target's entry went without an announced shutdown.
 
-        :param sign: how it was removed.
+        :param sign: whether it was removed, or replaced by that of a later start.
         """
         self._suspects.incarnations.record_removal(target.key, self._timers.now())
         self.target_ended(target, sign)
--- a/pimentolink/failedtests.py
+++ b/pimentolink/failedtests.py
@@ -7,7 +7,7 @@
 from functools import cached_property
 from typing import NamedTuple, Protocol
 
-from pimentolink.crashhistory import CRASH_TTL, SUSPECT_QUARANTINE
+from pimentolink.crashhistory import CRASH_TTL, SUSPECT_QUARANTINE, evict_oldest
 
 # Seconds of quarantine once a test has crashed a target; doubled with each further
 # one. Long, as a trait comes with ever new requests, and each test takes a target.
@@ -110,17 +110,15 @@
         new = FailedTest(frozenset(), now, jitter)
         test = self._test_by_target.get(target, new)
         added = frozenset(tested) - test.tested
-        self.evidence_changed()
         self._test_by_target[target] = test._replace(tested=test.tested | added)
+        evict_oldest(self._test_by_target, MAX_FAILED_TESTS)
+        self.evidence_changed()
         return added
 
     def _expire(self, now: float) -> None:
-        while self._test_by_target:
-            oldest = next(iter(self._test_by_target.values()))
-            is_full = len(self._test_by_target) >= MAX_FAILED_TESTS
-            if not is_full and now - oldest.at <= CRASH_TTL:
-                return
-            self._test_by_target.popitem(last=False)
+        for target, test in [*self._test_by_target.items()]:
+            if now - test.at > CRASH_TTL:
+                del self._test_by_target[target]
 
     def remaining(self, target: int) -> frozenset[str]:
         """Return the traits tested at a crash that no response has cleared of it."""
@@ -146,13 +144,13 @@
         :param suspects: those of its traits that are suspects.
         :returns: in seconds of the timer service; 0 if it is not held.
         """
+        assessment = self._assess(now)
         targets = {
             target
             for trait in suspects
             for target in self._evidence.crashes(trait, now)
-            if trait in self.remaining(target)
+            if trait in assessment.remaining_by_target.get(target, ())
         }
-        assessment = self._assess(now)
         blamed = [
             target for target in targets if assessment.candidates(target) <= names
         ]
@@ -171,6 +169,7 @@
     What may be to blame for each failed test, by what is known at one moment.
 
     :ivar at: that moment, in seconds of the timer service.
+    :ivar remaining_by_target: the tested traits that no response has cleared.
     """
 
     def __init__(
@@ -181,7 +180,7 @@
         at: float,
     ) -> None:
         self.at = at
-        self._remaining_by_target = remaining_by_target
+        self.remaining_by_target = remaining_by_target
         self._evidence = evidence
         self._requests_by_target = {
             target: suspects_at(target) for target in remaining_by_target
@@ -202,7 +201,7 @@
         fatal trait would never be blamed if each request with it had other traits that
         no other request has.
         """
-        remaining = self._remaining_by_target.get(target)
+        remaining = self.remaining_by_target.get(target)
         if not remaining:
             return frozenset()
         requests = self._requests_by_target[target]
@@ -246,13 +245,13 @@
                 if evidence.is_suspect(trait, now)
                 and not evidence.is_answered(trait, now)
             ]
-            for target, remaining in self._remaining_by_target.items()
+            for target, remaining in self.remaining_by_target.items()
         }
 
     @cached_property
     def _failures_by_name(self) -> dict[str, int]:
         """The failed tests, by trait or single request."""
-        return self._count_failures(self._remaining_by_target)
+        return self._count_failures(self.remaining_by_target)
 
     @cached_property
     def _unexplained_failures_by_name(self) -> dict[str, int]:
@@ -268,7 +267,7 @@
             name
             for target in targets
             for name in (
-                *self._remaining_by_target[target],
+                *self.remaining_by_target[target],
                 *self._requests_by_target[target],
             )
         )
--- a/pimentolink/incarnations.py
+++ b/pimentolink/incarnations.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict, deque
 from typing import NamedTuple
 
+from pimentolink.crashhistory import evict_oldest
 from pimentolink.targetestimate import Target
 
 # Seconds for which the list of targets may still name an incarnation that ended. One
@@ -53,8 +54,7 @@
     def record_end(self, target: int, now: float) -> None:
         """Record that an incarnation ended, unless that was known before."""
         self._end_known_at_by_target.setdefault(target, now)
-        while len(self._end_known_at_by_target) > MAX_ENDS:
-            self._end_known_at_by_target.popitem(last=False)
+        evict_oldest(self._end_known_at_by_target, MAX_ENDS)
 
     def record_removal(self, target: int, now: float) -> None:
         """
@@ -65,8 +65,7 @@
         """
         self.record_end(target, now)
         self._removed[target] = None
-        while len(self._removed) > MAX_ENDS:
-            self._removed.popitem(last=False)
+        evict_oldest(self._removed, MAX_ENDS)
 
     def record_listed(self, target: int) -> bool:
         """
@@ -108,8 +107,7 @@
             exchanges = deque(maxlen=MAX_UNLISTED_PER_TARGET)
         exchanges.append(exchange)
         self._unlisted_by_place[place] = exchanges
-        while len(self._unlisted_by_place) > MAX_UNLISTED_TARGETS:
-            self._unlisted_by_place.popitem(last=False)
+        evict_oldest(self._unlisted_by_place, MAX_UNLISTED_TARGETS)
 
     def take(self, target: Target, now: float) -> list[UnlistedExchange]:
         """
--- a/pimentolink/suspects.py
+++ b/pimentolink/suspects.py
@@ -13,12 +13,13 @@
     QUARANTINE_JITTER,
     SUSPECT_QUARANTINE,
     CrashHistory,
+    evict_oldest,
     quarantine_time,
 )
 from pimentolink.errors import Quarantined
 from pimentolink.incarnations import IncarnationTracker, UnlistedExchange
 from pimentolink.targetestimate import Target
-from pimentolink.traitcrashes import TraitCrash, TraitTracker, evict_oldest
+from pimentolink.traitcrashes import TraitCrash, TraitTracker
 from pimentolink.traits import is_trait
 
 # Seconds after which a trial counts as over without an outcome; long enough for a
--- a/pimentolink/traitcrashes.py
+++ b/pimentolink/traitcrashes.py
@@ -5,9 +5,14 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
-from typing import Any, NamedTuple
-
-from pimentolink.crashhistory import CRASH_TTL, QUARANTINE_JITTER, SUSPECT_QUARANTINE
+from typing import NamedTuple
+
+from pimentolink.crashhistory import (
+    CRASH_TTL,
+    QUARANTINE_JITTER,
+    SUSPECT_QUARANTINE,
+    evict_oldest,
+)
 from pimentolink.failedtests import FailedTests, SuspectsAt
 from pimentolink.peermessages import MAX_DEPTH
 
@@ -369,9 +374,3 @@
     def _remove(self, trait: str) -> None:
         self._suspect_by_trait.pop(trait, None)
         self._accused_by_trait.pop(trait, None)
-
-
-def evict_oldest(table: OrderedDict[Any, Any], capacity: int) -> None:
-    """Remove the oldest entries of a table beyond its capacity."""
-    while len(table) > capacity:
-        table.popitem(last=False)
--- a/tools/replay.py
+++ b/tools/replay.py
@@ -250,8 +250,7 @@
     :ivar refused: share of requests that were refused in the end.
     :ivar failed: share of requests that went unanswered for another reason.
     :ivar reread: prompt tokens prefilled beyond what a single engine would need.
-    :ivar crashed: number of engine crashes caused by requests.
-    :ivar crashes: these crashes, in order.
+    :ivar crashes: engine crashes caused by requests, in order.
     :ivar mistaken: share of requests that crash no engine but were quarantined at
         least once.
     :ivar at_once: share of the requests that were answered at the first attempt, by
@@ -264,11 +263,15 @@
     refused: float
     failed: float
     reread: int
-    crashed: int
     crashes: list[CausedCrash]
     mistaken: float
     at_once: dict[int, float]
 
+    @property
+    def crashed(self) -> int:
+        """Return the number of engine crashes caused by requests."""
+        return len(self.crashes)
+
 
 def generate_requests(load: Load, seed: int) -> list[Request]:
     """Generate the ordinary requests of a load, ordered by arrival."""
@@ -612,7 +615,7 @@
         await self._admit(request, request_id)
         engine = self._replay.engine(decode_engine)
         if request.returns is not None:
-            self._replay.schedule_crash(engine, request, request.returns)
+            self._replay.schedule_crash(engine, request)
         await self._run_on_engine(request, request_id, decode_engine, engine.write(1))
         first_token_at = self._replay.timers.now()
         await self._run_on_engine(
@@ -767,20 +770,18 @@
             else:
                 engine.speed = fault.speed
 
-    def schedule_crash(
-        self, engine: ModelEngine, request: Request, returns: float
-    ) -> None:
+    def schedule_crash(self, engine: ModelEngine, request: Request) -> None:
         """Schedule the crash of an engine that has started a fatal answer."""
 
         def crash() -> None:
             if not engine.is_lost and engine.born == born:
                 self._crashes.append(CausedCrash(self.timers.now(), request.parts))
-                self._crash(engine, returns)
+                self._crash(engine, request.returns)
 
         born = engine.born
         self.timers.call_later(CRASH_DELAY, crash)
 
-    def _crash(self, engine: ModelEngine, returns: float) -> None:
+    def _crash(self, engine: ModelEngine, returns: float | None) -> None:
         if engine.is_lost:
             return
         engine.lose()
@@ -866,7 +867,6 @@
             refused=len(refused) / len(self._requests),
             failed=(len(unserved) - len(refused)) / len(self._requests),
             reread=self._repeated_prefill_tokens(),
-            crashed=len(self._crashes),
             crashes=self._crashes,
             mistaken=len(self._wrongly_quarantined) / len(self._requests),
             at_once=self._share_at_once(),
