--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -484,6 +484,11 @@
         """Remove a key on behalf of the operator or an engine."""
         await asyncio.to_thread(self._call_store, f"/operator?key={key}", b"null")
 
+    async def control_store(self, path: str, value: Any = None) -> None:
+        """Set a fault of the store, or make it copy or restore its keys."""
+        body = json.dumps({} if value is None else value).encode()
+        await asyncio.to_thread(self._call_store, path, body)
+
     def _call_store(self, path: str, body: bytes) -> None:
         request = urllib.request.Request(
             f"http://{self._store}{path}", data=body, method="PUT"
