--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Runs the case; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout -s KILL 118 python3 review/9/case.py
+exec timeout -k 5 112 python3 review/9/case.py
